--- /dev/null
+++ b/Makefile
@@ -0,0 +1,30 @@
+# Sets up its own environment in .venv; needs Python 3.11 only.
+PYTHON ?= python3.11
+VENV := .venv
+STAMP := $(VENV)/.installed
+
+.PHONY: setup demo test check bench slopes
+
+setup: $(STAMP)
+
+$(STAMP): pyproject.toml constraints.txt
+	$(PYTHON) -m venv $(VENV)
+	$(VENV)/bin/python -m pip install --quiet --constraint constraints.txt --editable '.[dev]'
+	touch $(STAMP)
+
+demo: $(STAMP)
+	$(VENV)/bin/python -m standins.demo
+
+test: $(STAMP)
+	$(VENV)/bin/python -m tests.run
+
+check: $(STAMP)
+	$(VENV)/bin/black --check --quiet .
+	$(VENV)/bin/ruff check --quiet .
+	$(VENV)/bin/mypy --no-error-summary endivedrift standins lab tests
+
+bench: $(STAMP)
+	$(VENV)/bin/python -m lab.bench
+
+slopes: $(STAMP)
+	$(VENV)/bin/python -m lab.slopes
--- /dev/null
+++ b/endivedrift/cli/__init__.py
@@ -0,0 +1,15 @@
+"""The operators' command-line tool."""
+
+import typer
+
+from endivedrift.cli._publishing import check, diff, history, publish, show
+from endivedrift.cli._watching import explain, status
+
+app = typer.Typer(help="Checks, publishes and explains the objects of an endivedrift fleet.")
+for _command in (check, publish, show, diff, history, status, explain):
+    app.command()(_command)
+
+
+def main() -> None:
+    """Entry point of the console script."""
+    app()
--- /dev/null
+++ b/endivedrift/core/_clock.py
@@ -0,0 +1,56 @@
+"""The clock interface that is passed to everything that needs the time.
+
+Two readings exist. `monotonic` never goes back and orders events inside one process.
+`wall` is the date and time of day; it is used for the audit trail and for expiry times that
+several hosts have to understand.
+"""
+
+import time
+from datetime import UTC, datetime, timedelta
+from typing import Protocol, TypeAlias
+
+Instant: TypeAlias = timedelta
+"""Time on a monotonic clock whose zero is arbitrary, comparable inside one process only."""
+
+
+class Clock(Protocol):
+    """Source of the time."""
+
+    def monotonic(self) -> Instant:
+        """Returns the time on a clock that never goes back."""
+
+    def wall(self) -> datetime:
+        """Returns the date and time in UTC."""
+
+
+class SystemClock:
+    """The clock of the operating system."""
+
+    def monotonic(self) -> Instant:
+        """Returns the time since an arbitrary start."""
+        return timedelta(seconds=time.monotonic())
+
+    def wall(self) -> datetime:
+        """Returns the date and time in UTC."""
+        return datetime.now(UTC)
+
+
+class ManualClock:
+    """A clock that moves only when told, for tests and measurements."""
+
+    def __init__(self, start: datetime = datetime(2026, 1, 1, tzinfo=UTC)) -> None:
+        """Starts at `start` with a monotonic reading of zero."""
+        self._start = start
+        self._elapsed = timedelta(0)
+
+    def monotonic(self) -> Instant:
+        """Returns the time by which the clock was advanced."""
+        return self._elapsed
+
+    def wall(self) -> datetime:
+        """Returns the start date plus the time by which the clock was advanced."""
+        return self._start + self._elapsed
+
+    def advance(self, step: timedelta) -> None:
+        """Moves the clock forward by `step`."""
+        self._elapsed += step
--- /dev/null
+++ b/endivedrift/core/_ids.py
@@ -0,0 +1,17 @@
+"""Identifier types, so that a name of one kind is never passed where another is meant."""
+
+from typing import NewType
+
+HostId = NewType("HostId", str)
+FailureDomain = NewType("FailureDomain", str)
+ServiceName = NewType("ServiceName", str)
+RouteName = NewType("RouteName", str)
+TargetName = NewType("TargetName", str)
+CallerName = NewType("CallerName", str)
+RequestId = NewType("RequestId", str)
+IdempotencyKey = NewType("IdempotencyKey", str)
+ClaimId = NewType("ClaimId", str)
+Address = NewType("Address", str)
+Incarnation = NewType("Incarnation", int)
+Version = NewType("Version", int)
+Digest = NewType("Digest", str)
--- /dev/null
+++ b/endivedrift/core/_records.py
@@ -0,0 +1,201 @@
+"""The immutable records that events, effects and messages are made of."""
+
+from dataclasses import dataclass, field, replace
+from datetime import datetime, timedelta
+from typing import TypeAlias
+
+from endivedrift.core._clock import Instant
+from endivedrift.core._ids import (
+    Address,
+    CallerName,
+    Digest,
+    FailureDomain,
+    HostId,
+    IdempotencyKey,
+    Incarnation,
+    RequestId,
+    ServiceName,
+    TargetName,
+    Version,
+)
+from endivedrift.core._states import AuditKind, MemberStatus, MessageKind, RefusalReason
+from endivedrift.core._verdicts import Verdict
+
+Headers: TypeAlias = tuple[tuple[bytes, bytes], ...]
+"""Header names in lower case with their values, in the order of arrival."""
+
+
+@dataclass(frozen=True, slots=True)
+class RequestHead:
+    """What the decisions need to know of a request.
+
+    Attributes:
+      method: HTTP method in upper case.
+      path: Path without the query.
+      caller: Account the caller named, or None.
+      key: Idempotency key the caller sent, or None.
+      fingerprint: Digest of caller, method, path, query and body.
+      patience: Time the caller still waits, or None where the route's deadline decides.
+      forwarded: Whether another host passed the request on because this host owns its key.
+    """
+
+    method: str
+    path: str
+    caller: CallerName | None = None
+    key: IdempotencyKey | None = None
+    fingerprint: bytes = b""
+    patience: timedelta | None = None
+    forwarded: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """A target's complete answer."""
+
+    status: int
+    headers: Headers
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Refusal:
+    """An answer made by a host in place of a target's.
+
+    Attributes:
+      reason: Why there is no answer of a target.
+      verdict: Whether the request, or an earlier one with the same key, may have run.
+      attempt: Whether this very request may have run.
+      retry_after: When to come back, or None where coming back is of no use.
+      detail: A sentence for the person who reads it.
+    """
+
+    reason: RefusalReason
+    verdict: Verdict
+    attempt: Verdict
+    retry_after: timedelta | None
+    detail: str
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigRef:
+    """Names one accepted object set."""
+
+    version: Version
+    digest: Digest
+
+
+NO_CONFIG = ConfigRef(Version(0), Digest(""))
+
+
+@dataclass(frozen=True, slots=True)
+class Member:
+    """One host of the fleet as told in messages.
+
+    `incarnation` names one process with its memory. `counter` grows each time that process
+    denies a rumour of its failure.
+    """
+
+    host: HostId
+    incarnation: Incarnation
+    counter: int
+    status: MemberStatus
+    failure_domain: FailureDomain
+    caller_address: Address
+    peer_address: Address
+    operator_address: Address
+
+    def precedence(self) -> tuple[int, int, int]:
+        """Returns the rank by which one word on a host replaces another."""
+        return (self.incarnation, self.counter, self.status)
+
+    def with_status(self, status: MemberStatus) -> "Member":
+        """Returns the same member with another status."""
+        return replace(self, status=status)
+
+
+@dataclass(frozen=True, slots=True)
+class EvidenceDelta:
+    """Counts of one target's outcomes that one host saw since its last message.
+
+    Attributes:
+      service: Service that was called.
+      target: Target that was called.
+      good: Number of timely complete answers.
+      bad: Number of failures and slow answers.
+      leaving: Whether the target said that it is shutting down.
+    """
+
+    service: ServiceName
+    target: TargetName
+    good: int
+    bad: int
+    leaving: bool
+
+
+@dataclass(frozen=True, slots=True)
+class PeerMessage:
+    """One datagram between two hosts.
+
+    Attributes:
+      kind: What the sender asks or tells.
+      sender: The sender's own member record.
+      sequence: Grows with each datagram of one sender incarnation.
+      probe: Number that pairs an ACK with its PING.
+      subject: Host that a PING_REQUEST asks about, or on whose behalf a PING or ACK travels.
+      heard_subject: In an ACK, whether the sender heard the subject directly of late.
+      config: Object set in force at the sender.
+      members: News of other members.
+      evidence: Outcomes seen by the sender.
+    """
+
+    kind: MessageKind
+    sender: Member
+    sequence: int
+    probe: int
+    subject: HostId
+    heard_subject: bool
+    config: ConfigRef
+    members: tuple[Member, ...] = ()
+    evidence: tuple[EvidenceDelta, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class ListedMachine:
+    """One entry of the platform's lagging list of live and leaving machines."""
+
+    address: Address
+    leaving: bool
+    peer_address: Address = Address("")
+
+
+@dataclass(frozen=True, slots=True)
+class AuditEntry:
+    """One entry of a host's audit trail."""
+
+    at: Instant
+    kind: AuditKind
+    subject: str
+    cause: str
+    service: ServiceName = ServiceName("")
+    request: RequestId = RequestId("")
+
+
+@dataclass(frozen=True, slots=True)
+class StampedEntry:
+    """An audit entry with its date, as kept and shown."""
+
+    date: datetime
+    entry: AuditEntry
+
+
+@dataclass(frozen=True, slots=True)
+class HostIdentity:
+    """Who this host is and where it listens."""
+
+    host: HostId
+    incarnation: Incarnation
+    failure_domain: FailureDomain
+    caller_address: Address
+    peer_address: Address
+    operator_address: Address
+    seeds: tuple[Address, ...] = field(default=())
--- /dev/null
+++ b/endivedrift/core/_states.py
@@ -0,0 +1,137 @@
+"""Closed sets of states, kinds and reasons."""
+
+from enum import Enum, IntEnum
+
+
+class HostPhase(Enum):
+    """Life of one host process."""
+
+    STARTING = "starting"
+    SERVING = "serving"
+    LEAVING = "leaving"
+
+
+class MemberStatus(IntEnum):
+    """What the fleet believes of a member; a greater value wins at equal age."""
+
+    ALIVE = 0
+    SUSPECT = 1
+    LEAVING = 2
+    DEAD = 3
+
+
+class TargetState(Enum):
+    """Whether a target may be given requests."""
+
+    WARMING = "warming"
+    HEALTHY = "healthy"
+    EJECTED = "ejected"
+    PROBATION = "probation"
+    LEAVING = "leaving"
+
+
+class Importance(IntEnum):
+    """Order in which queued requests are served; the lowest value goes first."""
+
+    CRITICAL = 0
+    NORMAL = 1
+    DEFERRABLE = 2
+
+
+class AttemptOutcome(Enum):
+    """How one attempt at a target ended."""
+
+    ANSWERED = "answered"
+    SHED = "shed"
+    DRAINING = "draining"
+    NOT_CONNECTED = "not-connected"
+    CUT = "cut"
+    TIMED_OUT = "timed-out"
+    MALFORMED = "malformed"
+    TOO_LARGE = "too-large"
+    CANCELLED = "cancelled"
+
+
+class KeyPhase(Enum):
+    """What the owner of an idempotency key knows of the request that the key names."""
+
+    CLAIMING = "claiming"
+    IDLE = "idle"
+    RUNNING = "running"
+    ANSWERED = "answered"
+    UNCERTAIN = "uncertain"
+
+
+class ClaimOutcome(Enum):
+    """Result of writing a claim row for a key that a caller made."""
+
+    CLAIMED = "claimed"
+    TAKEN = "taken"
+    UNKNOWN = "unknown"
+
+
+class ForwardOutcome(Enum):
+    """Result of passing a request to the host that owns its key."""
+
+    ANSWERED = "answered"
+    REFUSED = "refused"
+    BROKEN = "broken"
+
+
+class RefusalReason(Enum):
+    """Why a request got no answer of a target."""
+
+    NO_CONFIGURATION = "no-configuration"
+    STOPPING = "stopping"
+    NO_ROUTE = "no-route"
+    UNKNOWN_CALLER = "unknown-caller"
+    CALLER_LIMIT = "caller-limit"
+    KEY_REQUIRED = "key-required"
+    KEY_EXPIRED = "key-expired"
+    KEY_REUSED = "key-reused"
+    KEY_BUSY = "key-busy"
+    KEY_SPENT = "key-spent"
+    KEY_TABLE_FULL = "key-table-full"
+    KEY_STORE_DOWN = "key-store-down"
+    OWNER_GONE = "owner-gone"
+    OWNER_UNREACHABLE = "owner-unreachable"
+    QUEUE_FULL = "queue-full"
+    QUEUE_WAIT = "queue-wait"
+    DEADLINE = "deadline"
+    NO_TARGET = "no-target"
+    TARGET_REFUSED = "target-refused"
+    TARGET_UNREACHABLE = "target-unreachable"
+    TARGET_CUT = "target-cut"
+    TARGET_TIMEOUT = "target-timeout"
+    TARGET_MALFORMED = "target-malformed"
+    TARGET_TOO_LARGE = "target-too-large"
+    BAD_REQUEST = "bad-request"
+    TOO_LARGE = "too-large"
+    HEADERS_TOO_LARGE = "headers-too-large"
+    UNSUPPORTED = "unsupported"
+    SLOW_CALLER = "slow-caller"
+    TOO_MANY_CONNECTIONS = "too-many-connections"
+
+
+class MessageKind(Enum):
+    """Kinds of datagrams between hosts."""
+
+    PING = "ping"
+    ACK = "ack"
+    PING_REQUEST = "pingRequest"
+    SYNC_REQUEST = "syncRequest"
+    NOTICE = "notice"
+
+
+class AuditKind(Enum):
+    """Kinds of entries in a host's audit trail."""
+
+    EJECTED = "ejected"
+    READMITTED = "readmitted"
+    PROBATION = "probation"
+    TARGET_LEAVING = "target-leaving"
+    CONFIG_APPLIED = "config-applied"
+    CONFIG_REJECTED = "config-rejected"
+    MEMBER_CHANGED = "member-changed"
+    REFUSED = "refused"
+    PHASE_CHANGED = "phase-changed"
--- /dev/null
+++ b/endivedrift/core/effects.py
@@ -0,0 +1,128 @@
+"""Everything the reducer can ask the shell to do, as immutable values."""
+
+from dataclasses import dataclass
+from typing import TypeAlias
+
+from endivedrift.core._clock import Instant
+from endivedrift.core._ids import (
+    Address,
+    ClaimId,
+    HostId,
+    IdempotencyKey,
+    Incarnation,
+    RequestId,
+    ServiceName,
+    TargetName,
+)
+from endivedrift.core._records import Answer, AuditEntry, ConfigRef, PeerMessage, Refusal
+
+
+@dataclass(frozen=True, slots=True)
+class SendToTarget:
+    """Send the request to a target and wait for the answer until `deadline`.
+
+    `reuse` tells whether a connection that was used before may carry the request.
+    """
+
+    request: RequestId
+    service: ServiceName
+    target: TargetName
+    address: Address
+    deadline: Instant
+    answer_limit_bytes: int
+    not_run_header: bytes
+    draining_header: bytes
+    reuse: bool
+
+
+@dataclass(frozen=True, slots=True)
+class AwaitTurn:
+    """Keep the request waiting until `until`, then raise QueueWaitExpired."""
+
+    request: RequestId
+    until: Instant
+
+
+@dataclass(frozen=True, slots=True)
+class DeliverAnswer:
+    """Give the caller a target's answer."""
+
+    request: RequestId
+    answer: Answer
+    replayed: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class RefuseRequest:
+    """Give the caller a refusal."""
+
+    request: RequestId
+    refusal: Refusal
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimKey:
+    """Write a claim row for a caller's own key in the table service."""
+
+    request: RequestId
+    key: IdempotencyKey
+    claim: ClaimId
+    until: Instant
+
+
+@dataclass(frozen=True, slots=True)
+class ForwardToOwner:
+    """Pass the request to the host that owns its key."""
+
+    request: RequestId
+    owner: HostId
+    incarnation: Incarnation
+    address: Address
+    deadline: Instant
+
+
+@dataclass(frozen=True, slots=True)
+class AbandonRequest:
+    """Stop all work for a request whose caller is gone."""
+
+    request: RequestId
+
+
+@dataclass(frozen=True, slots=True)
+class SendPeerMessage:
+    """Send a datagram to another host."""
+
+    address: Address
+    message: PeerMessage
+
+
+@dataclass(frozen=True, slots=True)
+class FetchConfig:
+    """Fetch an object set from the given peers, then from the object store."""
+
+    config: ConfigRef
+    peers: tuple[Address, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class RecordAudit:
+    """Append an entry to the audit trail and the log."""
+
+    entry: AuditEntry
+
+
+Effect: TypeAlias = (
+    SendToTarget
+    | AwaitTurn
+    | DeliverAnswer
+    | RefuseRequest
+    | ClaimKey
+    | ForwardToOwner
+    | AbandonRequest
+    | SendPeerMessage
+    | FetchConfig
+    | RecordAudit
+)
+RequestEffect: TypeAlias = (
+    SendToTarget | AwaitTurn | DeliverAnswer | RefuseRequest | ClaimKey | ForwardToOwner
+)
--- /dev/null
+++ b/endivedrift/core/events.py
@@ -0,0 +1,157 @@
+"""Everything that can happen to a host, as immutable values.
+
+Each event carries the monotonic time at which the shell saw it.
+"""
+
+from dataclasses import dataclass
+from datetime import datetime, timedelta
+from typing import TypeAlias
+
+from endivedrift.core._clock import Instant
+from endivedrift.core._ids import Address, ClaimId, HostId, Incarnation, RequestId, TargetName
+from endivedrift.core._records import (
+    Answer,
+    ConfigRef,
+    ListedMachine,
+    PeerMessage,
+    Refusal,
+    RequestHead,
+)
+from endivedrift.core._states import AttemptOutcome, ClaimOutcome, ForwardOutcome
+
+
+@dataclass(frozen=True, slots=True)
+class RequestArrived:
+    """A caller's request was read in full; `wall` dates it for the expiry of minted keys."""
+
+    at: Instant
+    wall: datetime
+    request: RequestId
+    head: RequestHead
+
+
+@dataclass(frozen=True, slots=True)
+class QueueWaitExpired:
+    """A queued request reached the end of its wait."""
+
+    at: Instant
+    request: RequestId
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptFinished:
+    """An attempt at a target ended; `answer` is set for the outcome ANSWERED only."""
+
+    at: Instant
+    request: RequestId
+    target: TargetName
+    outcome: AttemptOutcome
+    latency: timedelta
+    answer: Answer | None = None
+    leaving: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class CallerGone:
+    """The caller closed its connection before it had an answer."""
+
+    at: Instant
+    request: RequestId
+
+
+@dataclass(frozen=True, slots=True)
+class KeyClaimSettled:
+    """The table service settled who owns a key; owner fields are set for TAKEN only."""
+
+    at: Instant
+    request: RequestId
+    outcome: ClaimOutcome
+    owner: HostId = HostId("")
+    owner_incarnation: Incarnation = Incarnation(0)
+    claim: ClaimId = ClaimId("")
+
+
+@dataclass(frozen=True, slots=True)
+class ForwardFinished:
+    """The owner of a key answered, refused, or was lost."""
+
+    at: Instant
+    request: RequestId
+    outcome: ForwardOutcome
+    answer: Answer | None = None
+    refusal: Refusal | None = None
+    connected: bool = True
+
+
+@dataclass(frozen=True, slots=True)
+class HeadObserved:
+    """The table service named the accepted object set."""
+
+    at: Instant
+    config: ConfigRef
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigFetched:
+    """The bytes of an object set were read and match their digest."""
+
+    at: Instant
+    config: ConfigRef
+    canonical: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigFetchFailed:
+    """No source had the bytes of an object set."""
+
+    at: Instant
+    config: ConfigRef
+
+
+@dataclass(frozen=True, slots=True)
+class HostListRead:
+    """The platform's list of machines was read."""
+
+    at: Instant
+    machines: tuple[ListedMachine, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class PeerMessageReceived:
+    """A datagram of another host passed its authentication."""
+
+    at: Instant
+    source: Address
+    message: PeerMessage
+
+
+@dataclass(frozen=True, slots=True)
+class Ticked:
+    """The periodic timer fired."""
+
+    at: Instant
+    wall: datetime
+
+
+@dataclass(frozen=True, slots=True)
+class StopRequested:
+    """An operator or the platform asked the process to stop."""
+
+    at: Instant
+
+
+Event: TypeAlias = (
+    RequestArrived
+    | QueueWaitExpired
+    | AttemptFinished
+    | CallerGone
+    | KeyClaimSettled
+    | ForwardFinished
+    | HeadObserved
+    | ConfigFetched
+    | ConfigFetchFailed
+    | HostListRead
+    | PeerMessageReceived
+    | Ticked
+    | StopRequested
+)
--- /dev/null
+++ b/endivedrift/objects/_consistency.py
@@ -0,0 +1,99 @@
+"""Checks of an object set as a whole: references, duplicates, and limits that cannot hold."""
+
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
+
+from endivedrift.objects._schema import ObjectSet, Route, Service
+
+
+@dataclass(frozen=True, slots=True)
+class Inconsistency:
+    """A fault between objects: the object and field at fault, and the cause."""
+
+    object: str
+    field: str
+    cause: str
+
+
+def check_consistency(objects: ObjectSet) -> tuple[Inconsistency, ...]:
+    """Finds all faults between the objects of a set whose own fields are valid.
+
+    Args:
+      objects: The set.
+    Returns:
+      The faults, empty when the set may be published.
+    """
+    return (
+        *_check_references(objects),
+        *_check_targets(objects),
+        *_check_floors(objects),
+        *_check_routes(objects),
+    )
+
+
+def _check_references(objects: ObjectSet) -> Iterator[Inconsistency]:
+    for name, service in objects.service.items():
+        for field in ("upstream_group", "ejection_limit", "drain_rule", "retry_rule"):
+            wanted = getattr(service, field)
+            if wanted not in getattr(objects, field):
+                yield Inconsistency(f"service.{name}", field, f"there is no {field}.{wanted}")
+    for name, route in objects.route.items():
+        if route.service not in objects.service:
+            cause = f"there is no service.{route.service}"
+            yield Inconsistency(f"route.{name}", "service", cause)
+
+
+def _check_targets(objects: ObjectSet) -> Iterator[Inconsistency]:
+    owners: dict[str, str] = {}
+    for name, group in objects.upstream_group.items():
+        label = f"upstream_group.{name}"
+        seen: set[str] = set()
+        for index, target in enumerate(group.targets):
+            if target.name in seen:
+                cause = f"the name {target.name} is used twice in the group"
+                yield Inconsistency(label, f"targets.{index}.name", cause)
+            seen.add(target.name)
+            place = f"{label} targets.{index}"
+            owner = owners.setdefault(target.address, place)
+            if owner != place:
+                cause = f"{target.address} is the address of {owner} too"
+                yield Inconsistency(label, f"targets.{index}.address", cause)
+
+
+def _check_floors(objects: ObjectSet) -> Iterator[Inconsistency]:
+    for name, service in objects.service.items():
+        limit = objects.ejection_limit.get(service.ejection_limit)
+        group = objects.upstream_group.get(service.upstream_group)
+        if limit is None or group is None:
+            continue
+        able = sum(1 for target in group.targets if not target.draining)
+        if limit.floor > able:
+            cause = f"its floor of {limit.floor} is above the {able} targets that are not draining"
+            yield Inconsistency(f"service.{name}", "ejection_limit", cause)
+
+
+def _check_routes(objects: ObjectSet) -> Iterator[Inconsistency]:
+    yield from _check_unrouted(objects.service, objects.route.values())
+    places: dict[tuple[str, str], str] = {}
+    for name, route in objects.route.items():
+        label = f"route.{name}"
+        if route.queue_wait_ms >= route.deadline_ms:
+            cause = f"must be shorter than the deadline of {route.deadline_ms} ms"
+            yield Inconsistency(label, "queue_wait_ms", cause)
+        for method in route.methods:
+            other = places.setdefault((method, route.path.rstrip("/")), name)
+            if other != name:
+                cause = f"{method} {route.path} belongs to route.{other} too"
+                yield Inconsistency(label, "path", cause)
+        if route.repeatable and route.key_required:
+            cause = "a repeatable route needs no idempotency key"
+            yield Inconsistency(label, "key_required", cause)
+
+
+def _check_unrouted(
+    services: dict[str, Service], routes: Iterable[Route]
+) -> Iterator[Inconsistency]:
+    routed = {route.service for route in routes}
+    for name in services:
+        if name not in routed:
+            yield Inconsistency(f"service.{name}", "", "no route leads to it")
--- /dev/null
+++ b/endivedrift/objects/_difference.py
@@ -0,0 +1,58 @@
+"""The difference between two object sets, object by object."""
+
+from dataclasses import dataclass
+from enum import Enum
+from typing import Any
+
+from endivedrift.objects._schema import ObjectSet
+
+
+class ChangeKind(Enum):
+    """What happened to an object."""
+
+    ADDED = "added"
+    REMOVED = "removed"
+    CHANGED = "changed"
+
+
+@dataclass(frozen=True, slots=True)
+class ObjectChange:
+    """One object that differs, with the names of the fields that differ."""
+
+    kind: ChangeKind
+    object: str
+    fields: tuple[str, ...] = ()
+
+    def __str__(self) -> str:
+        """Returns the change on one line."""
+        fields = f" ({', '.join(self.fields)})" if self.fields else ""
+        return f"{self.kind.value} {self.object}{fields}"
+
+
+def compare_object_sets(old: ObjectSet, new: ObjectSet) -> tuple[ObjectChange, ...]:
+    """Lists the objects that differ, sorted by name.
+
+    Args:
+      old: The earlier set.
+      new: The later set.
+    Returns:
+      One change for each object that differs.
+    """
+    before, after = _flatten_objects(old), _flatten_objects(new)
+    changes = []
+    for label in sorted(before.keys() | after.keys()):
+        if label not in before:
+            changes.append(ObjectChange(ChangeKind.ADDED, label))
+        elif label not in after:
+            changes.append(ObjectChange(ChangeKind.REMOVED, label))
+        elif before[label] != after[label]:
+            fields = [key for key in after[label] if after[label][key] != before[label].get(key)]
+            changes.append(ObjectChange(ChangeKind.CHANGED, label, tuple(fields)))
+    return tuple(changes)
+
+
+def _flatten_objects(objects: ObjectSet) -> dict[str, dict[str, Any]]:
+    dumped = objects.model_dump(mode="json")
+    return {
+        f"{kind}.{name}": body for kind, named in dumped.items() for name, body in named.items()
+    }
--- /dev/null
+++ b/endivedrift/objects/_schema.py
@@ -0,0 +1,207 @@
+"""The object types that operators publish, as immutable records.
+
+Objects are written in TOML tables named `KIND.NAME` and refer to one another by name. Each type
+checks its own fields here; references between objects are checked in `_consistency`.
+"""
+
+import ipaddress
+from datetime import timedelta
+from typing import Annotated
+
+from pydantic import BaseModel, ConfigDict, Field, field_validator
+
+from endivedrift.core import Importance
+
+MAX_BODY_BYTES = 8 * 1024 * 1024
+MAX_DEADLINE_MS = 120_000
+
+Name = Annotated[str, Field(pattern=r"^[a-z0-9][a-z0-9-]{0,62}$")]
+Milliseconds = Annotated[int, Field(ge=1, le=MAX_DEADLINE_MS)]
+Probability = Annotated[float, Field(gt=0.0, lt=1.0)]
+
+
+def check_address(text: str) -> str:
+    """Checks that `text` is an IPv4 address and a port.
+
+    Raises:
+      ValueError: If it is not.
+    """
+    ip, separator, port = text.rpartition(":")
+    if not separator or not port.isascii() or not port.isdigit():
+        raise ValueError("must be written as IP:PORT")
+    if not 0 < int(port) < 65536:
+        raise ValueError("the port must be from 1 to 65535")
+    ipaddress.IPv4Address(ip)
+    return text
+
+
+class _Object(BaseModel):
+    model_config = ConfigDict(frozen=True, extra="forbid", strict=True)
+
+
+class Target(_Object):
+    """One target of an upstream group.
+
+    Attributes:
+      name: Name, unique in the group.
+      address: IPv4 address and port.
+      failure_domain: Failure domain it stands in.
+      draining: Whether the operator takes it out of use.
+    """
+
+    name: Name
+    address: str
+    failure_domain: Name
+    draining: bool = False
+
+    _address = field_validator("address")(check_address)
+
+
+class UpstreamGroup(_Object):
+    """Targets that are able to answer the same requests.
+
+    Attributes:
+      slots: Requests that one target works on at a time.
+      connection_cap: Connections that one target accepts from the whole fleet.
+      not_run_header: Header by which a target's 429 or 503 tells that it did not run the request.
+      draining_header: Header by which a target's answer tells that it is shutting down.
+      targets: The targets.
+    """
+
+    slots: Annotated[int, Field(ge=1, le=10_000)]
+    connection_cap: Annotated[int, Field(ge=1, le=100_000)]
+    not_run_header: Annotated[str, Field(pattern=r"^[a-z0-9-]+$")] = "x-not-run"
+    draining_header: Annotated[str, Field(pattern=r"^[a-z0-9-]+$")] = "x-draining"
+    targets: Annotated[tuple[Target, ...], Field(min_length=1, strict=False)]
+
+
+class EjectionLimit(_Object):
+    """How readily and how far targets are taken out of use.
+
+    Attributes:
+      floor: Number of usable targets that each host keeps, whatever the evidence.
+      false_ejection_rate: Accepted probability of ejecting a target that is as good as its group,
+        per target and restart of the sequential test.
+      detectable_failure_rate: Share of bad answers that marks a sick target.
+      slow_factor: An answer that takes this many times the group's typical time is bad.
+      base_stay_ms: First stay outside; it doubles each time the target falls sick again.
+      max_stay_ms: Longest stay outside.
+    """
+
+    floor: Annotated[int, Field(ge=1)]
+    false_ejection_rate: Probability
+    detectable_failure_rate: Probability
+    slow_factor: Annotated[float, Field(gt=1.0, le=100.0)] = 3.0
+    base_stay_ms: Milliseconds = 5_000
+    max_stay_ms: Milliseconds = 60_000
+
+
+class DrainRule(_Object):
+    """How a host treats leaving and new targets.
+
+    Attributes:
+      warm_up_ms: Time during which a new target gets one request at a time.
+    """
+
+    warm_up_ms: Milliseconds = 5_000
+
+
+class RetryRule(_Object):
+    """How often a request is tried again.
+
+    Attributes:
+      max_attempts: Attempts for one request, the first included.
+      budget_ratio: Retries allowed for each successful answer.
+      budget_cap: Retries that may be saved up.
+    """
+
+    max_attempts: Annotated[int, Field(ge=1, le=10)] = 3
+    budget_ratio: Annotated[float, Field(ge=0.0, le=1.0)] = 0.1
+    budget_cap: Annotated[int, Field(ge=0, le=10_000)] = 20
+
+
+class Service(_Object):
+    """One service that callers reach.
+
+    Attributes:
+      upstream_group, ejection_limit, drain_rule, retry_rule: Names of other objects.
+      entry_hosts: Hosts that the entry answer names first for this service.
+      queue_length: Requests that may wait at one host.
+    """
+
+    upstream_group: Name
+    ejection_limit: Name
+    drain_rule: Name
+    retry_rule: Name
+    entry_hosts: Annotated[int, Field(ge=1, le=1_000)] = 2
+    queue_length: Annotated[int, Field(ge=0, le=100_000)] = 256
+
+
+class Route(_Object):
+    """Requests that go to one service.
+
+    Attributes:
+      service: Name of the service.
+      path: Path prefix, matched at segment boundaries; the longest prefix wins.
+      methods: HTTP methods.
+      repeatable: Whether running the request twice does no harm.
+      key_required: Whether a request must carry an idempotency key.
+      deadline_ms: Longest time from arrival to answer.
+      queue_wait_ms: Longest time in the queue.
+      importance: Order in the queue: critical, normal or deferrable.
+      request_limit_bytes, answer_limit_bytes: Largest bodies.
+      known_callers_only: Whether a request must name a published caller account.
+    """
+
+    service: Name
+    path: Annotated[str, Field(pattern=r"^/[A-Za-z0-9._~/-]*$")]
+    methods: Annotated[
+        tuple[Annotated[str, Field(pattern=r"^[A-Z]+$")], ...], Field(min_length=1, strict=False)
+    ]
+    repeatable: bool
+    key_required: bool = False
+    deadline_ms: Milliseconds
+    queue_wait_ms: Milliseconds
+    importance: Annotated[str, Field(pattern=r"^(critical|normal|deferrable)$")] = "normal"
+    request_limit_bytes: Annotated[int, Field(ge=0, le=MAX_BODY_BYTES)] = 65_536
+    answer_limit_bytes: Annotated[int, Field(ge=0, le=MAX_BODY_BYTES)] = 1_048_576
+    known_callers_only: bool = False
+
+    @property
+    def deadline(self) -> timedelta:
+        """Longest time from arrival to answer."""
+        return timedelta(milliseconds=self.deadline_ms)
+
+    @property
+    def queue_wait(self) -> timedelta:
+        """Longest time in the queue."""
+        return timedelta(milliseconds=self.queue_wait_ms)
+
+    @property
+    def rank(self) -> Importance:
+        """Order in the queue."""
+        return Importance[self.importance.upper()]
+
+
+class Caller(_Object):
+    """A caller's account and its limits at one host.
+
+    Attributes:
+      requests_per_s: Sustained rate.
+      burst: Requests that may come at once.
+    """
+
+    requests_per_s: Annotated[float, Field(gt=0.0, strict=False)]
+    burst: Annotated[int, Field(ge=1)]
+
+
+class ObjectSet(_Object):
+    """All objects that are published together."""
+
+    service: dict[Name, Service] = {}
+    upstream_group: dict[Name, UpstreamGroup] = {}
+    ejection_limit: dict[Name, EjectionLimit] = {}
+    drain_rule: dict[Name, DrainRule] = {}
+    retry_rule: dict[Name, RetryRule] = {}
+    route: dict[Name, Route] = {}
+    caller: dict[Name, Caller] = {}
--- /dev/null
+++ b/endivedrift/platform/_publishing.py
@@ -0,0 +1,211 @@
+"""Publishes object sets: the head row names the accepted set, and its version only grows.
+
+The canonical bytes go to the object store under their digest. One transaction then writes the head
+row, on condition that nobody else has, and the audit row. Accepted means that this transaction
+took effect. Where its reply is lost, the head row tells by the publish id whether it did.
+"""
+
+from dataclasses import dataclass
+from datetime import datetime
+from enum import Enum
+from typing import Any, Protocol
+
+from endivedrift.core import NO_CONFIG, ConfigRef, Digest, Version
+from endivedrift.objects import digest_bytes
+from endivedrift.platform._interface import (
+    ObjectStore,
+    PlatformError,
+    Row,
+    TableService,
+    Write,
+)
+
+HEAD_KEY = "head"
+SETTLE_ATTEMPTS = 3
+
+
+class Platform(TableService, ObjectStore, Protocol):
+    """The services that publishing needs."""
+
+
+class PublishOutcome(Enum):
+    """What became of a publish."""
+
+    ACCEPTED = "accepted"
+    UNCHANGED = "unchanged"
+    LOST_RACE = "lost-race"
+    NOT_RUN = "not-run"
+    UNKNOWN = "unknown"
+
+
+@dataclass(frozen=True, slots=True)
+class Head:
+    """The accepted object set and who published it."""
+
+    config: ConfigRef
+    author: str
+    date: str
+    publish_id: str
+    row_version: Version
+    note: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class PublishResult:
+    """Outcome of a publish, the head afterwards as far as known, and a sentence on it."""
+
+    outcome: PublishOutcome
+    head: Head | None
+    detail: str
+
+
+@dataclass(frozen=True, slots=True)
+class PublishRequest:
+    """What is published.
+
+    Attributes:
+      deployment: Name of the deployment.
+      canonical: Canonical bytes of the set.
+      author: Who publishes.
+      date: When.
+      publish_id: Unique id of this publish.
+      note: Reason given by the author.
+      expected: Version that the author has seen, or None for the present one.
+      in_force: Greatest version in force at any host that was asked.
+    """
+
+    deployment: str
+    canonical: bytes
+    author: str
+    date: datetime
+    publish_id: str
+    note: str = ""
+    expected: Version | None = None
+    in_force: Version = Version(0)
+
+
+async def read_head(table: TableService, deployment: str) -> Head:
+    """Reads the accepted object set.
+
+    Raises:
+      PlatformError: If the table service did not answer.
+    """
+    return _decode_head(await table.read_row(f"{deployment}-config", HEAD_KEY))
+
+
+async def list_history(table: TableService, deployment: str) -> tuple[Head, ...]:
+    """Reads the audit trail of publishes, oldest first.
+
+    Raises:
+      PlatformError: If the table service did not answer.
+    """
+    rows = await table.list_rows(f"{deployment}-audit")
+    return tuple(_decode_head(row) for row in rows)
+
+
+async def publish_set(platform: Platform, request: PublishRequest) -> PublishResult:
+    """Publishes an object set that has passed its checks.
+
+    Args:
+      platform: Table service and object store.
+      request: What is published.
+    Returns:
+      The outcome. NOT_RUN and LOST_RACE mean that the set was not accepted, UNKNOWN that it may
+      have been.
+    """
+    digest = digest_bytes(request.canonical)
+    try:
+        head = await read_head(platform, request.deployment)
+        if request.expected is not None and request.expected != head.config.version:
+            detail = f"version {head.config.version} by {head.author} came first"
+            return PublishResult(PublishOutcome.LOST_RACE, head, detail)
+        if head.config.digest == digest and head.config.version >= request.in_force:
+            return PublishResult(PublishOutcome.UNCHANGED, head, "the same set is in force")
+        await platform.put_object(digest, request.canonical)
+    except PlatformError as error:
+        return PublishResult(PublishOutcome.NOT_RUN, None, str(error))
+    return await _swap_head(platform, request, head, digest)
+
+
+async def _swap_head(
+    platform: Platform, request: PublishRequest, head: Head, digest: Digest
+) -> PublishResult:
+    version = Version(max(head.config.version, request.in_force) + 1)
+    value: dict[str, Any] = {
+        "version": version,
+        "digest": digest,
+        "author": request.author,
+        "date": request.date.isoformat(),
+        "publish_id": request.publish_id,
+        "note": request.note,
+    }
+    table = request.deployment
+    writes = (
+        Write(f"{table}-config", HEAD_KEY, head.row_version, value),
+        Write(f"{table}-audit", f"{version:012d}-{request.publish_id}", Version(0), value),
+    )
+    try:
+        applied = await platform.write_rows(writes)
+    except PlatformError as error:
+        if not error.may_have_run:
+            return PublishResult(PublishOutcome.NOT_RUN, head, str(error))
+        return await _settle_lost_reply(platform, request, head)
+    if applied:
+        return await _describe_accepted(platform, request)
+    return await _describe_lost(platform, request)
+
+
+async def _settle_lost_reply(
+    platform: Platform, request: PublishRequest, before: Head
+) -> PublishResult:
+    """Finds out whether a publish took effect.
+
+    The audit row stays when later publishes replace the head. Its absence proves nothing while the
+    head is unchanged, since the write may still take effect.
+    """
+    for _ in range(SETTLE_ATTEMPTS):
+        try:
+            trail = await list_history(platform, request.deployment)
+            head = await read_head(platform, request.deployment)
+        except PlatformError:
+            continue
+        if any(entry.publish_id == request.publish_id for entry in trail):
+            return PublishResult(PublishOutcome.ACCEPTED, head, "found in the audit trail")
+        if head.row_version > before.row_version:
+            trail = await list_history(platform, request.deployment)
+            if any(entry.publish_id == request.publish_id for entry in trail):
+                return PublishResult(PublishOutcome.ACCEPTED, head, "found in the audit trail")
+            detail = f"version {head.config.version} by {head.author} came first"
+            return PublishResult(PublishOutcome.LOST_RACE, head, detail)
+    detail = f"the reply was lost; look for publish id {request.publish_id} in the history"
+    return PublishResult(PublishOutcome.UNKNOWN, None, detail)
+
+
+async def _describe_accepted(platform: Platform, request: PublishRequest) -> PublishResult:
+    try:
+        head = await read_head(platform, request.deployment)
+    except PlatformError:
+        return PublishResult(PublishOutcome.ACCEPTED, None, "accepted")
+    return PublishResult(PublishOutcome.ACCEPTED, head, f"accepted as {head.config.version}")
+
+
+async def _describe_lost(platform: Platform, request: PublishRequest) -> PublishResult:
+    try:
+        head = await read_head(platform, request.deployment)
+    except PlatformError:
+        return PublishResult(PublishOutcome.LOST_RACE, None, "another publish came first")
+    detail = f"version {head.config.version} by {head.author} came first"
+    return PublishResult(PublishOutcome.LOST_RACE, head, detail)
+
+
+def _decode_head(row: Row) -> Head:
+    if row.version == 0:
+        return Head(NO_CONFIG, "", "", "", Version(0))
+    value = row.value
+    try:
+        config = ConfigRef(Version(int(value["version"])), Digest(str(value["digest"])))
+        author, date = str(value["author"]), str(value["date"])
+        publish_id, note = str(value["publish_id"]), str(value["note"])
+        return Head(config, author, date, publish_id, row.version, note)
+    except (KeyError, ValueError, TypeError):
+        raise PlatformError("the head row cannot be read", False) from None
--- /dev/null
+++ b/endivedrift/policy/_ejection.py
@@ -0,0 +1,178 @@
+"""Moves targets between their states, never below the configured floor.
+
+The floor is a number of HEALTHY targets. A host ejects a target only while more than that number
+remain, worst score first, and takes targets back as soon as fewer remain. Leaving, warming and
+ejected targets and those on probation are not counted. Each host keeps the floor by itself, so
+that it needs nobody's agreement; see docs/DESIGN.md for what follows for the fleet as a whole.
+"""
+
+from datetime import timedelta
+
+from endivedrift.core import AuditEntry, AuditKind, Instant, TargetName, TargetState
+from endivedrift.policy._evidence import compute_threshold, is_sick
+from endivedrift.policy._service import ServiceState, TargetRecord
+
+PROBATION_GOOD_ANSWERS = 5
+FALLS_FORGOTTEN_AFTER = timedelta(minutes=10)
+MAX_DOUBLINGS = 10
+
+
+def update_states(state: ServiceState, at: Instant) -> list[AuditEntry]:
+    """Applies all moves that time and evidence call for.
+
+    Args:
+      state: The service.
+      at: Present time.
+    Returns:
+      An audit entry for each move.
+    """
+    entries = [*_finish_warm_up(state, at), *_end_stays(state, at)]
+    entries += _eject_sick(state, at)
+    entries += _restore_floor(state, at)
+    _forget_falls(state, at)
+    return entries
+
+
+def mark_leaving(
+    state: ServiceState, name: TargetName, at: Instant, cause: str
+) -> list[AuditEntry]:
+    """Takes a target that is shutting down out of use and keeps the floor.
+
+    Args:
+      state: The service.
+      name: The target.
+      at: Present time.
+      cause: Sign by which the target is known to be leaving.
+    Returns:
+      Audit entries, empty where the target was known to be leaving.
+    """
+    record = state.targets[name]
+    if record.told_leaving:
+        return []
+    record.told_leaving = True
+    record.unsent_leaving = True
+    entries = _move(state, record, TargetState.LEAVING, at, AuditKind.TARGET_LEAVING, cause)
+    return entries + _restore_floor(state, at)
+
+
+def mark_returned(state: ServiceState, name: TargetName, at: Instant) -> list[AuditEntry]:
+    """Takes a target back that the list of machines no longer shows as leaving."""
+    record = state.targets[name]
+    if not record.told_leaving or record.target.draining:
+        return []
+    record.told_leaving = False
+    record.unsent_leaving = False
+    cause = "listed as live again"
+    return _move(state, record, TargetState.WARMING, at, AuditKind.READMITTED, cause)
+
+
+def note_probation(state: ServiceState, record: TargetRecord, bad: bool, at: Instant) -> None:
+    """Accounts the outcome of a trial request during probation."""
+    if record.state is not TargetState.PROBATION:
+        return
+    if bad:
+        record.good_in_row = 0
+        _enter_stay(record, at)
+    else:
+        record.good_in_row += 1
+
+
+def compute_stay(state: ServiceState, record: TargetRecord) -> timedelta:
+    """Returns how long an ejected target stays out before it is tried."""
+    doublings = min(max(0, record.falls - 1), MAX_DOUBLINGS)
+    stay = timedelta(milliseconds=state.ejection.base_stay_ms) * 2**doublings
+    return min(stay, timedelta(milliseconds=state.ejection.max_stay_ms))
+
+
+def _finish_warm_up(state: ServiceState, at: Instant) -> list[AuditEntry]:
+    entries: list[AuditEntry] = []
+    warm_up = timedelta(milliseconds=state.drain.warm_up_ms)
+    for record in state.targets.values():
+        if record.state is TargetState.WARMING and at - record.since >= warm_up:
+            cause = "warm-up finished"
+            entries += _move(state, record, TargetState.HEALTHY, at, AuditKind.READMITTED, cause)
+    return entries
+
+
+def _end_stays(state: ServiceState, at: Instant) -> list[AuditEntry]:
+    entries: list[AuditEntry] = []
+    for record in state.targets.values():
+        if record.state is TargetState.EJECTED and at - record.since >= compute_stay(state, record):
+            record.good_in_row = 0
+            cause = "stay ended"
+            entries += _move(state, record, TargetState.PROBATION, at, AuditKind.PROBATION, cause)
+        elif record.good_in_row >= PROBATION_GOOD_ANSWERS:
+            cause = f"{record.good_in_row} good answers in a row"
+            entries += _readmit(state, record, at, cause)
+    return entries
+
+
+def _eject_sick(state: ServiceState, at: Instant) -> list[AuditEntry]:
+    entries: list[AuditEntry] = []
+    healthy = [r for r in state.targets.values() if r.state is TargetState.HEALTHY]
+    sick = [record for record in healthy if is_sick(state, record)]
+    sick.sort(key=lambda record: (-record.score, record.target.name))
+    for record in sick[: max(0, len(healthy) - state.ejection.floor)]:
+        threshold = compute_threshold(state.ejection)
+        cause = (
+            f"own score {record.own_score:.1f}, shared score {record.shared_score:.1f}, "
+            f"threshold {threshold:.1f}, own bad rate {record.own_rate:.2f}"
+        )
+        _enter_stay(record, at)
+        entries.append(_describe(state, record, at, AuditKind.EJECTED, cause))
+    return entries
+
+
+def _restore_floor(state: ServiceState, at: Instant) -> list[AuditEntry]:
+    entries: list[AuditEntry] = []
+    missing = state.ejection.floor - state.healthy
+    if missing <= 0:
+        return entries
+    out = (TargetState.EJECTED, TargetState.PROBATION)
+    removed = [record for record in state.targets.values() if record.state in out]
+    removed.sort(key=lambda record: (record.score, record.target.name))
+    for record in removed[:missing]:
+        entries += _readmit(state, record, at, "needed for the floor")
+    return entries
+
+
+def _forget_falls(state: ServiceState, at: Instant) -> None:
+    for record in state.targets.values():
+        settled = at - record.since >= FALLS_FORGOTTEN_AFTER
+        if record.falls and settled and record.state is TargetState.HEALTHY:
+            record.falls = 0
+
+
+def _enter_stay(record: TargetRecord, at: Instant) -> None:
+    record.state = TargetState.EJECTED
+    record.since = at
+    record.falls += 1
+
+
+def _readmit(
+    state: ServiceState, record: TargetRecord, at: Instant, cause: str
+) -> list[AuditEntry]:
+    record.own_score = 0.0
+    record.shared_score = 0.0
+    record.own_rate = state.usual_rate
+    record.good_in_row = 0
+    return _move(state, record, TargetState.HEALTHY, at, AuditKind.READMITTED, cause)
+
+
+def _move(
+    state: ServiceState,
+    record: TargetRecord,
+    to: TargetState,
+    at: Instant,
+    kind: AuditKind,
+    cause: str,
+) -> list[AuditEntry]:
+    record.state = to
+    record.since = at
+    return [_describe(state, record, at, kind, cause)]
+
+
+def _describe(
+    state: ServiceState, record: TargetRecord, at: Instant, kind: AuditKind, cause: str
+) -> AuditEntry:
+    return AuditEntry(at, kind, record.target.name, cause, state.name)
--- /dev/null
+++ b/endivedrift/policy/_evidence.py
@@ -0,0 +1,156 @@
+"""Evidence that a target is sick, gathered from the outcomes of real requests.
+
+Each outcome is good or bad: an error, a cut or an answer that takes several times the group's
+typical time is bad. A one-sided CUSUM test accumulates the log-likelihood ratio of "bad at the
+rate of a sick target" against "bad at the rate usual in the group". Since both the typical time
+and the usual rate belong to the group, a service that is slow as a whole yields no evidence
+against any one of its targets. The test's threshold is the logarithm of the inverse of the
+accepted rate of false ejections (Page, Continuous inspection schemes, 1954).
+"""
+
+import math
+import statistics
+from datetime import timedelta
+
+from endivedrift.core import AttemptOutcome, EvidenceDelta, Instant
+from endivedrift.objects import EjectionLimit
+from endivedrift.policy._service import ServiceState, TargetRecord
+
+TYPICAL_STEP = 1.02
+RATE_WEIGHT = 0.05
+RATE_WINDOW = 20
+MIN_USUAL_RATE = 0.01
+MAX_USUAL_RATE = 0.9
+MIN_TYPICAL = timedelta(milliseconds=1)
+TIME_WEIGHT = 0.05
+SCORE_CAP = 2.0
+SERVER_ERROR = 500
+
+_BAD_OUTCOMES = frozenset(
+    {
+        AttemptOutcome.CUT,
+        AttemptOutcome.MALFORMED,
+        AttemptOutcome.NOT_CONNECTED,
+        AttemptOutcome.TOO_LARGE,
+    }
+)
+_SILENT_OUTCOMES = frozenset({AttemptOutcome.SHED, AttemptOutcome.DRAINING})
+
+
+def compute_threshold(limit: EjectionLimit) -> float:
+    """Returns the score at which a target is held to be sick, in nats."""
+    return math.log(1.0 / limit.false_ejection_rate)
+
+
+def is_slow(state: ServiceState, latency: timedelta) -> bool:
+    """Tells whether an answer that took `latency` is bad for its time alone."""
+    return latency > state.typical * state.ejection.slow_factor
+
+
+def judge_evidence(
+    state: ServiceState, outcome: AttemptOutcome, status: int, latency: timedelta
+) -> bool | None:
+    """Classifies an outcome.
+
+    Args:
+      state: The service that was called.
+      outcome: How the attempt ended.
+      status: HTTP status for ANSWERED, else 0.
+      latency: Time the attempt took.
+    Returns:
+      True for a bad outcome, False for a good one, None where it says nothing on the target.
+    """
+    if outcome in _BAD_OUTCOMES:
+        return True
+    if outcome in _SILENT_OUTCOMES:
+        return None
+    slow = is_slow(state, latency)
+    if outcome is AttemptOutcome.ANSWERED:
+        return slow or status >= SERVER_ERROR
+    return True if slow else None
+
+
+def learn_latency(state: ServiceState, latency: timedelta) -> None:
+    """Moves the group's typical time one step towards its median and updates the average."""
+    step = TYPICAL_STEP if latency > state.typical else 1.0 / TYPICAL_STEP
+    state.typical = max(MIN_TYPICAL, state.typical * step)
+    state.service_time += (latency - state.service_time) * TIME_WEIGHT
+
+
+def add_own_evidence(state: ServiceState, record: TargetRecord, bad: bool) -> None:
+    """Accounts one outcome that this host saw itself."""
+    record.own_rate += ((1.0 if bad else 0.0) - record.own_rate) * RATE_WEIGHT
+    record.own_count = min(RATE_WINDOW, record.own_count + 1)
+    good_count, bad_count = (0, 1) if bad else (1, 0)
+    change = _compute_change(state, good_count, bad_count)
+    record.own_score = _bound_score(state, record.own_score + change)
+    record.shared_score = _bound_score(state, record.shared_score + change)
+    record.unsent_good += good_count
+    record.unsent_bad += bad_count
+
+
+def add_shared_evidence(state: ServiceState, record: TargetRecord, delta: EvidenceDelta) -> None:
+    """Accounts the outcomes that another host saw."""
+    change = _compute_change(state, delta.good, delta.bad)
+    record.shared_score = _bound_score(state, record.shared_score + change)
+
+
+def is_sick(state: ServiceState, record: TargetRecord) -> bool:
+    """Tells whether the evidence against a target passes the threshold.
+
+    Evidence of other hosts does not count where this host's own recent requests went well: the
+    fault then lies on the path of the others.
+    """
+    threshold = compute_threshold(state.ejection)
+    if record.own_score >= threshold:
+        return True
+    if record.shared_score < threshold:
+        return False
+    usual = _clamp_rate(state.usual_rate)
+    works_here = record.own_count >= RATE_WINDOW // 2 and record.own_rate <= 2.0 * usual
+    return not works_here
+
+
+def count_overdue(state: ServiceState, at: Instant) -> None:
+    """Counts requests in progress as bad once they take too long, without waiting for their end."""
+    limit = state.typical * state.ejection.slow_factor
+    for record in state.targets.values():
+        for attempt in record.attempts.values():
+            if not attempt.overdue and at - attempt.started > limit:
+                attempt.overdue = True
+                add_own_evidence(state, record, bad=True)
+
+
+def learn_usual_rate(state: ServiceState) -> None:
+    """Takes the median of the targets' recent rates as the rate usual in the group."""
+    rates = [r.own_rate for r in state.targets.values() if r.own_count > 0]
+    state.usual_rate = statistics.median(rates) if rates else 0.0
+
+
+def take_deltas(state: ServiceState) -> tuple[EvidenceDelta, ...]:
+    """Removes and returns the outcomes that other hosts have not been told."""
+    deltas = []
+    for name, record in state.targets.items():
+        if record.unsent_good or record.unsent_bad or record.unsent_leaving:
+            delta = EvidenceDelta(
+                state.name, name, record.unsent_good, record.unsent_bad, record.unsent_leaving
+            )
+            deltas.append(delta)
+            record.unsent_good = 0
+            record.unsent_bad = 0
+            record.unsent_leaving = False
+    return tuple(deltas)
+
+
+def _compute_change(state: ServiceState, good: int, bad: int) -> float:
+    usual = _clamp_rate(state.usual_rate)
+    sick = usual + state.ejection.detectable_failure_rate * (1.0 - usual)
+    return bad * math.log(sick / usual) + good * math.log((1.0 - sick) / (1.0 - usual))
+
+
+def _bound_score(state: ServiceState, score: float) -> float:
+    return min(max(0.0, score), SCORE_CAP * compute_threshold(state.ejection))
+
+
+def _clamp_rate(rate: float) -> float:
+    return min(max(rate, MIN_USUAL_RATE), MAX_USUAL_RATE)
--- /dev/null
+++ b/endivedrift/policy/_service.py
@@ -0,0 +1,188 @@
+"""The state that one host keeps for each service and target."""
+
+from collections import deque
+from dataclasses import dataclass, field
+from datetime import timedelta
+
+from endivedrift.core import (
+    FailureDomain,
+    Importance,
+    Instant,
+    RequestId,
+    ServiceName,
+    TargetName,
+    TargetState,
+)
+from endivedrift.objects import (
+    DrainRule,
+    EjectionLimit,
+    ObjectSet,
+    RetryRule,
+    Service,
+    Target,
+    UpstreamGroup,
+)
+from endivedrift.policy._bucket import TokenBucket
+
+INITIAL_TYPICAL = timedelta(milliseconds=25)
+
+
+@dataclass(slots=True)
+class Attempt:
+    """A request in progress at a target; `overdue` once it was counted as slow."""
+
+    started: Instant
+    overdue: bool = False
+
+
+@dataclass(slots=True)
+class TargetRecord:
+    """What a host knows of one target.
+
+    Attributes:
+      target: The published object.
+      state: Whether it may be given requests.
+      since: When it entered the state.
+      attempts: Requests in progress from this host.
+      own_score: Sequential test over this host's own requests.
+      shared_score: Sequential test over the requests of all hosts that share evidence.
+      own_rate: Recent share of bad answers among this host's own requests.
+      own_count: Own answers seen, up to the length of the window of `own_rate`.
+      falls: Times it was ejected without a long healthy stretch between.
+      good_in_row: Good answers in a row during probation.
+      told_leaving: Whether any sign says that the target is shutting down.
+      unsent_good, unsent_bad: Outcomes not yet told to other hosts.
+      unsent_leaving: Whether other hosts have not been told yet that it is leaving.
+    """
+
+    target: Target
+    state: TargetState
+    since: Instant
+    attempts: dict[RequestId, Attempt] = field(default_factory=dict)
+    own_score: float = 0.0
+    shared_score: float = 0.0
+    own_rate: float = 0.0
+    own_count: int = 0
+    falls: int = 0
+    good_in_row: int = 0
+    told_leaving: bool = False
+    unsent_good: int = 0
+    unsent_bad: int = 0
+    unsent_leaving: bool = False
+
+    @property
+    def score(self) -> float:
+        """The stronger of the two sequential tests."""
+        return max(self.own_score, self.shared_score)
+
+
+@dataclass(frozen=True, slots=True)
+class Waiting:
+    """A queued request: the time at which it is given up and its final deadline."""
+
+    request: RequestId
+    until: Instant
+    deadline: Instant
+
+
+@dataclass(slots=True)
+class ServiceState:
+    """What a host knows of one service.
+
+    Attributes:
+      typical: Estimate of the median time of an answer, over all targets.
+      usual_rate: Median over the targets of the recent share of bad answers.
+      queues: Waiting requests by importance.
+      limit_per_target: Requests this host may have in progress at one target.
+      service_time: Moving average of the time of an answer.
+    """
+
+    name: ServiceName
+    service: Service
+    group: UpstreamGroup
+    ejection: EjectionLimit
+    drain: DrainRule
+    retry: RetryRule
+    targets: dict[TargetName, TargetRecord]
+    retry_budget: TokenBucket
+    typical: timedelta = INITIAL_TYPICAL
+    usual_rate: float = 0.0
+    queues: dict[Importance, deque[Waiting]] = field(
+        default_factory=lambda: {rank: deque() for rank in Importance}
+    )
+    limit_per_target: int = 1
+    service_time: timedelta = INITIAL_TYPICAL
+
+    @property
+    def queued(self) -> int:
+        """Number of waiting requests."""
+        return sum(len(queue) for queue in self.queues.values())
+
+    @property
+    def healthy(self) -> int:
+        """Number of targets that count as capacity."""
+        return sum(1 for r in self.targets.values() if r.state is TargetState.HEALTHY)
+
+
+def build_service(
+    name: ServiceName, objects: ObjectSet, previous: ServiceState | None, at: Instant
+) -> ServiceState:
+    """Builds the state of a service from an object set, keeping what is known of its targets.
+
+    Args:
+      name: Name of the service.
+      objects: A checked object set that holds it.
+      previous: State under the earlier set, or None.
+      at: Present time.
+    Returns:
+      The state under the new set; its queues and attempts are those of the earlier one.
+    """
+    service = objects.service[name]
+    group = objects.upstream_group[service.upstream_group]
+    retry = objects.retry_rule[service.retry_rule]
+    state = ServiceState(
+        name=name,
+        service=service,
+        group=group,
+        ejection=objects.ejection_limit[service.ejection_limit],
+        drain=objects.drain_rule[service.drain_rule],
+        retry=retry,
+        targets={},
+        retry_budget=TokenBucket(float(retry.budget_cap), 0.0, float(retry.budget_cap), at),
+    )
+    if previous is not None:
+        _carry_over(state, previous)
+    for target in group.targets:
+        record = _build_target(target, previous, at)
+        state.targets[TargetName(target.name)] = record
+    return state
+
+
+def _carry_over(state: ServiceState, previous: ServiceState) -> None:
+    state.typical = previous.typical
+    state.usual_rate = previous.usual_rate
+    state.service_time = previous.service_time
+    state.queues = previous.queues
+    state.limit_per_target = previous.limit_per_target
+    state.retry_budget.tokens = min(state.retry_budget.cap, previous.retry_budget.tokens)
+
+
+def _build_target(target: Target, previous: ServiceState | None, at: Instant) -> TargetRecord:
+    known = previous.targets.get(TargetName(target.name)) if previous is not None else None
+    if known is not None and known.target.address == target.address:
+        known.target = target
+    else:
+        first = TargetState.HEALTHY if previous is None else TargetState.WARMING
+        known = TargetRecord(target, first, at)
+    if target.draining and known.state is not TargetState.LEAVING:
+        known.state = TargetState.LEAVING
+        known.since = at
+    elif not target.draining and known.state is TargetState.LEAVING and not known.told_leaving:
+        known.state = TargetState.WARMING
+        known.since = at
+    return known
+
+
+def domain_of(record: TargetRecord) -> FailureDomain:
+    """Returns the failure domain of a target."""
+    return FailureDomain(record.target.failure_domain)
--- /dev/null
+++ b/endivedrift/reducer/__init__.py
@@ -0,0 +1,19 @@
+"""The decisions of one host: a reducer over events with effects as data."""
+
+from endivedrift.reducer._reduce import reduce
+from endivedrift.reducer._state import (
+    HostState,
+    RequestState,
+    build_host,
+    list_primaries,
+    rank_service_hosts,
+)
+
+__all__ = [
+    "HostState",
+    "RequestState",
+    "build_host",
+    "list_primaries",
+    "rank_service_hosts",
+    "reduce",
+]
--- /dev/null
+++ b/endivedrift/reducer/_attempts.py
@@ -0,0 +1,271 @@
+"""Gives requests to targets: admission, queueing, attempts, retries and ends of requests."""
+
+from datetime import timedelta
+
+from endivedrift.core import (
+    Address,
+    Answer,
+    AttemptOutcome,
+    Instant,
+    KeyPhase,
+    RefusalReason,
+    RequestId,
+    TargetState,
+    Verdict,
+    judge_outcome,
+)
+from endivedrift.core.effects import (
+    AwaitTurn,
+    DeliverAnswer,
+    Effect,
+    RecordAudit,
+    SendToTarget,
+)
+from endivedrift.core.events import AttemptFinished
+from endivedrift.policy import (
+    Attempt,
+    ServiceState,
+    Waiting,
+    add_own_evidence,
+    choose_target,
+    estimate_wait,
+    judge_evidence,
+    learn_latency,
+    mark_leaving,
+    note_probation,
+    pop_waiting,
+    push_back,
+    push_waiting,
+    store_answer,
+)
+from endivedrift.reducer._refusals import refuse
+from endivedrift.reducer._state import HostState, RequestState, share_slots
+
+_REASONS = {
+    AttemptOutcome.SHED: RefusalReason.TARGET_REFUSED,
+    AttemptOutcome.DRAINING: RefusalReason.TARGET_REFUSED,
+    AttemptOutcome.NOT_CONNECTED: RefusalReason.TARGET_UNREACHABLE,
+    AttemptOutcome.CUT: RefusalReason.TARGET_CUT,
+    AttemptOutcome.CANCELLED: RefusalReason.TARGET_CUT,
+    AttemptOutcome.TIMED_OUT: RefusalReason.TARGET_TIMEOUT,
+    AttemptOutcome.MALFORMED: RefusalReason.TARGET_MALFORMED,
+    AttemptOutcome.TOO_LARGE: RefusalReason.TARGET_TOO_LARGE,
+}
+_FINAL_OUTCOMES = frozenset({AttemptOutcome.CANCELLED, AttemptOutcome.TOO_LARGE})
+
+
+def admit(state: HostState, at: Instant, request: RequestId) -> list[Effect]:
+    """Sends a request to a target, queues it, or refuses it.
+
+    Args:
+      state: The host.
+      at: Present time.
+      request: A request in `state.requests` with no attempt in progress.
+    Returns:
+      The effects.
+    """
+    held = state.requests[request]
+    service = state.services.get(held.service)
+    if service is None:
+        return end_refused(state, at, request, RefusalReason.NO_ROUTE, "the service was removed")
+    if at >= held.deadline:
+        return end_refused(state, at, request, RefusalReason.DEADLINE, "no time is left")
+    service.limit_per_target = share_slots(state, held.service)
+    state.active.add(held.service)
+    rank = held.route.route.rank
+    ahead = any(service.queues[r] for r in service.queues if r <= rank)
+    if held.attempts or not ahead:
+        effects = _try_target(state, service, at, request)
+        if effects:
+            return effects
+    return _enqueue(state, service, at, request)
+
+
+def serve_waiting(state: HostState, service: ServiceState, at: Instant) -> list[Effect]:
+    """Gives waiting requests to targets that have room."""
+    effects: list[Effect] = []
+    while (waiting := pop_waiting(service)) is not None:
+        held = state.requests.get(waiting.request)
+        if held is None:
+            continue
+        if at >= waiting.until:
+            effects += give_up_waiting(state, service, at, waiting.request)
+            continue
+        sent = _try_target(state, service, at, waiting.request)
+        if not sent:
+            push_back(service, held.route.route.rank, waiting)
+            return effects
+        effects += sent
+    return effects
+
+
+def give_up_waiting(
+    state: HostState, service: ServiceState, at: Instant, request: RequestId
+) -> list[Effect]:
+    """Refuses a request that waited as long as it may."""
+    detail = "no target had room in time"
+    retry = estimate_wait(service, state.requests[request].route.route.rank)
+    return end_refused(state, at, request, RefusalReason.QUEUE_WAIT, detail, retry)
+
+
+def finish_attempt(state: HostState, event: AttemptFinished) -> list[Effect]:
+    """Accounts the end of an attempt and answers, retries or refuses its request.
+
+    Args:
+      state: The host.
+      event: The end of the attempt.
+    Returns:
+      The effects; a request that was given up before has none of its own.
+    """
+    held = state.requests.get(event.request)
+    if held is None or held.target != event.target:
+        return []
+    held.target = None
+    held.may_have_run |= judge_outcome(event.outcome) is Verdict.MAY_HAVE_RUN
+    service = state.services.get(held.service)
+    effects: list[Effect] = []
+    if service is not None:
+        effects += _account_attempt(service, event)
+    if event.outcome is AttemptOutcome.ANSWERED and event.answer is not None:
+        if service is not None:
+            service.retry_budget.add(service.retry.budget_ratio)
+        effects += end_answered(state, event.request, event.answer)
+    elif service is not None and _may_retry(service, held, event):
+        effects += admit(state, event.at, event.request)
+    else:
+        detail = f"target {event.target}: {event.outcome.value}"
+        reason = _REASONS[event.outcome]
+        effects += end_refused(state, event.at, event.request, reason, detail, timedelta(0))
+    if service is not None:
+        effects += serve_waiting(state, service, event.at)
+    return effects
+
+
+def end_answered(state: HostState, request: RequestId, answer: Answer) -> list[Effect]:
+    """Ends a request with an answer, which is kept where the request has a key."""
+    held = state.requests.pop(request)
+    if held.key is not None:
+        store_answer(state.keys, held.key, answer)
+    return [DeliverAnswer(request, answer)]
+
+
+def end_refused(
+    state: HostState,
+    at: Instant,
+    request: RequestId,
+    reason: RefusalReason,
+    detail: str,
+    retry_base: timedelta | None = None,
+) -> list[Effect]:
+    """Ends a request with a refusal and records under its key whether it may have run."""
+    held = state.requests.pop(request)
+    if held.key is not None:
+        phase = KeyPhase.UNCERTAIN if held.may_have_run else KeyPhase.IDLE
+        state.keys.records[held.key].phase = phase
+    attempt = Verdict.MAY_HAVE_RUN if held.may_have_run else Verdict.NOT_RUN
+    return refuse(
+        state,
+        at,
+        request,
+        held.head,
+        reason,
+        detail,
+        retry_base,
+        attempt,
+        None if held.route.route.repeatable else held.head.key,
+        held.service,
+    )
+
+
+def _try_target(
+    state: HostState, service: ServiceState, at: Instant, request: RequestId
+) -> list[Effect]:
+    held = state.requests[request]
+    route = held.route.route
+    home = state.identity.failure_domain
+    name = choose_target(service, home, held.tried, route.repeatable, state.random)
+    if name is None:
+        return []
+    record = service.targets[name]
+    record.attempts[request] = Attempt(at)
+    held.attempts += 1
+    held.tried = held.tried | {name}
+    held.target = name
+    effect = SendToTarget(
+        request=request,
+        service=service.name,
+        target=name,
+        address=Address(record.target.address),
+        deadline=held.deadline,
+        answer_limit_bytes=route.answer_limit_bytes,
+        not_run_header=service.group.not_run_header.encode(),
+        draining_header=service.group.draining_header.encode(),
+        reuse=route.repeatable,
+    )
+    return [effect]
+
+
+def _enqueue(
+    state: HostState, service: ServiceState, at: Instant, request: RequestId
+) -> list[Effect]:
+    held = state.requests[request]
+    rank = held.route.route.rank
+    if not _has_candidate(service, held):
+        detail = "no usable target is left"
+        retry = timedelta(seconds=1)
+        return end_refused(state, at, request, RefusalReason.NO_TARGET, detail, retry)
+    allowed = min(held.route.route.queue_wait, held.deadline - at - service.service_time)
+    expected = estimate_wait(service, rank)
+    if expected > allowed:
+        detail = f"a wait of {expected.total_seconds():.2f} s is expected"
+        return end_refused(state, at, request, RefusalReason.QUEUE_WAIT, detail, expected)
+    waiting = Waiting(request, at + allowed, held.deadline)
+    queued, displaced = push_waiting(service, rank, waiting)
+    if not queued:
+        detail = "the queue is full"
+        return end_refused(state, at, request, RefusalReason.QUEUE_FULL, detail, expected)
+    effects: list[Effect] = [AwaitTurn(request, waiting.until)]
+    if displaced is not None:
+        detail = "a more important request took its place in the queue"
+        effects += end_refused(state, at, displaced, RefusalReason.QUEUE_FULL, detail, expected)
+    return effects
+
+
+def _has_candidate(service: ServiceState, held: RequestState) -> bool:
+    states = {TargetState.HEALTHY, TargetState.WARMING}
+    if held.route.route.repeatable:
+        states.add(TargetState.PROBATION)
+    return any(
+        record.state in states and name not in held.tried
+        for name, record in service.targets.items()
+    )
+
+
+def _account_attempt(service: ServiceState, event: AttemptFinished) -> list[Effect]:
+    record = service.targets.get(event.target)
+    if record is None:
+        return []
+    attempt = record.attempts.pop(event.request, None)
+    status = event.answer.status if event.answer is not None else 0
+    bad = judge_evidence(service, event.outcome, status, event.latency)
+    if bad is not None:
+        if attempt is None or not attempt.overdue:
+            add_own_evidence(service, record, bad)
+        note_probation(service, record, bad, event.at)
+    if event.outcome is AttemptOutcome.ANSWERED:
+        learn_latency(service, event.latency)
+    if event.leaving or event.outcome is AttemptOutcome.DRAINING:
+        cause = "its answer says that it is draining"
+        entries = mark_leaving(service, event.target, event.at, cause)
+        return [RecordAudit(entry) for entry in entries]
+    return []
+
+
+def _may_retry(service: ServiceState, held: RequestState, event: AttemptFinished) -> bool:
+    if event.outcome in _FINAL_OUTCOMES or held.attempts >= service.retry.max_attempts:
+        return False
+    if held.may_have_run and not held.route.route.repeatable:
+        return False
+    if event.at + service.typical >= held.deadline:
+        return False
+    return service.retry_budget.take(event.at)
--- /dev/null
+++ b/endivedrift/reducer/_keyed.py
@@ -0,0 +1,227 @@
+"""Requests with an idempotency key: at most one host, the key's owner, ever sends them."""
+
+from datetime import datetime, timedelta
+
+from endivedrift.core import (
+    Address,
+    ClaimId,
+    ClaimOutcome,
+    ForwardOutcome,
+    HostId,
+    IdempotencyKey,
+    Incarnation,
+    Instant,
+    KeyPhase,
+    MemberStatus,
+    RefusalReason,
+    RequestId,
+    Verdict,
+)
+from endivedrift.core.effects import (
+    ClaimKey,
+    DeliverAnswer,
+    Effect,
+    ForwardToOwner,
+    RefuseRequest,
+)
+from endivedrift.core.events import ForwardFinished, KeyClaimSettled
+from endivedrift.fleet import find_member
+from endivedrift.policy import CLAIMED_LIFE, MAX_KEYS, KeyRecord, MintedKey, parse_minted
+from endivedrift.reducer._attempts import admit, end_refused
+from endivedrift.reducer._refusals import refuse
+from endivedrift.reducer._state import HostState, RequestState
+
+CLAIM_TIMEOUT = timedelta(seconds=1)
+BUSY_RETRY = timedelta(seconds=1)
+STORE_RETRY = timedelta(seconds=5)
+MINTED_PREFIX = "ed1."
+
+
+def start_keyed(
+    state: HostState, at: Instant, request: RequestId, key: IdempotencyKey
+) -> list[Effect]:
+    """Starts a request that must run at most once under its key.
+
+    Args:
+      state: The host.
+      at: Present time.
+      request: The request.
+      key: Its key.
+    Returns:
+      The effects of running it here, passing it on, claiming the key, or refusing.
+    """
+    minted = parse_minted(state.keys.secret, key)
+    if minted is not None:
+        return _start_minted(state, at, request, key, minted)
+    if key.startswith(MINTED_PREFIX):
+        detail = "the key was not made by this fleet"
+        return _end_unowned(state, at, request, RefusalReason.KEY_EXPIRED, detail)
+    if key in state.keys.records:
+        return _use_record(state, at, request, key)
+    if state.requests[request].head.forwarded:
+        detail = "this host keeps no record of the key"
+        return _end_unowned(state, at, request, RefusalReason.KEY_SPENT, detail)
+    return _start_claim(state, at, request, key)
+
+
+def settle_claim(state: HostState, event: KeyClaimSettled) -> list[Effect]:
+    """Goes on with a request once the table service has said who owns its key."""
+    held = state.requests.get(event.request)
+    if held is None or held.key is None:
+        return []
+    key = held.key
+    record = state.keys.records[key]
+    if event.outcome is ClaimOutcome.UNKNOWN:
+        return _end_claim_unknown(state, event, key)
+    ours = event.owner == state.identity.host
+    ours = ours and event.owner_incarnation in state.membership.own_incarnations
+    if event.outcome is ClaimOutcome.CLAIMED or (ours and event.claim in record.claims):
+        record.claimed = True
+        record.phase = KeyPhase.RUNNING
+        return admit(state, event.at, event.request)
+    if ours:
+        record.phase = KeyPhase.UNCERTAIN
+        held.key = None
+        detail = "the key was claimed here before and its record is gone"
+        return _end_unowned(state, event.at, event.request, RefusalReason.KEY_SPENT, detail)
+    del state.keys.records[key]
+    held.key = None
+    return _forward(state, event.at, event.request, event.owner, event.owner_incarnation)
+
+
+def finish_forward(state: HostState, event: ForwardFinished) -> list[Effect]:
+    """Passes on what the owner of a key answered."""
+    held = state.requests.get(event.request)
+    if held is None:
+        return []
+    if event.outcome is ForwardOutcome.BROKEN:
+        held.may_have_run = event.connected
+        detail = "the host that owns the key did not answer"
+        return _end_unowned(state, event.at, event.request, RefusalReason.OWNER_UNREACHABLE, detail)
+    del state.requests[event.request]
+    if event.outcome is ForwardOutcome.ANSWERED and event.answer is not None:
+        return [DeliverAnswer(event.request, event.answer)]
+    assert event.refusal is not None
+    return [RefuseRequest(event.request, event.refusal)]
+
+
+def _start_minted(
+    state: HostState, at: Instant, request: RequestId, key: IdempotencyKey, minted: MintedKey
+) -> list[Effect]:
+    ours = minted.host == state.identity.host
+    if not ours or minted.incarnation not in state.membership.own_incarnations:
+        return _forward(state, at, request, minted.host, minted.incarnation)
+    if key in state.keys.records:
+        return _use_record(state, at, request, key)
+    if state.keys.latest > minted.expires:
+        detail = "the key has expired"
+        return _end_unowned(state, at, request, RefusalReason.KEY_EXPIRED, detail)
+    if len(state.keys.records) >= MAX_KEYS:
+        detail = "too many keys are remembered"
+        return _end_unowned(state, at, request, RefusalReason.KEY_TABLE_FULL, detail, BUSY_RETRY)
+    _open_record(state, request, key, KeyPhase.RUNNING, minted.expires)
+    return admit(state, at, request)
+
+
+def _start_claim(
+    state: HostState, at: Instant, request: RequestId, key: IdempotencyKey
+) -> list[Effect]:
+    if len(state.keys.records) >= MAX_KEYS:
+        detail = "too many keys are remembered"
+        return _end_unowned(state, at, request, RefusalReason.KEY_TABLE_FULL, detail, BUSY_RETRY)
+    forget_at = state.keys.latest + CLAIMED_LIFE
+    _open_record(state, request, key, KeyPhase.CLAIMING, forget_at)
+    return _claim(state, at, request, key)
+
+
+def _claim(state: HostState, at: Instant, request: RequestId, key: IdempotencyKey) -> list[Effect]:
+    claim = ClaimId(request)
+    state.keys.records[key].claims.add(claim)
+    until = min(at + CLAIM_TIMEOUT, state.requests[request].deadline)
+    return [ClaimKey(request, key, claim, until)]
+
+
+def _use_record(
+    state: HostState, at: Instant, request: RequestId, key: IdempotencyKey
+) -> list[Effect]:
+    record = state.keys.records[key]
+    held = state.requests[request]
+    if record.fingerprint != held.head.fingerprint:
+        detail = "the key was used for another request"
+        return _end_unowned(state, at, request, RefusalReason.KEY_REUSED, detail)
+    if record.phase in (KeyPhase.CLAIMING, KeyPhase.RUNNING):
+        detail = "a request with this key is in progress"
+        return _end_unowned(state, at, request, RefusalReason.KEY_BUSY, detail, BUSY_RETRY)
+    if record.phase is KeyPhase.ANSWERED and record.answer is not None:
+        del state.requests[request]
+        return [DeliverAnswer(request, record.answer, replayed=True)]
+    if record.phase is not KeyPhase.IDLE:
+        detail = "a request with this key ran or may have run, and its answer is gone"
+        return _end_unowned(state, at, request, RefusalReason.KEY_SPENT, detail)
+    held.key = key
+    record.request = request
+    if record.claims and not record.claimed:
+        record.phase = KeyPhase.CLAIMING
+        return _claim(state, at, request, key)
+    record.phase = KeyPhase.RUNNING
+    return admit(state, at, request)
+
+
+def _open_record(
+    state: HostState, request: RequestId, key: IdempotencyKey, phase: KeyPhase, forget_at: datetime
+) -> None:
+    held = state.requests[request]
+    held.key = key
+    state.keys.records[key] = KeyRecord(phase, held.head.fingerprint, forget_at, request)
+
+
+def _forward(
+    state: HostState, at: Instant, request: RequestId, owner: HostId, incarnation: Incarnation
+) -> list[Effect]:
+    held = state.requests[request]
+    member = find_member(state.membership, owner)
+    known = member is not None and member.incarnation == incarnation
+    if held.head.forwarded or not known or member is None or member.status is MemberStatus.DEAD:
+        detail = f"the host {owner} that owns the key is gone"
+        return _end_unowned(state, at, request, RefusalReason.OWNER_GONE, detail)
+    address = Address(member.peer_address)
+    return [ForwardToOwner(request, owner, incarnation, address, held.deadline)]
+
+
+def _end_claim_unknown(
+    state: HostState, event: KeyClaimSettled, key: IdempotencyKey
+) -> list[Effect]:
+    held = state.requests[event.request]
+    state.keys.records[key].phase = KeyPhase.IDLE
+    held.key = None
+    detail = "the store that tells who owns the key does not answer; use a key of the entry answer"
+    reason = RefusalReason.KEY_STORE_DOWN
+    return _end_unowned(state, event.at, event.request, reason, detail, STORE_RETRY)
+
+
+def _end_unowned(
+    state: HostState,
+    at: Instant,
+    request: RequestId,
+    reason: RefusalReason,
+    detail: str,
+    retry_base: timedelta | None = None,
+) -> list[Effect]:
+    """Ends a request that does not hold its key's record, and says what may have run under it."""
+    held: RequestState = state.requests[request]
+    held.key = None
+    if held.may_have_run:
+        return end_refused(state, at, request, reason, detail, retry_base)
+    del state.requests[request]
+    return refuse(
+        state,
+        at,
+        request,
+        held.head,
+        reason,
+        detail,
+        retry_base,
+        Verdict.NOT_RUN,
+        held.head.key,
+        held.service,
+    )
--- /dev/null
+++ b/endivedrift/reducer/_reduce.py
@@ -0,0 +1,127 @@
+"""The one reducer: every event changes the state and yields effects as data.
+
+The reducer reads no clock, opens no socket and writes no log; the same events from the same state
+always give the same effects.
+"""
+
+from functools import singledispatch
+
+from endivedrift.core import AuditEntry, AuditKind, HostPhase
+from endivedrift.core.effects import Effect, RecordAudit
+from endivedrift.core.events import (
+    AttemptFinished,
+    CallerGone,
+    ConfigFetched,
+    ConfigFetchFailed,
+    Event,
+    ForwardFinished,
+    HeadObserved,
+    HostListRead,
+    KeyClaimSettled,
+    PeerMessageReceived,
+    QueueWaitExpired,
+    RequestArrived,
+    StopRequested,
+    Ticked,
+)
+from endivedrift.fleet import announce_leaving, learn_seeds, receive_message
+from endivedrift.reducer._attempts import finish_attempt
+from endivedrift.reducer._config import apply_config, fail_fetch, want_config
+from endivedrift.reducer._keyed import finish_forward, settle_claim
+from endivedrift.reducer._periodic import advance_time
+from endivedrift.reducer._requests import drop_caller, expire_wait, start_request
+from endivedrift.reducer._state import HostState
+from endivedrift.reducer._targets import apply_host_list, take_evidence
+
+
+def reduce(state: HostState, event: Event) -> list[Effect]:
+    """Applies an event.
+
+    Args:
+      state: The host's state, which is changed in place.
+      event: What happened.
+    Returns:
+      What the shell has to do, in order.
+    """
+    return _reduce(event, state)
+
+
+@singledispatch
+def _reduce(event: Event, state: HostState) -> list[Effect]:
+    raise TypeError(f"no rule for {type(event).__name__}")
+
+
+@_reduce.register
+def _(event: RequestArrived, state: HostState) -> list[Effect]:
+    return start_request(state, event)
+
+
+@_reduce.register
+def _(event: QueueWaitExpired, state: HostState) -> list[Effect]:
+    return expire_wait(state, event)
+
+
+@_reduce.register
+def _(event: AttemptFinished, state: HostState) -> list[Effect]:
+    return finish_attempt(state, event)
+
+
+@_reduce.register
+def _(event: CallerGone, state: HostState) -> list[Effect]:
+    return drop_caller(state, event)
+
+
+@_reduce.register
+def _(event: KeyClaimSettled, state: HostState) -> list[Effect]:
+    return settle_claim(state, event)
+
+
+@_reduce.register
+def _(event: ForwardFinished, state: HostState) -> list[Effect]:
+    return finish_forward(state, event)
+
+
+@_reduce.register
+def _(event: HeadObserved, state: HostState) -> list[Effect]:
+    return want_config(state, event.at, event.config)
+
+
+@_reduce.register
+def _(event: ConfigFetched, state: HostState) -> list[Effect]:
+    return apply_config(state, event)
+
+
+@_reduce.register
+def _(event: ConfigFetchFailed, state: HostState) -> list[Effect]:
+    return fail_fetch(state, event)
+
+
+@_reduce.register
+def _(event: HostListRead, state: HostState) -> list[Effect]:
+    state.machines = event.machines
+    seeds = tuple(m.peer_address for m in event.machines if m.peer_address)
+    learn_seeds(state.membership, seeds)
+    return apply_host_list(state, event.at)
+
+
+@_reduce.register
+def _(event: PeerMessageReceived, state: HostState) -> list[Effect]:
+    fresh, effects = receive_message(state.membership, event.at, event.source, event.message)
+    if not fresh:
+        return effects
+    effects += want_config(state, event.at, event.message.config, event.message.sender.peer_address)
+    return effects + take_evidence(state, event.at, event.message.evidence)
+
+
+@_reduce.register
+def _(event: Ticked, state: HostState) -> list[Effect]:
+    return advance_time(state, event)
+
+
+@_reduce.register
+def _(event: StopRequested, state: HostState) -> list[Effect]:
+    if state.phase is HostPhase.LEAVING:
+        return []
+    state.phase = HostPhase.LEAVING
+    entry = AuditEntry(event.at, AuditKind.PHASE_CHANGED, state.identity.host, "stop requested")
+    return [RecordAudit(entry), *announce_leaving(state.membership, event.at)]
--- /dev/null
+++ b/endivedrift/reducer/_state.py
@@ -0,0 +1,147 @@
+"""The whole state of one host's decisions."""
+
+from collections import OrderedDict
+from dataclasses import dataclass, field
+from random import Random
+
+from endivedrift.core import (
+    NO_CONFIG,
+    CallerName,
+    ConfigRef,
+    HostIdentity,
+    HostPhase,
+    IdempotencyKey,
+    Instant,
+    ListedMachine,
+    Member,
+    RequestHead,
+    RequestId,
+    ServiceName,
+    TargetName,
+)
+from endivedrift.fleet import (
+    Membership,
+    NamedRoute,
+    RouteTable,
+    build_membership,
+    list_usable,
+    rank_hosts,
+)
+from endivedrift.objects import ObjectSet
+from endivedrift.policy import KeyTable, ServiceState, TokenBucket
+
+MAX_CALLER_BUCKETS = 4_096
+
+
+@dataclass(slots=True)
+class RequestState:
+    """One request that has no final answer yet.
+
+    Attributes:
+      head: The request.
+      route: Its route.
+      deadline: Time at which it is given up.
+      attempts: Attempts made at targets.
+      tried: Targets of these attempts.
+      target: Target of the attempt in progress, or None.
+      may_have_run: Whether any attempt may have run.
+      key: Key whose record this request holds, or None.
+    """
+
+    head: RequestHead
+    route: NamedRoute
+    deadline: Instant
+    attempts: int = 0
+    tried: frozenset[TargetName] = frozenset()
+    target: TargetName | None = None
+    may_have_run: bool = False
+    key: IdempotencyKey | None = None
+
+    @property
+    def service(self) -> ServiceName:
+        """Name of the service that the request is for."""
+        return ServiceName(self.route.route.service)
+
+
+@dataclass(frozen=True, slots=True)
+class RankedHosts:
+    """Hosts of a service, valid for one version of the membership and of the object set."""
+
+    members: tuple[Member, ...]
+    membership: int
+    config: ConfigRef
+
+
+@dataclass(slots=True)
+class HostState:
+    """Everything the reducer decides by.
+
+    Attributes:
+      phase: Life of the process.
+      config: Object set in force.
+      wanted: Greatest object set that is known to be accepted.
+      fetching: Object set that is being fetched, or None.
+      active: Services whose targets or queues need the periodic timer.
+      machines: The platform's latest list of machines by target address.
+      ranked: Cache of the ranked hosts of each service.
+    """
+
+    identity: HostIdentity
+    random: Random
+    keys: KeyTable
+    membership: Membership
+    phase: HostPhase = HostPhase.STARTING
+    config: ConfigRef = NO_CONFIG
+    wanted: ConfigRef = NO_CONFIG
+    fetching: ConfigRef | None = None
+    next_fetch: Instant = Instant(0)
+    objects: ObjectSet = field(default_factory=ObjectSet)
+    routes: RouteTable = field(default_factory=RouteTable)
+    services: dict[ServiceName, ServiceState] = field(default_factory=dict)
+    active: set[ServiceName] = field(default_factory=set)
+    requests: dict[RequestId, RequestState] = field(default_factory=dict)
+    callers: OrderedDict[CallerName, TokenBucket] = field(default_factory=OrderedDict)
+    machines: tuple[ListedMachine, ...] = ()
+    ranked: dict[ServiceName, RankedHosts] = field(default_factory=dict)
+    next_evidence: Instant = Instant(0)
+    next_cleaning: Instant = Instant(0)
+
+
+def build_host(identity: HostIdentity, secret: bytes, seed: int) -> HostState:
+    """Builds the state of a host that has just started.
+
+    Args:
+      identity: Who the host is.
+      secret: Key of the fleet.
+      seed: Seed of the source of randomness.
+    Returns:
+      A state with no object set and no other host known.
+    """
+    random = Random(seed)
+    return HostState(identity, random, KeyTable(secret), build_membership(identity, random))
+
+
+def rank_service_hosts(state: HostState, name: ServiceName) -> tuple[Member, ...]:
+    """Returns the hosts that callers of a service are told, best first."""
+    cached = state.ranked.get(name)
+    version = state.membership.version
+    if cached is not None and (cached.membership, cached.config) == (version, state.config):
+        return cached.members
+    primaries = state.services[name].service.entry_hosts
+    members = tuple(rank_hosts(name, list_usable(state.membership), primaries))
+    state.ranked[name] = RankedHosts(members, version, state.config)
+    return members
+
+
+def list_primaries(state: HostState, name: ServiceName) -> tuple[Member, ...]:
+    """Returns the hosts that share a service in normal operation."""
+    return rank_service_hosts(state, name)[: state.services[name].service.entry_hosts]
+
+
+def share_slots(state: HostState, name: ServiceName) -> int:
+    """Returns the requests that this host may have in progress at one target of a service."""
+    service = state.services[name]
+    primaries = list_primaries(state, name)
+    if all(member.host != state.identity.host for member in primaries):
+        return 1
+    return max(1, service.group.slots // len(primaries))
--- /dev/null
+++ b/endivedrift/shell/__init__.py
@@ -0,0 +1,1 @@
+"""The shell: curio I/O around the reducer."""
--- /dev/null
+++ b/endivedrift/shell/_codec.py
@@ -0,0 +1,297 @@
+"""Encodes and authenticates the messages between hosts.
+
+Messages are Cap'n Proto structures from `peer.capnp`. Each is preceded by a keyed BLAKE2 digest, so
+that only hosts that share the fleet's key are listened to.
+"""
+
+import hashlib
+import hmac
+from dataclasses import dataclass
+from datetime import timedelta
+from pathlib import Path
+from typing import Any, TypeAlias
+
+import capnp
+
+from endivedrift.core import (
+    Address,
+    Answer,
+    CallerName,
+    ConfigRef,
+    Digest,
+    EvidenceDelta,
+    FailureDomain,
+    Headers,
+    HostId,
+    IdempotencyKey,
+    Incarnation,
+    Member,
+    MemberStatus,
+    MessageKind,
+    PeerMessage,
+    Refusal,
+    RefusalReason,
+    ServiceName,
+    TargetName,
+    Verdict,
+    Version,
+)
+
+MAC_BYTES = 16
+MAX_DATAGRAM_BYTES = 8_192
+MICROSECOND = timedelta(microseconds=1)
+NO_RETRY = -1
+
+capnp.remove_import_hook()
+_schema = capnp.load(str(Path(__file__).with_name("peer.capnp")))
+
+
+@dataclass(frozen=True, slots=True)
+class ForwardedRequest:
+    """A request passed on to the host that owns its key."""
+
+    owner: HostId
+    incarnation: Incarnation
+    method: str
+    target: str
+    headers: Headers
+    body: bytes
+    caller: CallerName | None
+    key: IdempotencyKey
+    patience: timedelta
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigQuery:
+    """A question for the object set with a digest."""
+
+    digest: Digest
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigBytes:
+    """The canonical bytes of an object set."""
+
+    canonical: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Nothing:
+    """The peer does not have what was asked for."""
+
+
+Call: TypeAlias = ForwardedRequest | ConfigQuery
+Reply: TypeAlias = Answer | Refusal | ConfigBytes | Nothing
+
+
+def compute_mac(secret: bytes, *parts: bytes) -> bytes:
+    """Returns the keyed digest over the parts, each preceded by its length."""
+    mac = hashlib.blake2b(key=secret[: hashlib.blake2b.MAX_KEY_SIZE], digest_size=MAC_BYTES)
+    for part in parts:
+        mac.update(len(part).to_bytes(8, "big"))
+        mac.update(part)
+    return mac.digest()
+
+
+def check_mac(secret: bytes, mac: bytes, *parts: bytes) -> bool:
+    """Tells whether `mac` is the keyed digest over the parts."""
+    return hmac.compare_digest(mac, compute_mac(secret, *parts))
+
+
+def seal_datagram(secret: bytes, message: PeerMessage) -> bytes:
+    """Encodes a message as an authenticated datagram."""
+    body = _encode_message(message)
+    return compute_mac(secret, body) + body
+
+
+def open_datagram(secret: bytes, datagram: bytes) -> PeerMessage | None:
+    """Decodes a datagram.
+
+    Args:
+      secret: Key of the fleet.
+      datagram: Bytes as received.
+    Returns:
+      The message, or None where the datagram was not made with the key or cannot be read.
+    """
+    mac, body = datagram[:MAC_BYTES], datagram[MAC_BYTES:]
+    if len(datagram) <= MAC_BYTES or not check_mac(secret, mac, body):
+        return None
+    try:
+        with _schema.Datagram.from_bytes(body) as built:
+            return _decode_message(built)
+    except (capnp.KjException, ValueError, KeyError):
+        return None
+
+
+def encode_call(call: Call) -> bytes:
+    """Encodes a call."""
+    message = _schema.Call.new_message()
+    if isinstance(call, ConfigQuery):
+        message.fetchConfig = call.digest
+        return message.to_bytes()
+    forward = message.init("forward")
+    forward.owner = call.owner
+    forward.incarnation = call.incarnation
+    forward.method = call.method
+    forward.target = call.target
+    _set_headers(forward, call.headers)
+    forward.body = call.body
+    forward.caller = call.caller or ""
+    forward.key = call.key
+    forward.patienceMicros = max(0, call.patience // MICROSECOND)
+    return message.to_bytes()
+
+
+def decode_call(body: bytes) -> Call | None:
+    """Decodes a call, or returns None where it cannot be read."""
+    try:
+        with _schema.Call.from_bytes(body) as call:
+            if call.which() == "fetchConfig":
+                return ConfigQuery(Digest(call.fetchConfig))
+            forward = call.forward
+            return ForwardedRequest(
+                owner=HostId(forward.owner),
+                incarnation=Incarnation(forward.incarnation),
+                method=forward.method,
+                target=forward.target,
+                headers=_get_headers(forward),
+                body=bytes(forward.body),
+                caller=CallerName(forward.caller) if forward.caller else None,
+                key=IdempotencyKey(forward.key),
+                patience=forward.patienceMicros * MICROSECOND,
+            )
+    except (capnp.KjException, ValueError, OverflowError):
+        return None
+
+
+def encode_reply(reply: Reply) -> bytes:
+    """Encodes the reply to a call."""
+    message = _schema.Reply.new_message()
+    if isinstance(reply, Answer):
+        answer = message.init("answer")
+        answer.status = reply.status
+        _set_headers(answer, reply.headers)
+        answer.body = reply.body
+    elif isinstance(reply, Refusal):
+        refusal = message.init("refusal")
+        refusal.reason = reply.reason.value
+        refusal.mayHaveRun = reply.verdict is Verdict.MAY_HAVE_RUN
+        refusal.attemptMayHaveRun = reply.attempt is Verdict.MAY_HAVE_RUN
+        after = reply.retry_after
+        refusal.retryAfterMicros = NO_RETRY if after is None else after // MICROSECOND
+        refusal.detail = reply.detail
+    elif isinstance(reply, ConfigBytes):
+        message.config = reply.canonical
+    else:
+        message.nothing = None
+    return message.to_bytes()
+
+
+def decode_reply(body: bytes) -> Reply | None:
+    """Decodes the reply to a call, or returns None where it cannot be read."""
+    try:
+        with _schema.Reply.from_bytes(body) as reply:
+            match reply.which():
+                case "answer":
+                    answer = reply.answer
+                    return Answer(answer.status, _get_headers(answer), bytes(answer.body))
+                case "refusal":
+                    return _decode_refusal(reply.refusal)
+                case "config":
+                    return ConfigBytes(bytes(reply.config))
+            return Nothing()
+    except (capnp.KjException, ValueError):
+        return None
+
+
+def _encode_message(message: PeerMessage) -> bytes:
+    built = _schema.Datagram.new_message()
+    built.kind = message.kind.value
+    _set_member(built.init("sender"), message.sender)
+    built.sequence = message.sequence
+    built.probe = message.probe
+    built.subject = message.subject
+    built.heardSubject = message.heard_subject
+    built.configVersion = message.config.version
+    built.configDigest = message.config.digest
+    members = built.init("members", len(message.members))
+    for slot, member in zip(members, message.members, strict=True):
+        _set_member(slot, member)
+    evidence = built.init("evidence", len(message.evidence))
+    for slot, delta in zip(evidence, message.evidence, strict=True):
+        slot.service = delta.service
+        slot.target = delta.target
+        slot.good = delta.good
+        slot.bad = delta.bad
+        slot.leaving = delta.leaving
+    return built.to_bytes()
+
+
+def _decode_message(built: Any) -> PeerMessage:
+    return PeerMessage(
+        kind=MessageKind(str(built.kind)),
+        sender=_get_member(built.sender),
+        sequence=built.sequence,
+        probe=built.probe,
+        subject=HostId(built.subject),
+        heard_subject=built.heardSubject,
+        config=ConfigRef(Version(built.configVersion), Digest(built.configDigest)),
+        members=tuple(_get_member(member) for member in built.members),
+        evidence=tuple(
+            EvidenceDelta(
+                ServiceName(delta.service),
+                TargetName(delta.target),
+                delta.good,
+                delta.bad,
+                delta.leaving,
+            )
+            for delta in built.evidence
+        ),
+    )
+
+
+def _set_member(slot: Any, member: Member) -> None:
+    slot.host = member.host
+    slot.incarnation = member.incarnation
+    slot.counter = member.counter
+    slot.status = int(member.status)
+    slot.failureDomain = member.failure_domain
+    slot.callerAddress = member.caller_address
+    slot.peerAddress = member.peer_address
+    slot.operatorAddress = member.operator_address
+
+
+def _get_member(slot: Any) -> Member:
+    return Member(
+        host=HostId(slot.host),
+        incarnation=Incarnation(slot.incarnation),
+        counter=slot.counter,
+        status=MemberStatus(slot.status),
+        failure_domain=FailureDomain(slot.failureDomain),
+        caller_address=Address(slot.callerAddress),
+        peer_address=Address(slot.peerAddress),
+        operator_address=Address(slot.operatorAddress),
+    )
+
+
+def _set_headers(slot: Any, headers: Headers) -> None:
+    entries = slot.init("headers", len(headers))
+    for entry, (name, value) in zip(entries, headers, strict=True):
+        entry.name = name
+        entry.value = value
+
+
+def _get_headers(slot: Any) -> Headers:
+    return tuple((bytes(entry.name), bytes(entry.value)) for entry in slot.headers)
+
+
+def _decode_refusal(slot: Any) -> Refusal:
+    verdicts = (Verdict.NOT_RUN, Verdict.MAY_HAVE_RUN)
+    after = slot.retryAfterMicros
+    return Refusal(
+        reason=RefusalReason(slot.reason),
+        verdict=verdicts[slot.mayHaveRun],
+        attempt=verdicts[slot.attemptMayHaveRun],
+        retry_after=None if after == NO_RETRY else after * MICROSECOND,
+        detail=slot.detail,
+    )
--- /dev/null
+++ b/endivedrift/shell/_daemon.py
@@ -0,0 +1,172 @@
+"""Runs one host from start to graceful stop."""
+
+import secrets
+import signal
+from datetime import timedelta
+
+import curio
+
+from endivedrift.core import (
+    Address,
+    Clock,
+    FailureDomain,
+    HostId,
+    HostIdentity,
+    Incarnation,
+    SystemClock,
+)
+from endivedrift.core.events import HeadObserved, HostListRead, StopRequested, Ticked
+from endivedrift.platform import HttpPlatform, PlatformError, read_head
+from endivedrift.reducer import build_host
+from endivedrift.settings import Settings
+from endivedrift.shell._callers import CallerSide
+from endivedrift.shell._log import make_logger
+from endivedrift.shell._metrics import Metrics
+from endivedrift.shell._operators import OperatorSide
+from endivedrift.shell._peers import Peers, draw_period
+from endivedrift.shell._runtime import Runtime
+from endivedrift.shell._serving import Serving
+from endivedrift.shell._signals import SignalInbox
+from endivedrift.shell._targets import TargetPool
+
+TICK = timedelta(milliseconds=100)
+HEAD_PERIOD = timedelta(seconds=2)
+MACHINES_PERIOD = timedelta(seconds=2)
+POOL_CLEANING_PERIOD = timedelta(seconds=5)
+LEAVE_MARGIN = timedelta(seconds=1)
+DRAIN_LIMIT = timedelta(seconds=150)
+DRAIN_POLL = timedelta(milliseconds=50)
+INCARNATION_RANDOM_BITS = 20
+
+_log = make_logger("daemon")
+
+
+def new_incarnation(clock: Clock) -> Incarnation:
+    """Returns an incarnation that is unique, and greater than those of earlier processes."""
+    milliseconds = int(clock.wall().timestamp() * 1000.0)
+    return Incarnation(
+        (milliseconds << INCARNATION_RANDOM_BITS) | secrets.randbits(INCARNATION_RANDOM_BITS)
+    )
+
+
+def run_daemon(settings: Settings) -> None:
+    """Runs a host until it is asked to stop.
+
+    Raises:
+      OSError: If an address cannot be used.
+    """
+    curio.run(_run, settings)
+
+
+async def _run(settings: Settings) -> None:
+    await _run_host(settings, SignalInbox(signal.SIGTERM, signal.SIGINT))
+
+
+async def _run_host(settings: Settings, signals: SignalInbox) -> None:
+    clock = SystemClock()
+    identity = _identify(settings, clock)
+    secret = settings.fleet.key.encode()
+    state = build_host(identity, secret, secrets.randbits(64))
+    runtime = Runtime(state, clock, Metrics())
+    pool = TargetPool(clock)
+    platform = HttpPlatform(
+        Address(settings.platform.table),
+        Address(settings.platform.objects),
+        Address(settings.platform.hosts),
+    )
+    serving = Serving(runtime, pool, platform, settings.fleet.deployment, secret)
+    operators = OperatorSide(runtime, identity.operator_address)
+    peers = Peers(serving, identity.peer_address)
+    callers = CallerSide(serving, identity.caller_address, settings.limits)
+    loops = [
+        _tick(runtime),
+        _poll_head(runtime, platform, settings.fleet.deployment),
+        _poll_machines(runtime, platform),
+        _clean_pool(pool),
+        peers.receive(),
+        peers.accept(),
+        operators.accept(),
+    ]
+    tasks = [await curio.spawn(loop, daemon=True) for loop in loops]
+    accepting = await curio.spawn(callers.accept(), daemon=True)
+    _log.info("Started.", host=identity.host, callers=identity.caller_address)
+    await signals.wait()
+    await _stop(runtime, callers, accepting, signals, settings)
+    for task in tasks:
+        await task.cancel()
+    await operators.close()
+    await peers.close()
+    await pool.close()
+    _log.info("Stopped.", host=identity.host)
+
+
+def _identify(settings: Settings, clock: Clock) -> HostIdentity:
+    return HostIdentity(
+        host=HostId(settings.host.id),
+        incarnation=new_incarnation(clock),
+        failure_domain=FailureDomain(settings.host.failure_domain),
+        caller_address=Address(settings.listen.callers),
+        peer_address=Address(settings.listen.peers),
+        operator_address=Address(settings.listen.operators),
+        seeds=tuple(Address(seed) for seed in settings.fleet.seeds),
+    )
+
+
+async def _stop(
+    runtime: Runtime,
+    callers: CallerSide,
+    accepting: curio.Task,
+    signals: SignalInbox,
+    settings: Settings,
+) -> None:
+    """Leaves the entry answers, waits until none names this host, and finishes all requests.
+
+    A second signal ends the wait for entry answers early; requests in progress are finished all
+    the same.
+    """
+    _log.info("Leaving.", host=runtime.state.identity.host)
+    await runtime.dispatch(StopRequested(runtime.clock.monotonic()))
+    wait = timedelta(seconds=settings.limits.entry_max_age_s) + LEAVE_MARGIN
+    async with curio.ignore_after(wait.total_seconds()):
+        await signals.wait()
+    await accepting.cancel()
+    await callers.stop_listening()
+    deadline = runtime.clock.monotonic() + DRAIN_LIMIT
+    while callers.count_open() or runtime.state.requests:
+        if runtime.clock.monotonic() > deadline:
+            _log.warning("Requests are still in progress at the end of the drain limit.")
+            return
+        await curio.sleep(DRAIN_POLL.total_seconds())
+
+
+async def _tick(runtime: Runtime) -> None:
+    while True:
+        await curio.sleep(TICK.total_seconds())
+        clock = runtime.clock
+        await runtime.dispatch(Ticked(clock.monotonic(), clock.wall()))
+
+
+async def _poll_head(runtime: Runtime, platform: HttpPlatform, deployment: str) -> None:
+    while True:
+        try:
+            head = await read_head(platform, deployment)
+            await runtime.dispatch(HeadObserved(runtime.clock.monotonic(), head.config))
+        except PlatformError:
+            runtime.metrics.platform_failures.labels("table").inc()
+        await curio.sleep(draw_period(HEAD_PERIOD))
+
+
+async def _poll_machines(runtime: Runtime, platform: HttpPlatform) -> None:
+    while True:
+        try:
+            machines = await platform.list_machines()
+            await runtime.dispatch(HostListRead(runtime.clock.monotonic(), machines))
+        except PlatformError:
+            runtime.metrics.platform_failures.labels("hosts").inc()
+        await curio.sleep(draw_period(MACHINES_PERIOD))
+
+
+async def _clean_pool(pool: TargetPool) -> None:
+    while True:
+        await curio.sleep(POOL_CLEANING_PERIOD.total_seconds())
+        await pool.close_expired()
--- /dev/null
+++ b/endivedrift/shell/_entry.py
@@ -0,0 +1,76 @@
+"""The entry answer: which hosts callers of a service use, for how long, and idempotency keys."""
+
+import json
+import secrets
+from datetime import datetime, timedelta
+from urllib.parse import parse_qs
+
+from endivedrift.core import Member, ServiceName
+from endivedrift.policy import mint_key
+from endivedrift.reducer import HostState, rank_service_hosts
+from endivedrift.shell._answers import HttpAnswer
+
+ENTRY_PATH = "/.well-known/endivedrift/entry"
+MAX_KEYS_PER_HOST = 16
+NONCE_BYTES = 12
+
+
+def answer_entry(state: HostState, wall: datetime, query: str, max_age: timedelta) -> HttpAnswer:
+    """Answers which hosts to use for a service.
+
+    Args:
+      state: The host.
+      wall: Present date, for the expiry of minted keys.
+      query: `service=NAME` and optionally `keys=COUNT`, keys for each host.
+      max_age: Time for which the answer may be kept.
+    Returns:
+      A JSON object with the ranked hosts, or a problem.
+    """
+    fields = parse_qs(query)
+    service = ServiceName(fields.get("service", [""])[0])
+    count_text = fields.get("keys", ["0"])[0]
+    if service not in state.services:
+        return _answer_json(404, {"title": "unknown service", "service": service}, 0.0)
+    if not count_text.isascii() or not count_text.isdigit() or len(count_text) > 3:
+        return _answer_json(400, {"title": "keys must be a whole number"}, 0.0)
+    count = min(int(count_text), MAX_KEYS_PER_HOST)
+    members = list(rank_service_hosts(state, service))
+    body = {
+        "service": service,
+        "max_age_s": max_age.total_seconds(),
+        "hosts": [_describe(state, m, wall, count) for m in _rotate(state, service, members)],
+    }
+    return _answer_json(200, body, max_age.total_seconds())
+
+
+def _rotate(state: HostState, service: ServiceName, members: list[Member]) -> list[Member]:
+    primaries = min(len(members), state.services[service].service.entry_hosts)
+    if primaries < 2:
+        return members
+    shift = secrets.randbelow(primaries)
+    return members[shift:primaries] + members[:shift] + members[primaries:]
+
+
+def _describe(state: HostState, member: Member, wall: datetime, count: int) -> dict[str, object]:
+    keys = [
+        mint_key(
+            state.keys.secret,
+            member.host,
+            member.incarnation,
+            wall,
+            secrets.token_hex(NONCE_BYTES),
+        )
+        for _ in range(count)
+    ]
+    return {
+        "address": member.caller_address,
+        "host": member.host,
+        "failure_domain": member.failure_domain,
+        "keys": keys,
+    }
+
+
+def _answer_json(status: int, body: dict[str, object], max_age_s: float) -> HttpAnswer:
+    cache = f"max-age={int(max_age_s)}".encode() if max_age_s else b"no-store"
+    headers = ((b"content-type", b"application/json"), (b"cache-control", cache))
+    return HttpAnswer(status, headers, json.dumps(body).encode())
--- /dev/null
+++ b/endivedrift/shell/_exchange.py
@@ -0,0 +1,101 @@
+"""One HTTP exchange over a connection of its own, for the platform and the command line."""
+
+import contextlib
+from dataclasses import dataclass
+from datetime import timedelta
+
+import curio
+import h11
+from curio import socket
+
+from endivedrift.core import Address, Headers
+from endivedrift.shell._http import READ_BYTES, copy_headers, parse_endpoint
+
+MAX_REPLY_BYTES = 64 * 1024 * 1024
+
+
+class ExchangeError(Exception):
+    """No complete reply came.
+
+    Attributes:
+      sent: Whether any byte of the request may have reached the other side.
+    """
+
+    def __init__(self, cause: str, sent: bool) -> None:
+        """Takes the cause and whether the request may have arrived."""
+        super().__init__(cause)
+        self.sent = sent
+
+
+@dataclass(frozen=True, slots=True)
+class HttpReply:
+    """A complete reply."""
+
+    status: int
+    headers: Headers
+    body: bytes
+
+
+async def exchange(
+    address: Address,
+    method: str,
+    target: str,
+    body: bytes,
+    timeout: timedelta,
+    headers: Headers = (),
+) -> HttpReply:
+    """Sends one request and reads its reply.
+
+    Args:
+      address: IP:PORT of the server.
+      method, target, headers, body: The request.
+      timeout: Time for the whole exchange.
+    Returns:
+      The reply.
+    Raises:
+      ExchangeError: If no complete reply came in time.
+    """
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    sent = False
+    try:
+        async with curio.timeout_after(timeout.total_seconds()):
+            await sock.connect(parse_endpoint(address).pair())
+            sent = True
+            http = h11.Connection(h11.CLIENT)
+            all_headers = [
+                (b"host", address.encode()),
+                (b"connection", b"close"),
+                (b"content-length", str(len(body)).encode()),
+                *headers,
+            ]
+            data = http.send(h11.Request(method=method, target=target, headers=all_headers))
+            data += http.send(h11.Data(data=body)) + http.send(h11.EndOfMessage())
+            await sock.sendall(data)
+            return await _read_reply(sock, http)
+    except curio.TaskTimeout:
+        raise ExchangeError(f"{address} did not reply in time", sent) from None
+    except (OSError, h11.RemoteProtocolError) as error:
+        raise ExchangeError(f"{address}: {error}", sent) from None
+    finally:
+        with contextlib.suppress(OSError):
+            await sock.close()
+
+
+async def _read_reply(sock: socket.socket, http: h11.Connection) -> HttpReply:
+    status = 0
+    headers: Headers = ()
+    body = bytearray()
+    while True:
+        event = http.next_event()
+        if event is h11.NEED_DATA:
+            http.receive_data(await sock.recv(READ_BYTES))
+        elif isinstance(event, h11.Response):
+            status, headers = event.status_code, copy_headers(event.headers)
+        elif isinstance(event, h11.Data):
+            body += event.data
+            if len(body) > MAX_REPLY_BYTES:
+                raise h11.RemoteProtocolError("the reply is too large")
+        elif isinstance(event, h11.EndOfMessage):
+            return HttpReply(status, headers, bytes(body))
+        elif isinstance(event, h11.ConnectionClosed):
+            raise h11.RemoteProtocolError("the connection was closed")
--- /dev/null
+++ b/endivedrift/shell/_http.py
@@ -0,0 +1,80 @@
+"""HTTP/1.1 over a curio socket with h11, and the framing rules both sides share."""
+
+from dataclasses import dataclass
+
+import h11
+
+from endivedrift.core import Address, Headers
+
+READ_BYTES = 65_536
+MAX_HEAD_BYTES = 16_384
+
+_HOP_HEADERS = frozenset(
+    {
+        b"connection",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"content-length",
+    }
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Endpoint:
+    """An IP address and a port, as socket calls take them."""
+
+    ip: str
+    port: int
+
+    def pair(self) -> tuple[str, int]:
+        """Returns the form that socket calls take."""
+        return (self.ip, self.port)
+
+
+def parse_endpoint(address: Address | str) -> Endpoint:
+    """Splits a checked address of the form IP:PORT."""
+    ip, _, port = address.rpartition(":")
+    return Endpoint(ip, int(port))
+
+
+def strip_hop_headers(headers: Headers) -> Headers:
+    """Removes headers that concern one connection only, and those that Connection names."""
+    named: set[bytes] = set()
+    for name, value in headers:
+        if name == b"connection":
+            named.update(part.strip().lower() for part in value.split(b","))
+    return tuple(
+        (name, value) for name, value in headers if name not in _HOP_HEADERS and name not in named
+    )
+
+
+def find_header(headers: Headers, name: bytes) -> bytes | None:
+    """Returns the first value of a header, or None."""
+    for key, value in headers:
+        if key == name:
+            return value
+    return None
+
+
+def has_both_framings(headers: Headers) -> bool:
+    """Tells whether a message declares its length in two ways."""
+    names = [name for name, _ in headers]
+    return b"content-length" in names and b"transfer-encoding" in names
+
+
+def is_framed(response: h11.Response, headers: Headers, method: str) -> bool:
+    """Tells whether the end of an answer's body can be told from a cut."""
+    bodiless = method == "HEAD" or response.status_code in (204, 304)
+    declared = find_header(headers, b"content-length") or find_header(headers, b"transfer-encoding")
+    return bodiless or declared is not None
+
+
+def copy_headers(headers: h11._headers.Headers) -> Headers:
+    """Copies h11 headers into a plain tuple."""
+    return tuple((bytes(name), bytes(value)) for name, value in headers)
--- /dev/null
+++ b/endivedrift/shell/_peer_calls.py
@@ -0,0 +1,138 @@
+"""Calls between hosts over TCP: requests passed to a key's owner, and object sets.
+
+The callee opens with a random nonce. Call and reply each carry a length and a keyed digest over the
+nonce, so that a recorded call is worth nothing on another connection.
+"""
+
+import contextlib
+import secrets
+from collections.abc import Awaitable, Callable
+from datetime import timedelta
+
+import curio
+from curio import socket
+
+from endivedrift.core import Address
+from endivedrift.shell._codec import (
+    MAC_BYTES,
+    Call,
+    Reply,
+    check_mac,
+    compute_mac,
+    decode_call,
+    decode_reply,
+    encode_call,
+    encode_reply,
+)
+from endivedrift.shell._http import parse_endpoint
+
+NONCE_BYTES = 16
+LENGTH_BYTES = 4
+MAX_FRAME_BYTES = 64 * 1024 * 1024
+CALL_READ_TIMEOUT = timedelta(seconds=10)
+REPLY_WRITE_TIMEOUT = timedelta(seconds=10)
+CALL_LABEL = b"call"
+REPLY_LABEL = b"reply"
+
+
+class PeerCallError(Exception):
+    """A call got no reply.
+
+    Attributes:
+      sent: Whether any byte of the call may have reached the peer.
+    """
+
+    def __init__(self, cause: str, sent: bool) -> None:
+        """Takes the cause and whether the call may have arrived."""
+        super().__init__(cause)
+        self.sent = sent
+
+
+async def call_peer(secret: bytes, address: Address, call: Call, timeout: timedelta) -> Reply:
+    """Calls another host.
+
+    Args:
+      secret: Key of the fleet.
+      address: Peer address of the host.
+      call: The call.
+      timeout: Time for the whole call.
+    Returns:
+      The reply.
+    Raises:
+      PeerCallError: If no authentic reply came in time.
+    """
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    sent = False
+    try:
+        async with curio.timeout_after(max(0.001, timeout.total_seconds())):
+            await sock.connect(parse_endpoint(address).pair())
+            nonce = await _read_exactly(sock, NONCE_BYTES)
+            sent = True
+            await _write_frame(sock, secret, nonce, CALL_LABEL, encode_call(call))
+            reply = decode_reply(await _read_frame(sock, secret, nonce, REPLY_LABEL))
+    except curio.TaskTimeout:
+        raise PeerCallError("no reply in time", sent) from None
+    except (OSError, EOFError, ValueError) as error:
+        raise PeerCallError(str(error), sent) from None
+    finally:
+        with contextlib.suppress(OSError):
+            await sock.close()
+    if reply is None:
+        raise PeerCallError("the reply cannot be read", sent)
+    return reply
+
+
+async def answer_peer(
+    secret: bytes, sock: socket.socket, handle: Callable[[Call], Awaitable[Reply]]
+) -> bool:
+    """Answers one call on an accepted connection.
+
+    Args:
+      secret: Key of the fleet.
+      sock: The connection.
+      handle: Carries the call out.
+    Returns:
+      Whether the call was authentic and readable.
+    """
+    nonce = secrets.token_bytes(NONCE_BYTES)
+    try:
+        async with curio.timeout_after(CALL_READ_TIMEOUT.total_seconds()):
+            await sock.sendall(nonce)
+            call = decode_call(await _read_frame(sock, secret, nonce, CALL_LABEL))
+    except (curio.TaskTimeout, OSError, EOFError, ValueError):
+        return False
+    if call is None:
+        return False
+    reply = await handle(call)
+    with contextlib.suppress(OSError, curio.TaskTimeout):
+        async with curio.timeout_after(REPLY_WRITE_TIMEOUT.total_seconds()):
+            await _write_frame(sock, secret, nonce, REPLY_LABEL, encode_reply(reply))
+    return True
+
+
+async def _write_frame(
+    sock: socket.socket, secret: bytes, nonce: bytes, label: bytes, body: bytes
+) -> None:
+    mac = compute_mac(secret, nonce, label, body)
+    await sock.sendall(len(body).to_bytes(LENGTH_BYTES, "big") + mac + body)
+
+
+async def _read_frame(sock: socket.socket, secret: bytes, nonce: bytes, label: bytes) -> bytes:
+    head = await _read_exactly(sock, LENGTH_BYTES + MAC_BYTES)
+    length = int.from_bytes(head[:LENGTH_BYTES], "big")
+    if length > MAX_FRAME_BYTES:
+        raise ValueError("the frame is too large")
+    body = await _read_exactly(sock, length)
+    if not check_mac(secret, head[LENGTH_BYTES:], nonce, label, body):
+        raise ValueError("the frame is not authentic")
+    return body
+
+
+async def _read_exactly(sock: socket.socket, count: int) -> bytes:
+    data = bytearray()
+    while len(data) < count:
+        chunk = await sock.recv(min(65_536, count - len(data)))
+        if not chunk:
+            raise EOFError("the connection was closed")
+        data += chunk
+    return bytes(data)
--- /dev/null
+++ b/endivedrift/shell/_peers.py
@@ -0,0 +1,164 @@
+"""The peer side: datagrams, calls of other hosts, and fetches of object sets."""
+
+import contextlib
+import random
+from datetime import timedelta
+
+import curio
+from curio import socket
+
+from endivedrift.core import Address, Answer, Digest, PeerMessage, Refusal, RequestHead
+from endivedrift.core.effects import FetchConfig
+from endivedrift.core.events import ConfigFetched, ConfigFetchFailed, PeerMessageReceived
+from endivedrift.objects import digest_bytes
+from endivedrift.platform import PlatformError
+from endivedrift.shell._codec import (
+    MAX_DATAGRAM_BYTES,
+    Call,
+    ConfigBytes,
+    ConfigQuery,
+    ForwardedRequest,
+    Nothing,
+    Reply,
+    open_datagram,
+    seal_datagram,
+)
+from endivedrift.shell._http import parse_endpoint
+from endivedrift.shell._log import make_logger
+from endivedrift.shell._peer_calls import PeerCallError, answer_peer, call_peer
+from endivedrift.shell._requests import fingerprint_request
+from endivedrift.shell._serving import Serving, serve_request
+from endivedrift.shell._targets import TargetRequest
+
+FETCH_TIMEOUT = timedelta(seconds=2)
+MAX_PEER_CONNECTIONS = 256
+
+_log = make_logger("peers")
+
+
+class Peers:
+    """Sockets towards the other hosts."""
+
+    def __init__(self, serving: Serving, address: Address) -> None:
+        """Opens the sockets.
+
+        Raises:
+          OSError: If the address cannot be used.
+        """
+        self._serving = serving
+        self._runtime = serving.runtime
+        self._canonical: dict[str, bytes] = {}
+        pair = parse_endpoint(address).pair()
+        self._udp = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._udp.bind(pair)
+        self._tcp = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self._tcp.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._tcp.bind(pair)
+        self._tcp.listen(MAX_PEER_CONNECTIONS)
+        self._open_calls = 0
+        self._runtime.send_datagram = self.send
+        self._runtime.fetch_config = self.fetch
+
+    def send(self, address: Address, message: PeerMessage) -> None:
+        """Sends a datagram, which is dropped where the socket has no room."""
+        datagram = seal_datagram(self._serving.secret, message)
+        self._runtime.metrics.peer_bytes.labels("sent").inc(len(datagram))
+        with contextlib.suppress(OSError), self._udp.blocking() as raw:
+            raw.setblocking(False)
+            raw.sendto(datagram, parse_endpoint(address).pair())
+
+    async def receive(self) -> None:
+        """Takes in datagrams until cancelled."""
+        while True:
+            datagram, source = await self._udp.recvfrom(MAX_DATAGRAM_BYTES)
+            self._runtime.metrics.peer_bytes.labels("received").inc(len(datagram))
+            message = open_datagram(self._serving.secret, datagram)
+            if message is None:
+                self._runtime.metrics.rejected_datagrams.inc()
+                continue
+            origin = Address(f"{source[0]}:{source[1]}")
+            now = self._runtime.clock.monotonic()
+            await self._runtime.dispatch(PeerMessageReceived(now, origin, message))
+
+    async def accept(self) -> None:
+        """Takes calls until cancelled."""
+        while True:
+            sock, _ = await self._tcp.accept()
+            if self._open_calls >= MAX_PEER_CONNECTIONS:
+                await sock.close()
+                continue
+            self._open_calls += 1
+            await curio.spawn(self._answer(sock), daemon=True)
+
+    async def fetch(self, effect: FetchConfig) -> None:
+        """Fetches an object set from peers, then from the object store."""
+        config = effect.config
+        canonical = None
+        for address in effect.peers:
+            canonical = await self._ask_peer(address, ConfigQuery(config.digest))
+            if canonical is not None:
+                break
+        if canonical is None:
+            canonical = await self._ask_store(config.digest)
+        now = self._runtime.clock.monotonic()
+        if canonical is None or digest_bytes(canonical) != config.digest:
+            await self._runtime.dispatch(ConfigFetchFailed(now, config))
+            return
+        self._canonical = {config.digest: canonical}
+        await self._runtime.dispatch(ConfigFetched(now, config, canonical))
+
+    async def close(self) -> None:
+        """Closes the sockets."""
+        await self._udp.close()
+        await self._tcp.close()
+
+    async def _ask_peer(self, address: Address, query: ConfigQuery) -> bytes | None:
+        try:
+            reply = await call_peer(self._serving.secret, address, query, FETCH_TIMEOUT)
+        except PeerCallError:
+            return None
+        if isinstance(reply, ConfigBytes) and digest_bytes(reply.canonical) == query.digest:
+            return reply.canonical
+        return None
+
+    async def _ask_store(self, digest: Digest) -> bytes | None:
+        try:
+            return await self._serving.platform.get_object(digest)
+        except PlatformError:
+            self._runtime.metrics.platform_failures.labels("objects").inc()
+            return None
+
+    async def _answer(self, sock: socket.socket) -> None:
+        try:
+            if not await answer_peer(self._serving.secret, sock, self._carry_out):
+                self._runtime.metrics.rejected_datagrams.inc()
+        finally:
+            self._open_calls -= 1
+            with contextlib.suppress(OSError):
+                await sock.close()
+
+    async def _carry_out(self, call: Call) -> Reply:
+        if isinstance(call, ConfigQuery):
+            canonical = self._canonical.get(call.digest)
+            return ConfigBytes(canonical) if canonical is not None else Nothing()
+        return await self._serve_forwarded(call)
+
+    async def _serve_forwarded(self, call: ForwardedRequest) -> Answer | Refusal:
+        target = call.target.encode("latin-1")
+        request = TargetRequest(call.method, target, call.headers, call.body)
+        head = RequestHead(
+            method=call.method,
+            path=call.target.partition("?")[0],
+            caller=call.caller,
+            key=call.key,
+            fingerprint=fingerprint_request(call.caller, request),
+            patience=call.patience,
+            forwarded=True,
+        )
+        request_id = self._runtime.new_request_id()
+        return await serve_request(self._serving, request_id, head, request)
+
+
+def draw_period(period: timedelta) -> float:
+    """Returns a period in seconds, spread by a quarter so that hosts do not act together."""
+    return period.total_seconds() * random.uniform(0.75, 1.25)
--- /dev/null
+++ b/endivedrift/shell/_report.py
@@ -0,0 +1,72 @@
+"""Describes the state of a host for operators."""
+
+from typing import Any
+
+from endivedrift.core import Instant
+from endivedrift.fleet import HEARD_WINDOW, MemberRecord
+from endivedrift.policy import ServiceState, compute_threshold
+from endivedrift.reducer import list_primaries
+from endivedrift.shell._runtime import Runtime
+
+
+def describe_state(runtime: Runtime) -> dict[str, Any]:
+    """Returns phase, object set, members and targets as plain JSON values."""
+    state = runtime.state
+    now = runtime.clock.monotonic()
+    me = state.membership.me
+    return {
+        "host": me.host,
+        "incarnation": f"{me.incarnation:x}",
+        "failure_domain": me.failure_domain,
+        "phase": state.phase.value,
+        "config_version": state.config.version,
+        "config_digest": state.config.digest,
+        "wanted_version": state.wanted.version,
+        "requests": len(state.requests),
+        "keys": len(state.keys.records),
+        "members": [_describe_member(record, now) for record in state.membership.records.values()],
+        "services": {
+            name: {
+                **_describe_service(service),
+                "entry_hosts": [member.host for member in list_primaries(state, name)],
+            }
+            for name, service in state.services.items()
+        },
+    }
+
+
+def _describe_member(record: MemberRecord, now: Instant) -> dict[str, Any]:
+    member = record.member
+    heard = record.heard is not None and now - record.heard < HEARD_WINDOW
+    return {
+        "host": member.host,
+        "incarnation": f"{member.incarnation:x}",
+        "status": member.status.name.lower(),
+        "failure_domain": member.failure_domain,
+        "caller_address": member.caller_address,
+        "operator_address": member.operator_address,
+        "we_hear_it": heard,
+        "it_hears_us": record.hears_us,
+    }
+
+
+def _describe_service(service: ServiceState) -> dict[str, Any]:
+    return {
+        "queued": service.queued,
+        "typical_ms": round(service.typical.total_seconds() * 1000.0, 2),
+        "usual_bad_rate": round(service.usual_rate, 4),
+        "threshold": round(compute_threshold(service.ejection), 2),
+        "floor": service.ejection.floor,
+        "healthy": service.healthy,
+        "targets": {
+            name: {
+                "state": record.state.value,
+                "address": record.target.address,
+                "in_progress": len(record.attempts),
+                "own_score": round(record.own_score, 2),
+                "shared_score": round(record.shared_score, 2),
+                "own_bad_rate": round(record.own_rate, 4),
+            }
+            for name, record in service.targets.items()
+        },
+    }
--- /dev/null
+++ b/endivedrift/shell/_requests.py
@@ -0,0 +1,84 @@
+"""Turns HTTP requests into what the decisions and the targets need."""
+
+import hashlib
+from datetime import timedelta
+
+import h11
+
+from endivedrift.core import CallerName, Headers, IdempotencyKey, RequestHead
+from endivedrift.policy import MAX_KEY_LENGTH
+from endivedrift.shell._http import find_header, strip_hop_headers
+from endivedrift.shell._targets import DEADLINE_HEADER, REQUEST_ID_HEADER, TargetRequest
+
+CALLER_HEADER = b"x-caller"
+KEY_HEADER = b"idempotency-key"
+FINGERPRINT_BYTES = 16
+MAX_PATIENCE_MS = 600_000
+MAX_PATIENCE_DIGITS = 6
+
+_REPLACED_HEADERS = frozenset({REQUEST_ID_HEADER, DEADLINE_HEADER, b"expect"})
+
+
+class HeaderError(ValueError):
+    """A header has a value that cannot be used."""
+
+
+def fingerprint_request(caller: CallerName | None, request: TargetRequest) -> bytes:
+    """Returns a digest that tells two requests under one key apart."""
+    digest = hashlib.blake2b(digest_size=FINGERPRINT_BYTES)
+    for part in (
+        (caller or "").encode(),
+        request.method.encode(),
+        request.target,
+        request.body,
+    ):
+        digest.update(len(part).to_bytes(8, "big"))
+        digest.update(part)
+    return digest.digest()
+
+
+def read_head(request: h11.Request, headers: Headers, target_request: TargetRequest) -> RequestHead:
+    """Reads what the decisions need to know.
+
+    Args:
+      request: The request line and headers as parsed by h11.
+      headers: The same headers as a plain tuple.
+      target_request: The request as it will be sent to a target.
+    Returns:
+      The head.
+    Raises:
+      HeaderError: If the deadline or the idempotency key cannot be used.
+    """
+    caller = find_header(headers, CALLER_HEADER)
+    key = find_header(headers, KEY_HEADER)
+    account = CallerName(caller.decode("latin-1")) if caller else None
+    return RequestHead(
+        method=target_request.method,
+        path=target_request.target.decode("ascii").partition("?")[0],
+        caller=account,
+        key=_read_key(key) if key is not None else None,
+        fingerprint=fingerprint_request(account, target_request) if key is not None else b"",
+        patience=_read_patience(find_header(headers, DEADLINE_HEADER)),
+    )
+
+
+def build_target_request(request: h11.Request, headers: Headers, body: bytes) -> TargetRequest:
+    """Builds the request that is sent to a target."""
+    kept = tuple(pair for pair in strip_hop_headers(headers) if pair[0] not in _REPLACED_HEADERS)
+    return TargetRequest(request.method.decode("ascii"), bytes(request.target), kept, body)
+
+
+def _read_key(value: bytes) -> IdempotencyKey:
+    text = value.decode("latin-1").strip().strip('"')
+    if not text or len(text) > MAX_KEY_LENGTH or not text.isascii() or not text.isprintable():
+        raise HeaderError(f"Idempotency-Key must be 1 to {MAX_KEY_LENGTH} printable characters")
+    return IdempotencyKey(text)
+
+
+def _read_patience(value: bytes | None) -> timedelta | None:
+    if value is None:
+        return None
+    digits = value if value.isdigit() and len(value) <= MAX_PATIENCE_DIGITS else b"0"
+    if not 0 < int(digits) <= MAX_PATIENCE_MS:
+        raise HeaderError("X-Request-Deadline-Ms must be a whole number of milliseconds")
+    return timedelta(milliseconds=int(value))
--- /dev/null
+++ b/endivedrift/shell/_serving.py
@@ -0,0 +1,182 @@
+"""Serves one request: feeds its events to the reducer and carries out the effects on it."""
+
+from dataclasses import dataclass, field
+
+import curio
+
+from endivedrift.core import (
+    Answer,
+    ClaimOutcome,
+    ForwardOutcome,
+    Refusal,
+    RequestHead,
+    RequestId,
+)
+from endivedrift.core.effects import (
+    AwaitTurn,
+    ClaimKey,
+    DeliverAnswer,
+    ForwardToOwner,
+    RefuseRequest,
+    RequestEffect,
+    SendToTarget,
+)
+from endivedrift.core.events import (
+    ForwardFinished,
+    KeyClaimSettled,
+    QueueWaitExpired,
+    RequestArrived,
+)
+from endivedrift.platform import Claim, HttpPlatform, SettledClaim, claim_key
+from endivedrift.shell._codec import ForwardedRequest, Reply
+from endivedrift.shell._peer_calls import PeerCallError, call_peer
+from endivedrift.shell._runtime import Mailbox, Runtime
+from endivedrift.shell._targets import (
+    TargetPool,
+    TargetRequest,
+    cancel_attempt,
+    without_request_id,
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Serving:
+    """What serving a request needs: the runtime, the targets and the other hosts."""
+
+    runtime: Runtime
+    pool: TargetPool
+    platform: HttpPlatform
+    deployment: str
+    secret: bytes = field(repr=False)
+
+
+async def serve_request(
+    serving: Serving, request_id: RequestId, head: RequestHead, request: TargetRequest
+) -> Answer | Refusal:
+    """Serves a request to its end.
+
+    Args:
+      serving: What it needs.
+      request_id: Id of the request.
+      head: What the decisions need to know.
+      request: What is sent to the target.
+    Returns:
+      A target's complete answer, or a refusal.
+    """
+    runtime = serving.runtime
+    mailbox = Mailbox(task=await curio.current_task())
+    runtime.mailboxes[request_id] = mailbox
+    clock = runtime.clock
+    try:
+        await runtime.dispatch(RequestArrived(clock.monotonic(), clock.wall(), request_id, head))
+        while True:
+            effect = await mailbox.take()
+            match effect:
+                case DeliverAnswer():
+                    return without_request_id(effect.answer)
+                case RefuseRequest():
+                    return effect.refusal
+            await _carry_out(serving, mailbox, effect, request, head)
+    finally:
+        del runtime.mailboxes[request_id]
+
+
+async def _carry_out(
+    serving: Serving,
+    mailbox: Mailbox,
+    effect: RequestEffect,
+    request: TargetRequest,
+    head: RequestHead,
+) -> None:
+    match effect:
+        case SendToTarget():
+            await _attempt(serving, effect, request)
+        case AwaitTurn():
+            await _await_turn(serving.runtime, mailbox, effect)
+        case ClaimKey():
+            await _claim(serving, effect)
+        case ForwardToOwner():
+            await _forward(serving, effect, request, head)
+
+
+async def _attempt(serving: Serving, effect: SendToTarget, request: TargetRequest) -> None:
+    runtime = serving.runtime
+    started = runtime.clock.monotonic()
+    try:
+        finished = await serving.pool.attempt(effect, request)
+    except curio.CancelledError:
+        now = runtime.clock.monotonic()
+        cancelled = cancel_attempt(now, effect.request, effect.target, started)
+        async with curio.disable_cancellation():
+            await runtime.dispatch(cancelled)
+        raise
+    runtime.metrics.count_attempt(effect.service, finished.outcome)
+    await runtime.dispatch(finished)
+
+
+async def _await_turn(runtime: Runtime, mailbox: Mailbox, effect: AwaitTurn) -> None:
+    remaining = (effect.until - runtime.clock.monotonic()).total_seconds()
+    if not mailbox.effects and remaining > 0.0:
+        mailbox.ready.clear()
+        async with curio.ignore_after(remaining):
+            await mailbox.ready.wait()
+    if not mailbox.effects:
+        now = runtime.clock.monotonic()
+        await runtime.dispatch(QueueWaitExpired(now, effect.request))
+
+
+async def _claim(serving: Serving, effect: ClaimKey) -> None:
+    runtime = serving.runtime
+    identity = runtime.state.membership.me
+    claim = Claim(effect.key, identity.host, identity.incarnation, effect.claim)
+    remaining = (effect.until - runtime.clock.monotonic()).total_seconds()
+    settled = SettledClaim(ClaimOutcome.UNKNOWN)
+    async with curio.ignore_after(max(0.0, remaining)):
+        settled = await claim_key(serving.platform, serving.deployment, claim)
+    now = runtime.clock.monotonic()
+    holder = settled.holder
+    if holder is None:
+        event = KeyClaimSettled(now, effect.request, settled.outcome)
+    else:
+        event = KeyClaimSettled(
+            now, effect.request, settled.outcome, holder.host, holder.incarnation, holder.claim
+        )
+    await runtime.dispatch(event)
+
+
+async def _forward(
+    serving: Serving, effect: ForwardToOwner, request: TargetRequest, head: RequestHead
+) -> None:
+    clock = serving.runtime.clock
+    patience = effect.deadline - clock.monotonic()
+    assert head.key is not None
+    call = ForwardedRequest(
+        owner=effect.owner,
+        incarnation=effect.incarnation,
+        method=request.method,
+        target=request.target.decode("latin-1"),
+        headers=request.headers,
+        body=request.body,
+        caller=head.caller,
+        key=head.key,
+        patience=patience,
+    )
+    try:
+        reply = await call_peer(serving.secret, effect.address, call, patience)
+    except PeerCallError as error:
+        failed = ForwardFinished(
+            clock.monotonic(), effect.request, ForwardOutcome.BROKEN, connected=error.sent
+        )
+        await serving.runtime.dispatch(failed)
+        return
+    event = _describe_reply(serving.runtime, effect.request, reply)
+    await serving.runtime.dispatch(event)
+
+
+def _describe_reply(runtime: Runtime, request: RequestId, reply: Reply) -> ForwardFinished:
+    now = runtime.clock.monotonic()
+    if isinstance(reply, Answer):
+        return ForwardFinished(now, request, ForwardOutcome.ANSWERED, answer=reply)
+    if isinstance(reply, Refusal):
+        return ForwardFinished(now, request, ForwardOutcome.REFUSED, refusal=reply)
+    return ForwardFinished(now, request, ForwardOutcome.BROKEN)
--- /dev/null
+++ b/endivedrift/shell/peer.capnp
@@ -0,0 +1,92 @@
+@0xd5f1a3c27b9e4c11;
+# Messages between the hosts of one fleet.
+
+enum Kind {
+  ping @0;
+  ack @1;
+  pingRequest @2;
+  syncRequest @3;
+  notice @4;
+}
+
+struct Member {
+  host @0 :Text;
+  incarnation @1 :UInt64;
+  counter @2 :UInt32;
+  status @3 :UInt8;
+  failureDomain @4 :Text;
+  callerAddress @5 :Text;
+  peerAddress @6 :Text;
+  operatorAddress @7 :Text;
+}
+
+struct Evidence {
+  service @0 :Text;
+  target @1 :Text;
+  good @2 :UInt32;
+  bad @3 :UInt32;
+  leaving @4 :Bool;
+}
+
+# A UDP datagram.
+struct Datagram {
+  kind @0 :Kind;
+  sender @1 :Member;
+  sequence @2 :UInt64;
+  probe @3 :UInt64;
+  subject @4 :Text;
+  heardSubject @5 :Bool;
+  configVersion @6 :UInt64;
+  configDigest @7 :Text;
+  members @8 :List(Member);
+  evidence @9 :List(Evidence);
+}
+
+struct Header {
+  name @0 :Data;
+  value @1 :Data;
+}
+
+struct Forward {
+  owner @0 :Text;
+  incarnation @1 :UInt64;
+  method @2 :Text;
+  target @3 :Text;
+  headers @4 :List(Header);
+  body @5 :Data;
+  caller @6 :Text;
+  key @7 :Text;
+  patienceMicros @8 :UInt64;
+}
+
+# A call over TCP.
+struct Call {
+  union {
+    forward @0 :Forward;
+    fetchConfig @1 :Text;
+  }
+}
+
+struct Answer {
+  status @0 :UInt16;
+  headers @1 :List(Header);
+  body @2 :Data;
+}
+
+struct Refusal {
+  reason @0 :Text;
+  mayHaveRun @1 :Bool;
+  attemptMayHaveRun @2 :Bool;
+  retryAfterMicros @3 :Int64;
+  detail @4 :Text;
+}
+
+# The reply to a call over TCP.
+struct Reply {
+  union {
+    answer @0 :Answer;
+    refusal @1 :Refusal;
+    config @2 :Data;
+    nothing @3 :Void;
+  }
+}
--- /dev/null
+++ b/lab/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements; never installed."""
--- /dev/null
+++ b/standins/fleet.py
@@ -0,0 +1,284 @@
+"""Starts a whole deployment of separate processes on loopback: platform, targets and hosts.
+
+Each deployment gets a loopback address of its own, so that ports never clash. Processes are ended
+by their ids.
+"""
+
+import json
+import os
+import secrets
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from dataclasses import dataclass, field
+from datetime import timedelta
+from pathlib import Path
+from typing import Any
+
+import curio
+from expression import Result
+
+from endivedrift.core import Address
+from endivedrift.objects import ObjectSet, Target, check_sources, read_directory
+from endivedrift.shell.exchange import ExchangeError, HttpReply, exchange
+
+FIRST_PORT = 20_000
+FLEET_KEY = "a-key-for-stand-ins-only"
+DEPLOYMENT = "standin"
+POLL = 0.05
+
+
+@dataclass(frozen=True, slots=True)
+class HostProcess:
+    """A host and its addresses."""
+
+    name: str
+    failure_domain: str
+    callers: Address
+    peers: Address
+    operators: Address
+    settings: Path
+    process: subprocess.Popen[bytes]
+
+
+@dataclass(slots=True)
+class Fleet:
+    """A running deployment.
+
+    Attributes:
+      ip: Loopback address of all its processes.
+      directory: Temporary directory with settings and logs.
+      targets: Stand-in address of each target, by its name.
+      hosts: Hosts by name, stopped ones included.
+    """
+
+    ip: str
+    directory: Path
+    entry_max_age_s: float = 1.0
+    next_port: int = FIRST_PORT
+    processes: list[subprocess.Popen[bytes]] = field(default_factory=list)
+    targets: dict[str, Address] = field(default_factory=dict)
+    target_processes: dict[str, subprocess.Popen[bytes]] = field(default_factory=dict)
+    hosts: dict[str, HostProcess] = field(default_factory=dict)
+    platform: Address = Address("")
+
+    def take_port(self) -> int:
+        """Returns a port that nothing listens on."""
+        while True:
+            self.next_port += 1
+            with socket.socket() as probe:
+                try:
+                    probe.bind((self.ip, self.next_port))
+                    return self.next_port
+                except OSError:
+                    continue
+
+    def start_platform(self) -> None:
+        """Starts the platform's stand-in."""
+        port = self.take_port()
+        self.platform = Address(f"{self.ip}:{port}")
+        self._start("platform", "standins.platform", "--ip", self.ip, "--port", str(port))
+        self.wait_listening(self.platform)
+
+    def start_targets(self, objects: ObjectSet, *arguments: str) -> ObjectSet:
+        """Starts a process for each target and returns the set with their addresses."""
+        groups = {}
+        for name, group in objects.upstream_group.items():
+            targets = tuple(self._start_target(target, arguments) for target in group.targets)
+            groups[name] = group.model_copy(update={"targets": targets})
+        for address in self.targets.values():
+            self.wait_listening(address)
+        return objects.model_copy(update={"upstream_group": groups})
+
+    def start_host(
+        self, name: str, failure_domain: str, seeds: list[Address] | None = None
+    ) -> HostProcess:
+        """Starts a host; its peers are the hosts started before unless `seeds` says otherwise."""
+        known = [host.peers for host in self.hosts.values()] if seeds is None else seeds
+        callers, peers, operators = (Address(f"{self.ip}:{self.take_port()}") for _ in range(3))
+        settings = self.directory / f"{name}.toml"
+        settings.write_text(
+            f'[host]\nid = "{name}"\nfailure_domain = "{failure_domain}"\nregion = "test"\n'
+            f'[listen]\ncallers = "{callers}"\npeers = "{peers}"\noperators = "{operators}"\n'
+            f'[platform]\ntable = "{self.platform}"\nobjects = "{self.platform}"\n'
+            f'hosts = "{self.platform}"\n'
+            f'[fleet]\ndeployment = "{DEPLOYMENT}"\nkey = "{FLEET_KEY}"\n'
+            f"seeds = {json.dumps(known)}\n"
+            f"[limits]\nentry_max_age_s = {self.entry_max_age_s}\n",
+            "utf-8",
+        )
+        process = self._start(name, "endivedrift.daemon", "--settings", str(settings))
+        host = HostProcess(name, failure_domain, callers, peers, operators, settings, process)
+        self.hosts[name] = host
+        self.wait_listening(callers)
+        return host
+
+    def write_tool_config(self) -> Path:
+        """Writes the command-line tool's configuration and returns its path."""
+        path = self.directory / "tool.toml"
+        host = next(iter(self.hosts.values())).operators if self.hosts else ""
+        path.write_text(
+            f'deployment = "{DEPLOYMENT}"\ntable = "{self.platform}"\n'
+            f'objects = "{self.platform}"\nhost = "{host}"\n',
+            "utf-8",
+        )
+        return path
+
+    def call(self, address: Address, method: str, target: str, body: Any = None) -> HttpReply:
+        """Makes one HTTP call to any process."""
+        data = b"" if body is None else json.dumps(body).encode()
+        return curio.run(exchange, address, method, target, data, timedelta(seconds=5))
+
+    def set_target_faults(self, name: str, **faults: Any) -> None:
+        """Switches a target's faults; those not named are off."""
+        self.call(self.targets[name], "PUT", "/control/faults", faults)
+
+    def set_platform_faults(self, **faults: Any) -> None:
+        """Switches the platform's faults; those not named are off."""
+        self.call(self.platform, "PUT", "/control/faults", faults)
+
+    def list_runs(self) -> list[list[str]]:
+        """Returns what ran at all targets that answer, as method, path, key and attempt id."""
+        runs: list[list[str]] = []
+        for name, address in self.targets.items():
+            if self.target_processes[name].poll() is None:
+                runs += json.loads(self.call(address, "GET", "/control/record").body)["runs"]
+        return runs
+
+    def read_state(self, host: HostProcess) -> dict[str, Any]:
+        """Returns a host's state, or an empty object where it does not answer."""
+        try:
+            return json.loads(self.call(host.operators, "GET", "/state").body)
+        except ExchangeError:
+            return {}
+
+    def wait_until(self, what: str, check: Any, seconds: float = 30.0) -> None:
+        """Waits until a check passes.
+
+        Raises:
+          TimeoutError: If it does not pass in time.
+        """
+        end = time.monotonic() + seconds
+        while time.monotonic() < end:
+            if check():
+                return
+            time.sleep(POLL)
+        raise TimeoutError(f"not within {seconds} s: {what}")
+
+    def wait_version(self, version: int, seconds: float = 30.0) -> None:
+        """Waits until all running hosts have a version in force."""
+        self.wait_until(
+            f"version {version} in force",
+            lambda: all(
+                self.read_state(host).get("config_version", 0) >= version
+                for host in self.running_hosts()
+            ),
+            seconds,
+        )
+
+    def wait_members(self, seconds: float = 30.0) -> None:
+        """Waits until all running hosts take each other for alive."""
+        names = {host.name for host in self.running_hosts()}
+
+        def all_known() -> bool:
+            for host in self.running_hosts():
+                members = self.read_state(host).get("members", [])
+                alive = {m["host"] for m in members if m["status"] == "alive"}
+                if alive | {host.name} < names:
+                    return False
+            return True
+
+        self.wait_until("members known", all_known, seconds)
+
+    def running_hosts(self) -> list[HostProcess]:
+        """Returns the hosts whose processes run."""
+        return [host for host in self.hosts.values() if host.process.poll() is None]
+
+    def wait_listening(self, address: Address) -> None:
+        """Waits until a process accepts connections."""
+        ip, _, port = address.rpartition(":")
+
+        def accepts() -> bool:
+            with socket.socket() as probe:
+                return probe.connect_ex((ip, int(port))) == 0
+
+        self.wait_until(f"{address} listening", accepts)
+
+    def stop(self) -> None:
+        """Ends all processes that still run."""
+        for process in self.processes:
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+        for process in self.processes:
+            process.wait()
+
+    def _start_target(self, target: Target, arguments: tuple[str, ...]) -> Target:
+        port = self.take_port()
+        address = Address(f"{self.ip}:{port}")
+        process = self._start(
+            f"target-{target.name}",
+            "standins.target",
+            "--ip",
+            self.ip,
+            "--ports",
+            str(port),
+            *arguments,
+        )
+        self.targets[target.name] = address
+        self.target_processes[target.name] = process
+        return target.model_copy(update={"address": address})
+
+    def _start(self, name: str, module: str, *arguments: str) -> subprocess.Popen[bytes]:
+        log = (self.directory / f"{name}.log").open("ab")
+        root = Path(__file__).resolve().parent.parent
+        process = subprocess.Popen(
+            [sys.executable, "-m", module, *arguments], stdout=log, stderr=log, cwd=root
+        )
+        log.close()
+        self.processes.append(process)
+        return process
+
+
+def open_fleet(entry_max_age_s: float = 1.0) -> Fleet:
+    """Returns a deployment with an address of its own and no process."""
+    ip = f"127.{1 + os.getpid() % 250}.{secrets.randbelow(250)}.{1 + secrets.randbelow(250)}"
+    return Fleet(ip, Path(tempfile.mkdtemp(prefix="endivedrift-")), entry_max_age_s)
+
+
+def load_example(name: str) -> ObjectSet:
+    """Reads an example object set.
+
+    Raises:
+      ValueError: If it has faults.
+    """
+    directory = Path(__file__).resolve().parent.parent / "examples" / name
+    match read_directory(directory).bind(check_sources):
+        case Result(tag="ok", ok=objects):
+            return objects
+        case Result(tag="error", error=faults):
+            raise ValueError("; ".join(str(fault) for fault in faults))
+    raise AssertionError("a result is either ok or an error")
+
+
+def write_object_set(objects: ObjectSet, directory: Path) -> None:
+    """Writes an object set as TOML files that `endivedrift publish` reads."""
+    directory.mkdir(parents=True, exist_ok=True)
+    lines = []
+    for kind, named in objects.model_dump(mode="json").items():
+        for name, body in named.items():
+            lines.append(f"[{kind}.{name}]")
+            lines += [f"{field_name} = {_format(value)}" for field_name, value in body.items()]
+    (directory / "objects.toml").write_text("\n".join(lines) + "\n", "utf-8")
+
+
+def _format(value: Any) -> str:
+    if isinstance(value, dict):
+        inner = ", ".join(f"{name} = {_format(member)}" for name, member in value.items())
+        return f"{{ {inner} }}"
+    if isinstance(value, list):
+        return f"[{', '.join(_format(member) for member in value)}]"
+    return json.dumps(value)
--- /dev/null
+++ b/standins/target.py
@@ -0,0 +1,171 @@
+"""Stand-in for one target or several: slots, faults, and a truthful record of what ran.
+
+Each port is a target. `PUT /control/faults` takes a JSON object with members of `Faults`.
+`GET /control/record` returns the requests that ran, with their idempotency keys, in order.
+"""
+
+import argparse
+import json
+import random
+from collections import deque
+from dataclasses import dataclass, field
+
+import curio
+
+from standins._http_server import StandinReply, StandinRequest, serve_http
+
+REQUEST_ID = "x-request-id"
+
+
+@dataclass(slots=True)
+class Faults:
+    """Faults in force; shares are from 0 to 1.
+
+    Attributes:
+      extra_ms: Added to the time of each request.
+      fail_share: Requests that run and are answered with status 500.
+      cut_share: Requests that run and whose answer is cut in the middle.
+      hang_share: Requests that run and are never answered.
+      shed_share: Requests that are refused without running.
+      crossed_share: Requests that run and are answered with another request's answer.
+      doubled_share: Requests that run and whose answer is sent twice.
+      draining: Whether requests are refused because the target is shutting down.
+    """
+
+    extra_ms: float = 0.0
+    fail_share: float = 0.0
+    cut_share: float = 0.0
+    hang_share: float = 0.0
+    shed_share: float = 0.0
+    crossed_share: float = 0.0
+    doubled_share: float = 0.0
+    draining: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Run:
+    """One request that ran: method, path, idempotency key and attempt id."""
+
+    method: str
+    path: str
+    key: str
+    attempt: str
+
+
+@dataclass(slots=True)
+class TargetStandin:
+    """One target."""
+
+    name: str
+    work_ms: float
+    slots: int
+    body_bytes: int
+    faults: Faults = field(default_factory=Faults)
+    record: list[Run] = field(default_factory=list)
+    busy: int = 0
+    received: int = 0
+    waiting: deque[curio.Event] = field(default_factory=deque)
+    previous: bytes = b"{}"
+    source: random.Random = field(default_factory=random.Random)
+
+    async def handle(self, request: StandinRequest) -> StandinReply:
+        """Answers one request."""
+        if request.path.startswith("/control/"):
+            return self._control(request)
+        if request.path == "/health":
+            return StandinReply(200, body=b"ok")
+        self.received += 1
+        echo = {REQUEST_ID: request.headers.get(REQUEST_ID, "")}
+        if self.faults.draining:
+            return StandinReply(503, {"x-not-run": "1", "x-draining": "1", **echo}, b"draining")
+        if self._draw(self.faults.shed_share):
+            return StandinReply(503, {"x-not-run": "1", **echo}, b"shed")
+        await self._enter()
+        try:
+            return await self._work(request, echo)
+        finally:
+            await self._leave()
+
+    async def _work(self, request: StandinRequest, echo: dict[str, str]) -> StandinReply:
+        key = request.headers.get("idempotency-key", "")
+        run = Run(request.method, request.path, key, echo[REQUEST_ID])
+        self.record.append(run)
+        await curio.sleep((self.work_ms + self.faults.extra_ms) / 1000.0)
+        if self._draw(self.faults.hang_share):
+            await curio.sleep(3600)
+        body = self._make_body(request, run)
+        previous, self.previous = self.previous, body
+        if self._draw(self.faults.fail_share):
+            return StandinReply(500, echo, b"failed")
+        if self._draw(self.faults.cut_share):
+            return StandinReply(200, echo, body, cut_at=len(body) // 2)
+        if self._draw(self.faults.crossed_share):
+            return StandinReply(200, {REQUEST_ID: "other-request"}, previous)
+        if self._draw(self.faults.doubled_share):
+            trailing = f"HTTP/1.1 200 OK\r\ncontent-length: {len(body)}\r\n\r\n".encode() + body
+            return StandinReply(200, echo, body, trailing=trailing)
+        return StandinReply(200, {"content-type": "application/json", **echo}, body)
+
+    def _make_body(self, request: StandinRequest, run: Run) -> bytes:
+        answer = {
+            "target": self.name,
+            "path": request.path,
+            "query": request.query,
+            "key": run.key,
+            "padding": "x" * self.body_bytes,
+        }
+        return json.dumps(answer).encode()
+
+    async def _enter(self) -> None:
+        if self.busy >= self.slots:
+            turn = curio.Event()
+            self.waiting.append(turn)
+            await turn.wait()
+        else:
+            self.busy += 1
+
+    async def _leave(self) -> None:
+        if self.waiting:
+            await self.waiting.popleft().set()
+        else:
+            self.busy -= 1
+
+    def _draw(self, share: float) -> bool:
+        return share > 0.0 and self.source.random() < share
+
+    def _control(self, request: StandinRequest) -> StandinReply:
+        if request.path == "/control/faults":
+            self.faults = Faults(**json.loads(request.body))
+            return StandinReply(200)
+        if request.path == "/control/record":
+            runs = [[run.method, run.path, run.key, run.attempt] for run in self.record]
+            body = {"runs": runs, "received": self.received}
+            return StandinReply(200, body=json.dumps(body).encode())
+        return StandinReply(404)
+
+
+async def _serve_all(arguments: argparse.Namespace) -> None:
+    async with curio.TaskGroup() as group:
+        for port in arguments.ports:
+            name = f"{arguments.ip}:{port}"
+            source = random.Random(f"{arguments.seed}/{name}")
+            standin = TargetStandin(
+                name, arguments.work_ms, arguments.slots, arguments.body_bytes, source=source
+            )
+            await group.spawn(serve_http, arguments.ip, port, standin.handle)
+
+
+def main() -> None:
+    """Runs targets on the given addresses."""
+    parser = argparse.ArgumentParser(description="Stand-in for targets, one for each port.")
+    parser.add_argument("--ip", required=True)
+    parser.add_argument("--ports", type=int, nargs="+", required=True)
+    parser.add_argument("--work-ms", type=float, default=5.0)
+    parser.add_argument("--slots", type=int, default=2)
+    parser.add_argument("--body-bytes", type=int, default=200)
+    parser.add_argument("--seed", type=int, default=1)
+    curio.run(_serve_all, parser.parse_args())
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/builders.py
@@ -0,0 +1,192 @@
+"""Builders of test data."""
+
+from datetime import timedelta
+from random import Random
+
+from endivedrift.core import (
+    Address,
+    Answer,
+    ConfigRef,
+    Digest,
+    FailureDomain,
+    HostId,
+    HostIdentity,
+    IdempotencyKey,
+    Incarnation,
+    ManualClock,
+    RequestHead,
+    RequestId,
+    TargetName,
+    Version,
+)
+from endivedrift.core.effects import Effect
+from endivedrift.core.events import ConfigFetched, RequestArrived, Ticked
+from endivedrift.objects import (
+    Caller,
+    DrainRule,
+    EjectionLimit,
+    ObjectSet,
+    RetryRule,
+    Route,
+    Service,
+    Target,
+    UpstreamGroup,
+    digest_bytes,
+    encode_object_set,
+)
+from endivedrift.reducer import HostState, build_host, reduce
+
+SECRET = b"a-key-for-tests-only"
+SERVICE = "rooms"
+READ_PATH = "/rooms"
+WRITE_PATH = "/stays"
+
+
+def build_object_set(
+    targets: int = 4,
+    floor: int = 2,
+    slots: int = 2,
+    queue_length: int = 4,
+    entry_hosts: int = 2,
+    max_attempts: int = 3,
+    false_ejection_rate: float = 1e-4,
+    key_required: bool = False,
+) -> ObjectSet:
+    """Builds a valid set with one service, a repeatable route and one that is not."""
+    domains = ("a", "b", "c")
+    group = UpstreamGroup(
+        slots=slots,
+        connection_cap=100,
+        targets=tuple(
+            Target(name=f"t{n}", address=f"127.0.0.1:{9000 + n}", failure_domain=domains[n % 3])
+            for n in range(targets)
+        ),
+    )
+    service = Service(
+        upstream_group="group",
+        ejection_limit="limit",
+        drain_rule="drain",
+        retry_rule="retry",
+        entry_hosts=entry_hosts,
+        queue_length=queue_length,
+    )
+    read = Route(
+        service=SERVICE,
+        path=READ_PATH,
+        methods=("GET",),
+        repeatable=True,
+        deadline_ms=2000,
+        queue_wait_ms=500,
+    )
+    write = Route(
+        service=SERVICE,
+        path=WRITE_PATH,
+        methods=("POST",),
+        repeatable=False,
+        key_required=key_required,
+        deadline_ms=4000,
+        queue_wait_ms=1000,
+        importance="critical",
+    )
+    limit = EjectionLimit(
+        floor=floor, false_ejection_rate=false_ejection_rate, detectable_failure_rate=0.3
+    )
+    return ObjectSet(
+        service={SERVICE: service},
+        upstream_group={"group": group},
+        ejection_limit={"limit": limit},
+        drain_rule={"drain": DrainRule(warm_up_ms=1000)},
+        retry_rule={"retry": RetryRule(max_attempts=max_attempts)},
+        route={"read": read, "write": write},
+        caller={"guest": Caller(requests_per_s=10.0, burst=5)},
+    )
+
+
+def build_identity(name: str = "h1", incarnation: int = 7, domain: str = "a") -> HostIdentity:
+    """Builds the identity of a host."""
+    return HostIdentity(
+        HostId(name),
+        Incarnation(incarnation),
+        FailureDomain(domain),
+        Address(f"{name}:1"),
+        Address(f"{name}:2"),
+        Address(f"{name}:3"),
+    )
+
+
+def fetch_config(clock: ManualClock, objects: ObjectSet, version: int = 1) -> ConfigFetched:
+    """Builds the event of an object set whose bytes were read."""
+    canonical = encode_object_set(objects)
+    config = ConfigRef(Version(version), digest_bytes(canonical))
+    return ConfigFetched(clock.monotonic(), config, canonical)
+
+
+class HostBench:
+    """A reducer with a clock, driven by hand."""
+
+    def __init__(
+        self,
+        objects: ObjectSet | None = None,
+        identity: HostIdentity | None = None,
+        clock: ManualClock | None = None,
+        seed: int = 1,
+    ) -> None:
+        """Starts a host with an object set in force, or without one for None."""
+        self.clock = clock or ManualClock()
+        self.state: HostState = build_host(identity or build_identity(), SECRET, seed)
+        self.random = Random(seed)
+        self.requests = 0
+        if objects is not None:
+            self.apply(fetch_config(self.clock, objects))
+
+    def apply(self, event: object) -> list[Effect]:
+        """Applies an event."""
+        return reduce(self.state, event)  # type: ignore[arg-type]
+
+    def advance(self, seconds: float, step: float = 0.1) -> list[Effect]:
+        """Moves the clock forward in steps, with a tick at each."""
+        effects: list[Effect] = []
+        for _ in range(round(seconds / step)):
+            self.clock.advance(timedelta(seconds=step))
+            effects += self.apply(Ticked(self.clock.monotonic(), self.clock.wall()))
+        return effects
+
+    def arrive(
+        self,
+        method: str = "GET",
+        path: str = READ_PATH,
+        key: str | None = None,
+        fingerprint: bytes = b"",
+        patience: float | None = None,
+        forwarded: bool = False,
+        caller: str | None = None,
+    ) -> tuple[RequestId, list[Effect]]:
+        """Lets a request arrive and returns its id and effects."""
+        self.requests += 1
+        request = RequestId(f"{self.state.identity.host}-{self.requests}")
+        head = RequestHead(
+            method=method,
+            path=path,
+            caller=caller,  # type: ignore[arg-type]
+            key=IdempotencyKey(key) if key is not None else None,
+            fingerprint=fingerprint,
+            patience=timedelta(seconds=patience) if patience is not None else None,
+            forwarded=forwarded,
+        )
+        event = RequestArrived(self.clock.monotonic(), self.clock.wall(), request, head)
+        return request, self.apply(event)
+
+
+def build_answer(status: int = 200, body: bytes = b"ok") -> Answer:
+    """Builds a target's answer."""
+    return Answer(status, (), body)
+
+
+def build_ref(version: int, digest: str = "d") -> ConfigRef:
+    """Names an object set."""
+    return ConfigRef(Version(version), Digest(digest))
+
+
+def name_target(number: int) -> TargetName:
+    """Names a target of `build_object_set`."""
+    return TargetName(f"t{number}")
