--- a/endivedrift/policy/__init__.py
+++ b/endivedrift/policy/__init__.py
@@ -11,7 +11,6 @@
 from endivedrift.policy._evidence import (
     add_own_evidence,
     add_shared_evidence,
-    compute_threshold,
     count_overdue,
     is_sick,
     judge_evidence,
@@ -66,7 +65,6 @@
     "advance_date",
     "build_service",
     "choose_target",
-    "compute_threshold",
     "count_overdue",
     "drop_expired",
     "estimate_wait",
--- a/endivedrift/policy/_choice.py
+++ b/endivedrift/policy/_choice.py
@@ -8,7 +8,6 @@
 from random import Random
 
 from endivedrift.core import FailureDomain, TargetName, TargetState
-from endivedrift.policy._evidence import compute_threshold
 from endivedrift.policy._service import ServiceState, TargetRecord, domain_of
 
 SCAN_LIMIT = 16
@@ -69,7 +68,7 @@
 ) -> TargetName | None:
     best: TargetName | None = None
     best_cost = 0.0
-    threshold = compute_threshold(state.ejection)
+    threshold = state.threshold
     for name in names:
         record = state.targets[name]
         if name in excluded or not has_room(state, record, trial_allowed):
--- a/endivedrift/policy/_ejection.py
+++ b/endivedrift/policy/_ejection.py
@@ -9,7 +9,7 @@
 from datetime import timedelta
 
 from endivedrift.core import AuditEntry, AuditKind, Instant, TargetName, TargetState
-from endivedrift.policy._evidence import compute_threshold, is_sick
+from endivedrift.policy._evidence import is_sick
 from endivedrift.policy._service import ServiceState, TargetRecord
 
 PROBATION_GOOD_ANSWERS = 5
@@ -113,7 +113,7 @@
     sick = [record for record in healthy if is_sick(state, record)]
     sick.sort(key=lambda record: (-record.score, record.target.name))
     for record in sick[: max(0, len(healthy) - state.ejection.floor)]:
-        threshold = compute_threshold(state.ejection)
+        threshold = state.threshold
         cause = (
             f"own score {record.own_score:.1f}, shared score {record.shared_score:.1f}, "
             f"threshold {threshold:.1f}, own bad rate {record.own_rate:.2f}"
--- a/endivedrift/policy/_evidence.py
+++ b/endivedrift/policy/_evidence.py
@@ -13,7 +13,6 @@
 from datetime import timedelta
 
 from endivedrift.core import AttemptOutcome, EvidenceDelta, Instant
-from endivedrift.objects import EjectionLimit
 from endivedrift.policy._service import ServiceState, TargetRecord
 
 TYPICAL_STEP = 1.02
@@ -37,11 +36,6 @@
 _SILENT_OUTCOMES = frozenset({AttemptOutcome.SHED, AttemptOutcome.DRAINING})
 
 
-def compute_threshold(limit: EjectionLimit) -> float:
-    """Returns the score at which a target is held to be sick, in nats."""
-    return math.log(1.0 / limit.false_ejection_rate)
-
-
 def is_slow(state: ServiceState, latency: timedelta) -> bool:
     """Tells whether an answer that took `latency` is bad for its time alone."""
     return latency > state.typical * state.ejection.slow_factor
@@ -101,7 +95,7 @@
     Evidence of other hosts does not count where this host's own recent requests went well: the
     fault then lies on the path of the others.
     """
-    threshold = compute_threshold(state.ejection)
+    threshold = state.threshold
     if record.own_score >= threshold:
         return True
     if record.shared_score < threshold:
@@ -149,7 +143,7 @@
 
 
 def _bound_score(state: ServiceState, score: float) -> float:
-    return min(max(0.0, score), SCORE_CAP * compute_threshold(state.ejection))
+    return min(max(0.0, score), SCORE_CAP * state.threshold)
 
 
 def _clamp_rate(rate: float) -> float:
--- a/endivedrift/policy/_service.py
+++ b/endivedrift/policy/_service.py
@@ -1,5 +1,6 @@
 """The state that one host keeps for each service and target."""
 
+import math
 from collections import deque
 from dataclasses import dataclass, field
 from datetime import timedelta
@@ -90,6 +91,7 @@
     """What a host knows of one service.
 
     Attributes:
+      threshold: Score at which a target is held to be sick, in nats.
       typical: Estimate of the median time of an answer, over all targets.
       usual_rate: Median over the targets of the recent share of bad answers.
       queues: Waiting requests by importance.
@@ -104,6 +106,7 @@
     drain: DrainRule
     retry: RetryRule
     targets: dict[TargetName, TargetRecord]
+    threshold: float
     retry_budget: TokenBucket
     typical: timedelta = INITIAL_TYPICAL
     usual_rate: float = 0.0
@@ -140,14 +143,16 @@
     service = objects.service[name]
     group = objects.upstream_group[service.upstream_group]
     retry = objects.retry_rule[service.retry_rule]
+    ejection = objects.ejection_limit[service.ejection_limit]
     state = ServiceState(
         name=name,
         service=service,
         group=group,
-        ejection=objects.ejection_limit[service.ejection_limit],
+        ejection=ejection,
         drain=objects.drain_rule[service.drain_rule],
         retry=retry,
         targets={},
+        threshold=math.log(1.0 / ejection.false_ejection_rate),
         retry_budget=TokenBucket(float(retry.budget_cap), 0.0, float(retry.budget_cap), at),
     )
     if previous is not None:
--- a/endivedrift/reducer/_state.py
+++ b/endivedrift/reducer/_state.py
@@ -65,9 +65,13 @@
 
 @dataclass(frozen=True, slots=True)
 class RankedHosts:
-    """Hosts of a service, valid for one version of the membership and of the object set."""
+    """Hosts of a service, valid for one version of the membership and of the object set.
+
+    `share` is the number of requests this host may have in progress at one target.
+    """
 
     members: tuple[Member, ...]
+    share: int
     membership: int
     config: ConfigRef
 
@@ -123,25 +127,30 @@
 
 def rank_service_hosts(state: HostState, name: ServiceName) -> tuple[Member, ...]:
     """Returns the hosts that callers of a service are told, best first."""
-    cached = state.ranked.get(name)
-    version = state.membership.version
-    if cached is not None and (cached.membership, cached.config) == (version, state.config):
-        return cached.members
-    primaries = state.services[name].service.entry_hosts
-    members = tuple(rank_hosts(name, list_usable(state.membership), primaries))
-    state.ranked[name] = RankedHosts(members, version, state.config)
-    return members
+    return _rank(state, name).members
 
 
 def list_primaries(state: HostState, name: ServiceName) -> tuple[Member, ...]:
     """Returns the hosts that share a service in normal operation."""
-    return rank_service_hosts(state, name)[: state.services[name].service.entry_hosts]
+    return _rank(state, name).members[: state.services[name].service.entry_hosts]
 
 
 def share_slots(state: HostState, name: ServiceName) -> int:
     """Returns the requests that this host may have in progress at one target of a service."""
+    return _rank(state, name).share
+
+
+def _rank(state: HostState, name: ServiceName) -> RankedHosts:
+    cached = state.ranked.get(name)
+    version = state.membership.version
+    if cached is not None and cached.membership == version and cached.config == state.config:
+        return cached
     service = state.services[name]
-    primaries = list_primaries(state, name)
-    if all(member.host != state.identity.host for member in primaries):
-        return 1
-    return max(1, service.group.slots // len(primaries))
+    members = rank_hosts(name, list_usable(state.membership), service.service.entry_hosts)
+    primaries = members[: service.service.entry_hosts]
+    share = 1
+    if any(member.host == state.identity.host for member in primaries):
+        share = max(1, service.group.slots // len(primaries))
+    ranked = RankedHosts(tuple(members), share, version, state.config)
+    state.ranked[name] = ranked
+    return ranked
--- a/endivedrift/shell/_callers.py
+++ b/endivedrift/shell/_callers.py
@@ -16,6 +16,7 @@
 from endivedrift.core import (
     Address,
     Answer,
+    Headers,
     HostPhase,
     Refusal,
     RefusalReason,
@@ -199,8 +200,8 @@
         if not request.target.startswith(b"/"):
             detail = "the request target must begin with a slash"
             raise _RequestRefusedError(make_refusal(RefusalReason.BAD_REQUEST, detail))
-        body = await self._read_body(connection, request, method)
-        answer = await self._answer(connection, request, request_id, body)
+        body = await self._read_body(connection, request, headers, method)
+        answer = await self._answer(connection, request, headers, request_id, body)
         return await self._send(connection, answer, request_id, method)
 
     async def _await_request(self, connection: _Connection) -> h11.Request:
@@ -215,11 +216,13 @@
             raise _ConnectionEndedError
         return event
 
-    async def _read_body(self, connection: _Connection, request: h11.Request, method: str) -> bytes:
+    async def _read_body(
+        self, connection: _Connection, request: h11.Request, headers: Headers, method: str
+    ) -> bytes:
         path = request.target.decode("ascii").partition("?")[0]
         found = find_route(self._runtime.state.routes, method, path)
         limit = self._limits.body_bytes if found is None else found.route.request_limit_bytes
-        declared = find_header(copy_headers(request.headers), b"content-length")
+        declared = find_header(headers, b"content-length")
         if declared is not None and int(declared) > limit:
             detail = f"the body is limited to {limit} bytes"
             raise _RequestRefusedError(make_refusal(RefusalReason.TOO_LARGE, detail))
@@ -247,14 +250,18 @@
             raise _RequestRefusedError(make_refusal(RefusalReason.SLOW_CALLER, detail)) from None
 
     async def _answer(
-        self, connection: _Connection, request: h11.Request, request_id: RequestId, body: bytes
+        self,
+        connection: _Connection,
+        request: h11.Request,
+        headers: Headers,
+        request_id: RequestId,
+        body: bytes,
     ) -> HttpAnswer:
         runtime = self._runtime
         path, _, query = request.target.decode("ascii").partition("?")
         if path == ENTRY_PATH:
             max_age = timedelta(seconds=self._limits.entry_max_age_s)
             return answer_entry(runtime.state, runtime.clock.wall(), query, max_age)
-        headers = copy_headers(request.headers)
         target_request = build_target_request(request, headers, body)
         try:
             head = read_head(request, headers, target_request)
--- a/endivedrift/shell/_daemon.py
+++ b/endivedrift/shell/_daemon.py
@@ -1,5 +1,6 @@
 """Runs one host from start to graceful stop."""
 
+import gc
 import secrets
 import signal
 from datetime import timedelta
@@ -89,6 +90,8 @@
     ]
     tasks = [await curio.spawn(loop, daemon=True) for loop in loops]
     accepting = await curio.spawn(callers.accept(), daemon=True)
+    gc.collect()
+    gc.freeze()
     _log.info("Started.", host=identity.host, callers=identity.caller_address)
     await signals.wait()
     await _stop(runtime, callers, accepting, signals, settings)
--- a/endivedrift/shell/_http.py
+++ b/endivedrift/shell/_http.py
@@ -77,4 +77,4 @@
 
 def copy_headers(headers: h11._headers.Headers) -> Headers:
     """Copies h11 headers into a plain tuple."""
-    return tuple((bytes(name), bytes(value)) for name, value in headers)
+    return tuple(headers)
--- a/endivedrift/shell/_report.py
+++ b/endivedrift/shell/_report.py
@@ -4,7 +4,7 @@
 
 from endivedrift.core import Instant
 from endivedrift.fleet import HEARD_WINDOW, MemberRecord
-from endivedrift.policy import ServiceState, compute_threshold
+from endivedrift.policy import ServiceState
 from endivedrift.reducer import list_primaries
 from endivedrift.shell._runtime import Runtime
 
@@ -55,7 +55,7 @@
         "queued": service.queued,
         "typical_ms": round(service.typical.total_seconds() * 1000.0, 2),
         "usual_bad_rate": round(service.usual_rate, 4),
-        "threshold": round(compute_threshold(service.ejection), 2),
+        "threshold": round(service.threshold, 2),
         "floor": service.ejection.floor,
         "healthy": service.healthy,
         "targets": {
--- a/endivedrift/shell/_targets.py
+++ b/endivedrift/shell/_targets.py
@@ -222,6 +222,7 @@
 ) -> _Ended:
     http = connection.http
     response: h11.Response | None = None
+    headers: Headers = ()
     body = bytearray()
     while True:
         event = http.next_event()
@@ -232,7 +233,8 @@
             http.receive_data(data)
         elif isinstance(event, h11.Response):
             response = event
-            if not _is_trustworthy(effect, request, response):
+            headers = copy_headers(response.headers)
+            if not _is_trustworthy(effect, request, response, headers):
                 return _Ended(AttemptOutcome.MALFORMED)
         elif isinstance(event, h11.Data):
             body += event.data
@@ -241,29 +243,31 @@
         elif isinstance(event, h11.EndOfMessage) and response is not None:
             if http.trailing_data[0]:
                 return _Ended(AttemptOutcome.MALFORMED)
-            return _classify(effect, response, bytes(body), request.method)
+            return _classify(effect, response.status_code, headers, bytes(body), request.method)
 
 
-def _is_trustworthy(effect: SendToTarget, request: TargetRequest, response: h11.Response) -> bool:
-    headers = copy_headers(response.headers)
+def _is_trustworthy(
+    effect: SendToTarget, request: TargetRequest, response: h11.Response, headers: Headers
+) -> bool:
     echoed = find_header(headers, REQUEST_ID_HEADER)
     if echoed is not None and echoed != _attempt_id(effect):
         return False
     return is_framed(response, headers, request.method)
 
 
-def _classify(effect: SendToTarget, response: h11.Response, body: bytes, method: str) -> _Ended:
-    headers = copy_headers(response.headers)
+def _classify(
+    effect: SendToTarget, status: int, headers: Headers, body: bytes, method: str
+) -> _Ended:
     leaving = find_header(headers, effect.draining_header) is not None
     refused = find_header(headers, effect.not_run_header) is not None
-    if refused and response.status_code in REFUSING_STATUSES:
+    if refused and status in REFUSING_STATUSES:
         outcome = AttemptOutcome.DRAINING if leaving else AttemptOutcome.SHED
         return _Ended(outcome, leaving=leaving)
     kept = strip_hop_headers(headers)
     if method == "HEAD":
         length = find_header(headers, b"content-length")
         kept += ((b"content-length", length),) if length is not None else ()
-    return _Ended(AttemptOutcome.ANSWERED, Answer(response.status_code, kept, body), leaving)
+    return _Ended(AttemptOutcome.ANSWERED, Answer(status, kept, body), leaving)
 
 
 def _attempt_id(effect: SendToTarget) -> bytes:
--- /dev/null
+++ b/lab/_load.py
@@ -0,0 +1,93 @@
+"""Open-loop load over kept connections: requests start on schedule, whatever is answered."""
+
+import time
+from collections import deque
+from dataclasses import dataclass, field
+
+import curio
+from curio import socket
+
+from endivedrift.core import Address
+from endivedrift.shell._http import parse_endpoint
+
+HEAD_END = b"\r\n\r\n"
+
+
+@dataclass(slots=True)
+class LoadResult:
+    """Latencies in seconds, counted from each request's scheduled start, and failures."""
+
+    latencies: list[float] = field(default_factory=list)
+    failures: int = 0
+
+
+async def run_load(
+    addresses: list[Address], path: str, rate_per_s: float, seconds: float
+) -> LoadResult:
+    """Sends requests at a fixed rate, in turn to each address.
+
+    Args:
+      addresses: Where to.
+      path: Path of the GET requests.
+      rate_per_s: Requests started each second.
+      seconds: How long requests are started.
+    Returns:
+      What came back.
+    """
+    result = LoadResult()
+    idle: dict[Address, deque[socket.socket]] = {address: deque() for address in addresses}
+    start = time.monotonic()
+    async with curio.TaskGroup() as group:
+        for number in range(round(rate_per_s * seconds)):
+            due = start + number / rate_per_s
+            await curio.sleep(max(0.0, due - time.monotonic()))
+            address = addresses[number % len(addresses)]
+            await group.spawn(_send, result, idle, address, path, due)
+    for sockets in idle.values():
+        for sock in sockets:
+            await sock.close()
+    return result
+
+
+async def _send(
+    result: LoadResult,
+    idle: dict[Address, deque[socket.socket]],
+    address: Address,
+    path: str,
+    due: float,
+) -> None:
+    try:
+        sock = idle[address].pop() if idle[address] else await _open(address)
+        head = f"GET {path} HTTP/1.1\r\nhost: load\r\nx-request-id: load\r\n\r\n"
+        await sock.sendall(head.encode())
+        status = await _read_answer(sock)
+        idle[address].append(sock)
+    except OSError:
+        status = 0
+    if status == 200:
+        result.latencies.append(time.monotonic() - due)
+    else:
+        result.failures += 1
+
+
+async def _open(address: Address) -> socket.socket:
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    await sock.connect(parse_endpoint(address).pair())
+    return sock
+
+
+async def _read_answer(sock: socket.socket) -> int:
+    data = b""
+    while HEAD_END not in data:
+        chunk = await sock.recv(65_536)
+        if not chunk:
+            raise OSError("closed")
+        data += chunk
+    head, _, body = data.partition(HEAD_END)
+    lines = head.lower().split(b"\r\n")
+    lengths = [line for line in lines if line.startswith(b"content-length:")]
+    length = int(lengths[0].partition(b":")[2])
+    while len(body) < length:
+        body += await sock.recv(65_536)
+    return int(lines[0].split()[1])
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -80,7 +80,7 @@
         """Starts the platform's stand-in."""
         port = self.take_port()
         self.platform = Address(f"{self.ip}:{port}")
-        self._start("platform", "standins.platform", "--ip", self.ip, "--port", str(port))
+        self.start_module("platform", "standins.platform", "--ip", self.ip, "--port", str(port))
         self.wait_listening(self.platform)
 
     def start_targets(self, objects: ObjectSet, *arguments: str) -> ObjectSet:
@@ -110,7 +110,7 @@
             f"[limits]\nentry_max_age_s = {self.entry_max_age_s}\n",
             "utf-8",
         )
-        process = self._start(name, "endivedrift.daemon", "--settings", str(settings))
+        process = self.start_module(name, "endivedrift.daemon", "--settings", str(settings))
         host = HostProcess(name, failure_domain, callers, peers, operators, settings, process)
         self.hosts[name] = host
         self.wait_listening(callers)
@@ -219,7 +219,7 @@
     def _start_target(self, target: Target, arguments: tuple[str, ...]) -> Target:
         port = self.take_port()
         address = Address(f"{self.ip}:{port}")
-        process = self._start(
+        process = self.start_module(
             f"target-{target.name}",
             "standins.target",
             "--ip",
@@ -232,7 +232,8 @@
         self.target_processes[target.name] = process
         return target.model_copy(update={"address": address})
 
-    def _start(self, name: str, module: str, *arguments: str) -> subprocess.Popen[bytes]:
+    def start_module(self, name: str, module: str, *arguments: str) -> subprocess.Popen[bytes]:
+        """Starts a Python module as a process whose output goes to a log file."""
         log = (self.directory / f"{name}.log").open("ab")
         root = Path(__file__).resolve().parent.parent
         process = subprocess.Popen(
