Prove keys, verdicts, floor and configuration by stateful fuzzing, and mend two faults

Cause: what must always hold was asserted by nothing. The fuzz tests found two faults: (1) a new object set that raises the floor left targets ejected until the next tick; (2) a publisher whose reply was lost could fail with an exception instead of an outcome, when the store failed again during the second read of the audit trail. The second was hidden at first, because a curio TaskGroup does not raise what its tasks raise. Ruled out: a longer settle loop for (2); reading the head before the trail needs one read less and is decisive, since a conditional write cannot apply once the head has moved. Change: the floor is restored with each new object set; the head is read before the trail; a starting host waits for the store and one peer before it trusts a head, which may be stale; tasks are joined so that none fails unnoticed.

--- a/endivedrift/platform/_publishing.py
+++ b/endivedrift/platform/_publishing.py
@@ -161,20 +161,18 @@
     """Finds out whether a publish took effect.
 
     The audit row stays when later publishes replace the head. Its absence proves nothing while the
-    head is unchanged, since the write may still take effect.
+    head is unchanged, since the write may still take effect; once the head has moved the write can
+    no longer apply, so the trail is read after the head.
     """
     for _ in range(SETTLE_ATTEMPTS):
         try:
-            trail = await list_history(platform, request.deployment)
             head = await read_head(platform, request.deployment)
+            trail = await list_history(platform, request.deployment)
         except PlatformError:
             continue
         if any(entry.publish_id == request.publish_id for entry in trail):
             return PublishResult(PublishOutcome.ACCEPTED, head, "found in the audit trail")
         if head.row_version > before.row_version:
-            trail = await list_history(platform, request.deployment)
-            if any(entry.publish_id == request.publish_id for entry in trail):
-                return PublishResult(PublishOutcome.ACCEPTED, head, "found in the audit trail")
             detail = f"version {head.config.version} by {head.author} came first"
             return PublishResult(PublishOutcome.LOST_RACE, head, detail)
     detail = f"the reply was lost; look for publish id {request.publish_id} in the history"
--- a/endivedrift/policy/__init__.py
+++ b/endivedrift/policy/__init__.py
@@ -6,6 +6,7 @@
     mark_leaving,
     mark_returned,
     note_probation,
+    restore_floor,
     update_states,
 )
 from endivedrift.policy._evidence import (
@@ -82,6 +83,7 @@
     "push_back",
     "push_waiting",
     "remove_waiting",
+    "restore_floor",
     "store_answer",
     "take_deltas",
     "update_states",
--- a/endivedrift/policy/_ejection.py
+++ b/endivedrift/policy/_ejection.py
@@ -28,7 +28,7 @@
     """
     entries = [*_finish_warm_up(state, at), *_end_stays(state, at)]
     entries += _eject_sick(state, at)
-    entries += _restore_floor(state, at)
+    entries += restore_floor(state, at)
     _forget_falls(state, at)
     return entries
 
@@ -52,7 +52,7 @@
     record.told_leaving = True
     record.unsent_leaving = True
     entries = _move(state, record, TargetState.LEAVING, at, AuditKind.TARGET_LEAVING, cause)
-    return entries + _restore_floor(state, at)
+    return entries + restore_floor(state, at)
 
 
 def mark_returned(state: ServiceState, name: TargetName, at: Instant) -> list[AuditEntry]:
@@ -123,7 +123,11 @@
     return entries
 
 
-def _restore_floor(state: ServiceState, at: Instant) -> list[AuditEntry]:
+def restore_floor(state: ServiceState, at: Instant) -> list[AuditEntry]:
+    """Takes ejected targets back, least suspect first, while fewer than the floor are healthy.
+
+    Must follow each change that may lower the number of healthy targets or raise the floor.
+    """
     entries: list[AuditEntry] = []
     missing = state.ejection.floor - state.healthy
     if missing <= 0:
--- a/endivedrift/reducer/_config.py
+++ b/endivedrift/reducer/_config.py
@@ -5,6 +5,7 @@
 from expression import Result
 
 from endivedrift.core import (
+    NO_CONFIG,
     Address,
     AuditEntry,
     AuditKind,
@@ -19,13 +20,16 @@
 from endivedrift.core.events import ConfigFetched, ConfigFetchFailed
 from endivedrift.fleet import build_routes
 from endivedrift.objects import ObjectSet, decode_object_set
-from endivedrift.policy import ServiceState, build_service, pop_waiting
+from endivedrift.policy import ServiceState, build_service, pop_waiting, restore_floor
 from endivedrift.reducer._attempts import end_refused
 from endivedrift.reducer._state import HostState
 from endivedrift.reducer._targets import apply_host_list
 
 FETCH_RETRY = timedelta(milliseconds=500)
 FETCH_PEERS = 3
+REJECTED_RETRY = timedelta(seconds=10)
+PEER_WAIT = timedelta(seconds=1)
+STORE_WAIT = timedelta(seconds=3)
 
 
 def want_config(
@@ -49,7 +53,7 @@
         cause = f"version {config.version} also names the set {config.digest[:12]}; kept ours"
         return [RecordAudit(AuditEntry(at, AuditKind.CONFIG_REJECTED, "head", cause))]
     state.wanted = config
-    return _fetch(state, at, source)
+    return _fetch(state, at, source) if _may_start(state, at) else []
 
 
 def retry_fetch(state: HostState, at: Instant) -> list[Effect]:
@@ -57,6 +61,8 @@
     missing = state.wanted.version > state.config.version
     if not missing or state.fetching is not None or at < state.next_fetch:
         return []
+    if not _may_start(state, at):
+        return []
     return _fetch(state, at, Address(""))
 
 
@@ -87,7 +93,7 @@
         case Result(tag="error", error=cause):
             text = f"version {event.config.version}: {cause}"
             entry = AuditEntry(event.at, AuditKind.CONFIG_REJECTED, "objects", text)
-            state.next_fetch = event.at + FETCH_RETRY
+            state.next_fetch = event.at + REJECTED_RETRY
             return [RecordAudit(entry)]
     raise AssertionError("a result is either ok or an error")
 
@@ -113,6 +119,8 @@
     entry = AuditEntry(event.at, AuditKind.CONFIG_APPLIED, "objects", cause)
     effects: list[Effect] = [RecordAudit(entry)]
     effects += apply_host_list(state, event.at)
+    for service in state.services.values():
+        effects += [RecordAudit(entry) for entry in restore_floor(service, event.at)]
     for name, service in previous.items():
         if name not in state.services:
             effects += _end_removed(state, service, event.at)
@@ -129,6 +137,21 @@
     return effects
 
 
+def _may_start(state: HostState, at: Instant) -> bool:
+    """Tells whether a host that has just started has asked enough to know the newest object set.
+
+    It waits for the table service and for one other host, since either may be behind, but not for
+    long: the store may be down and the host may be alone.
+    """
+    if state.config != NO_CONFIG:
+        return True
+    if state.started is None:
+        return False
+    running = at - state.started
+    heard = any(record.heard is not None for record in state.membership.records.values())
+    return running >= STORE_WAIT or (state.head_seen and (heard or running >= PEER_WAIT))
+
+
 def _fetch(state: HostState, at: Instant, source: Address) -> list[Effect]:
     state.fetching = state.wanted
     state.next_fetch = at + FETCH_RETRY
--- a/endivedrift/reducer/_periodic.py
+++ b/endivedrift/reducer/_periodic.py
@@ -27,6 +27,8 @@
 def advance_time(state: HostState, event: Ticked) -> list[Effect]:
     """Moves targets between states, probes members, shares evidence and drops old records."""
     advance_date(state.keys, event.wall)
+    if state.started is None:
+        state.started = event.at
     effects: list[Effect] = list(retry_fetch(state, event.at))
     for name in sorted(state.active):
         effects += _advance_service(state, name, event.at)
--- a/endivedrift/reducer/_reduce.py
+++ b/endivedrift/reducer/_reduce.py
@@ -83,6 +83,7 @@
 
 @_reduce.register
 def _(event: HeadObserved, state: HostState) -> list[Effect]:
+    state.head_seen = True
     return want_config(state, event.at, event.config)
 
 
--- a/endivedrift/reducer/_state.py
+++ b/endivedrift/reducer/_state.py
@@ -84,6 +84,8 @@
       phase: Life of the process.
       config: Object set in force.
       wanted: Greatest object set that is known to be accepted.
+      head_seen: Whether the table service has named an accepted object set.
+      started: Time of the first tick, or None before it.
       fetching: Object set that is being fetched, or None.
       active: Services whose targets or queues need the periodic timer.
       machines: The platform's latest list of machines by target address.
@@ -97,6 +99,8 @@
     phase: HostPhase = HostPhase.STARTING
     config: ConfigRef = NO_CONFIG
     wanted: ConfigRef = NO_CONFIG
+    head_seen: bool = False
+    started: Instant | None = None
     fetching: ConfigRef | None = None
     next_fetch: Instant = Instant(0)
     objects: ObjectSet = field(default_factory=ObjectSet)
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -17,6 +17,7 @@
 from standins.caller import CallerStandin, Record, Seen
 from standins.fleet import Fleet, load_example, open_fleet, write_object_set
 from standins.history import check_history
+from standins.tasks import run_together
 
 HOSTS = (
     ("rabat-a-1", "rabat-a"),
@@ -79,9 +80,8 @@
 
 async def call_for(callers: list[CallerStandin], seconds: float) -> None:
     """Lets all callers work for some time."""
-    async with curio.TaskGroup() as group:
-        for number, caller in enumerate(callers):
-            await group.spawn(_call_repeatedly, caller, number, time.monotonic() + seconds)
+    end = time.monotonic() + seconds
+    await run_together(_call_repeatedly(c, number, end) for number, c in enumerate(callers))
 
 
 async def _call_repeatedly(caller: CallerStandin, number: int, end: float) -> None:
--- a/standins/target.py
+++ b/standins/target.py
@@ -13,6 +13,7 @@
 import curio
 
 from standins._http_server import StandinReply, StandinRequest, serve_http
+from standins.tasks import run_together
 
 REQUEST_ID = "x-request-id"
 
@@ -145,14 +146,15 @@
 
 
 async def _serve_all(arguments: argparse.Namespace) -> None:
-    async with curio.TaskGroup() as group:
-        for port in arguments.ports:
-            name = f"{arguments.ip}:{port}"
-            source = random.Random(f"{arguments.seed}/{name}")
-            standin = TargetStandin(
-                name, arguments.work_ms, arguments.slots, arguments.body_bytes, source=source
-            )
-            await group.spawn(serve_http, arguments.ip, port, standin.handle)
+    targets = []
+    for port in arguments.ports:
+        name = f"{arguments.ip}:{port}"
+        source = random.Random(f"{arguments.seed}/{name}")
+        standin = TargetStandin(
+            name, arguments.work_ms, arguments.slots, arguments.body_bytes, source=source
+        )
+        targets.append(serve_http(arguments.ip, port, standin.handle))
+    await run_together(targets)
 
 
 def main() -> None:
--- /dev/null
+++ b/tests/config_test.py
@@ -0,0 +1,346 @@
+"""Object sets: none reverts, and publishers are told the truth."""
+
+import random
+import unittest
+from dataclasses import dataclass, field
+from datetime import UTC, datetime
+
+import curio
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+
+from endivedrift.core import (
+    NO_CONFIG,
+    ConfigRef,
+    Digest,
+    HostId,
+    ManualClock,
+    MessageKind,
+    PeerMessage,
+    Version,
+)
+from endivedrift.core.effects import Effect, FetchConfig
+from endivedrift.core.events import (
+    ConfigFetched,
+    ConfigFetchFailed,
+    HeadObserved,
+    PeerMessageReceived,
+)
+from endivedrift.objects import ObjectSet, digest_bytes, encode_object_set
+from endivedrift.platform import (
+    PlatformError,
+    PublishOutcome,
+    PublishRequest,
+    Row,
+    Write,
+    _publishing,
+    list_history,
+    publish_set,
+    read_head,
+)
+from endivedrift.reducer import _config, _reduce
+from standins.tasks import run_together
+from tests.builders import HostBench, build_identity, build_object_set
+from tests.fuzzing import broken, fuzz_machine
+
+HOSTS = ("h1", "h2", "h3")
+INDEX = st.integers(min_value=0, max_value=1_000)
+
+
+class SpreadMachine(RuleBasedStateMachine):
+    """Hosts that see stale heads, lose fetches, hear peers one way only and restart."""
+
+    @initialize()
+    def start(self) -> None:
+        self.clock = ManualClock()
+        self.published: list[tuple[ConfigRef, bytes]] = []
+        self.benches: dict[str, HostBench] = {}
+        self.fetches: list[tuple[str, FetchConfig]] = []
+        self.sequence = 0
+        self.incarnation = 0
+        self.seen: dict[str, int] = {}
+        self.publish()
+        for name in HOSTS:
+            self.boot(name)
+
+    def boot(self, name: str) -> None:
+        self.incarnation += 1
+        identity = build_identity(name, self.incarnation)
+        self.benches[name] = HostBench(None, identity, self.clock)
+        self.fetches = [(host, fetch) for host, fetch in self.fetches if host != name]
+        self.seen[name] = 0
+
+    def take(self, host: str, effects: list[Effect]) -> None:
+        self.fetches += [(host, e) for e in effects if isinstance(e, FetchConfig)]
+
+    @rule()
+    def publish(self) -> None:
+        version = len(self.published) + 1
+        canonical = encode_object_set(build_object_set(queue_length=version))
+        self.published.append((ConfigRef(Version(version), digest_bytes(canonical)), canonical))
+
+    @rule(host=st.sampled_from(HOSTS), lag=st.sampled_from((0, 0, 1, 2, 5)))
+    def read_head(self, host: str, lag: int) -> None:
+        config = self.published[max(0, len(self.published) - 1 - lag)][0]
+        event = HeadObserved(self.clock.monotonic(), config)
+        self.take(host, self.benches[host].apply(event))
+
+    @rule(index=INDEX, found=st.booleans())
+    def end_fetch(self, index: int, found: bool) -> None:
+        if not self.fetches:
+            return
+        host, fetch = self.fetches.pop(index % len(self.fetches))
+        now = self.clock.monotonic()
+        if found:
+            canonical = self.published[fetch.config.version - 1][1]
+            event: object = ConfigFetched(now, fetch.config, canonical)
+        else:
+            event = ConfigFetchFailed(now, fetch.config)
+        self.take(host, self.benches[host].apply(event))
+
+    @rule(sender=st.sampled_from(HOSTS), receiver=st.sampled_from(HOSTS))
+    def gossip(self, sender: str, receiver: str) -> None:
+        if sender == receiver:
+            return
+        self.sequence += 1
+        view = self.benches[sender].state.membership
+        message = PeerMessage(
+            MessageKind.NOTICE, view.me, self.sequence, 0, HostId(""), False, view.config
+        )
+        event = PeerMessageReceived(self.clock.monotonic(), view.me.peer_address, message)
+        self.take(receiver, self.benches[receiver].apply(event))
+
+    @rule(seconds=st.sampled_from((0.1, 0.5, 4.0)))
+    def pass_time(self, seconds: float) -> None:
+        for name in HOSTS:
+            self.take(name, self.benches[name].advance(seconds))
+
+    @rule(host=st.sampled_from(HOSTS))
+    def restart(self, host: str) -> None:
+        self.boot(host)
+
+    @invariant()
+    def never_older(self) -> None:
+        for name, bench in getattr(self, "benches", {}).items():
+            config = bench.state.config
+            assert config.version >= self.seen[name], "an object set reverted"
+            self.seen[name] = config.version
+            if config != NO_CONFIG:
+                assert self.published[config.version - 1][0] == config
+
+    def teardown(self) -> None:
+        if not getattr(self, "benches", None):
+            return
+        for _ in range(10):
+            for name in HOSTS:
+                self.read_head(name, 0)
+            self.pass_time(0.5)
+            while self.fetches:
+                self.end_fetch(0, True)
+        newest = len(self.published)
+        assert all(b.state.config.version == newest for b in self.benches.values())
+
+
+class SpreadTest(unittest.TestCase):
+    def test_versions_never_revert_and_the_newest_arrives(self) -> None:
+        fuzz_machine(SpreadMachine)
+
+    def test_applying_any_fetched_set_is_noticed(self) -> None:
+        real = _config._install
+
+        def install_any(state, event):  # type: ignore[no-untyped-def]
+            state.fetching = None
+            objects = ObjectSet.model_validate_json(event.canonical)
+            return real(state, event, objects)
+
+        with broken(_reduce, "apply_config", install_any), self.assertRaises(AssertionError):
+            fuzz_machine(SpreadMachine, examples=1_000, shrink=False)
+
+    def test_a_starting_host_waits_for_a_peer_before_it_trusts_a_stale_head(self) -> None:
+        bench = HostBench(None)
+        bench.advance(0.1)
+        config = ConfigRef(Version(1), Digest("old"))
+        effects = bench.apply(HeadObserved(bench.clock.monotonic(), config))
+        self.assertEqual(effects, [])
+        later = bench.advance(1.5)
+        self.assertTrue(any(isinstance(effect, FetchConfig) for effect in later))
+
+
+@dataclass
+class LossyStore:
+    """Table and objects in memory; writes may be lost, applied late, or lose their replies."""
+
+    source: random.Random
+    faulty: bool = True
+    rows: dict[tuple[str, str], tuple[int, dict[str, object]]] = field(default_factory=dict)
+    objects: dict[str, bytes] = field(default_factory=dict)
+    late: list[tuple[Write, ...]] = field(default_factory=list)
+
+    async def read_row(self, table: str, key: str) -> Row:
+        await self.pause()
+        self.fail(0.1, False)
+        version, value = self.rows.get((table, key), (0, {}))
+        return Row(table, key, Version(version), dict(value))
+
+    async def list_rows(self, table: str) -> tuple[Row, ...]:
+        await self.pause()
+        self.fail(0.1, False)
+        keys = sorted(key for name, key in self.rows if name == table)
+        return tuple(
+            Row(table, key, Version(self.rows[table, key][0]), dict(self.rows[table, key][1]))
+            for key in keys
+        )
+
+    async def write_rows(self, writes: tuple[Write, ...]) -> bool:
+        await self.pause()
+        if self.faulty and self.source.random() < 0.2:
+            self.late.append(writes)
+            raise PlatformError("lost", True)
+        applied = self.apply(writes)
+        await self.pause()
+        self.fail(0.2, True)
+        return applied
+
+    async def put_object(self, digest: Digest, data: bytes) -> None:
+        await self.pause()
+        self.objects[digest] = data
+
+    async def get_object(self, digest: Digest) -> bytes | None:
+        return self.objects.get(digest)
+
+    def apply(self, writes: tuple[Write, ...]) -> bool:
+        for write in writes:
+            if self.rows.get((write.table, write.key), (0, {}))[0] != write.expected:
+                return False
+        for write in writes:
+            self.rows[write.table, write.key] = (write.expected + 1, write.value)
+        return True
+
+    async def pause(self) -> None:
+        for _ in range(self.source.randrange(4)):
+            await curio.sleep(0)
+        if self.late and self.source.random() < 0.2:
+            self.apply(self.late.pop(0))
+
+    def fail(self, share: float, may_have_run: bool) -> None:
+        if self.faulty and self.source.random() < share:
+            raise PlatformError("no reply", may_have_run)
+
+
+@dataclass(frozen=True)
+class Operation:
+    """One call of a history: logical times, the publish id if any, its outcome and version."""
+
+    started: int
+    ended: int
+    publish_id: str
+    outcome: PublishOutcome | None
+    version: int
+
+
+class PublishHistory:
+    """Runs publishers and readers at once over a lossy store and keeps their history."""
+
+    def __init__(self, seed: int) -> None:
+        self.store = LossyStore(random.Random(seed))
+        self.operations: list[Operation] = []
+        self.time = 0
+
+    def tick(self) -> int:
+        self.time += 1
+        return self.time
+
+    async def run(self, publishers: int, rounds: int) -> None:
+        publishing = [self.publish_often(number, rounds) for number in range(publishers)]
+        await run_together([*publishing, self.read_often(rounds * 4)])
+        self.store.faulty = False
+        while self.store.late:
+            self.store.apply(self.store.late.pop(0))
+
+    async def publish_often(self, number: int, rounds: int) -> None:
+        for count in range(rounds):
+            canonical = encode_object_set(build_object_set(queue_length=10 * number + count))
+            request = PublishRequest(
+                "d", canonical, f"p{number}", datetime(2026, 1, 1, tzinfo=UTC), f"{number}-{count}"
+            )
+            started = self.tick()
+            result = await publish_set(self.store, request)
+            self.operations.append(
+                Operation(started, self.tick(), request.publish_id, result.outcome, 0)
+            )
+
+    async def read_often(self, count: int) -> None:
+        for _ in range(count):
+            started = self.tick()
+            try:
+                head = await read_head(self.store, "d")
+            except PlatformError:
+                continue
+            version = head.config.version
+            self.operations.append(Operation(started, self.tick(), "", None, version))
+
+
+def check_publishes(history: PublishHistory) -> list[str]:
+    """Judges a history of publishes and reads against the audit trail."""
+    trail = curio.run(list_history, history.store, "d")
+    versions = {entry.publish_id: entry.config.version for entry in trail}
+    faults = [] if len(set(versions.values())) == len(trail) else ["two sets share a version"]
+    seen: list[tuple[int, int, int]] = []
+    for operation in history.operations:
+        if operation.outcome in (PublishOutcome.NOT_RUN, PublishOutcome.LOST_RACE):
+            if operation.publish_id in versions:
+                faults.append(f"{operation.publish_id} was refused and accepted")
+        elif operation.outcome is PublishOutcome.ACCEPTED:
+            if operation.publish_id not in versions:
+                faults.append(f"{operation.publish_id} was called accepted and was not")
+                continue
+            version = versions[operation.publish_id]
+            seen.append((operation.started, operation.ended, version))
+        elif operation.outcome is None:
+            seen.append((operation.started, operation.ended, operation.version))
+    for _, first_ended, first in seen:
+        for second_started, _, second in seen:
+            if first_ended < second_started and second < first:
+                faults.append(f"version {second} was seen after {first}")
+    return faults
+
+
+class PublishTest(unittest.TestCase):
+    def run_histories(self, seeds: range) -> list[str]:
+        faults = []
+        for seed in seeds:
+            history = PublishHistory(seed)
+            curio.run(history.run, 3, 4)
+            faults += check_publishes(history)
+        return faults
+
+    def test_concurrent_publishes_are_linearizable_and_told_truly(self) -> None:
+        self.assertEqual(self.run_histories(range(300)), [])
+
+    def test_calling_a_lost_reply_a_failure_is_noticed(self) -> None:
+        async def give_up(platform, request, before):  # type: ignore[no-untyped-def]
+            return _publishing.PublishResult(PublishOutcome.NOT_RUN, None, "")
+
+        with broken(_publishing, "_settle_lost_reply", give_up):
+            self.assertNotEqual(self.run_histories(range(50)), [])
+
+    def test_an_unconditional_write_is_noticed(self) -> None:
+        def overwrite(store, writes):  # type: ignore[no-untyped-def]
+            for write in writes:
+                row = store.rows.get((write.table, write.key), (0, {}))
+                store.rows[write.table, write.key] = (row[0] + 1, write.value)
+            return True
+
+        with broken(LossyStore, "apply", overwrite):
+            self.assertNotEqual(self.run_histories(range(50)), [])
+
+    def test_a_set_in_force_beyond_the_head_is_not_undercut(self) -> None:
+        store = LossyStore(random.Random(1), faulty=False)
+        canonical = encode_object_set(build_object_set())
+        request = PublishRequest(
+            "d", canonical, "p", datetime(2026, 1, 1, tzinfo=UTC), "id", in_force=Version(7)
+        )
+        result = curio.run(publish_set, store, request)
+        self.assertEqual(result.outcome, PublishOutcome.ACCEPTED)
+        assert result.head is not None
+        self.assertEqual(result.head.config.version, 8)
--- /dev/null
+++ b/tests/host_test.py
@@ -0,0 +1,308 @@
+"""One host under any mix of requests, outcomes, evidence, leaving targets and new object sets.
+
+Held at every step: each request gets one final answer; a target is never given more requests than
+the host's share, nor any while it is ejected or leaving; a refusal that says not run is true; and
+no target is out for its evidence while fewer healthy ones remain than the floor.
+"""
+
+import unittest
+from datetime import timedelta
+from random import Random
+
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+
+from endivedrift.core import (
+    AttemptOutcome,
+    EvidenceDelta,
+    HostId,
+    ListedMachine,
+    MessageKind,
+    PeerMessage,
+    RequestId,
+    ServiceName,
+    TargetName,
+    TargetState,
+    Verdict,
+)
+from endivedrift.core.effects import (
+    AwaitTurn,
+    DeliverAnswer,
+    Effect,
+    RefuseRequest,
+    SendToTarget,
+)
+from endivedrift.core.events import (
+    AttemptFinished,
+    CallerGone,
+    HostListRead,
+    PeerMessageReceived,
+    QueueWaitExpired,
+)
+from endivedrift.fleet import build_membership
+from endivedrift.policy import _ejection
+from endivedrift.reducer import _attempts
+from tests.builders import (
+    READ_PATH,
+    SERVICE,
+    WRITE_PATH,
+    HostBench,
+    build_answer,
+    build_identity,
+    build_object_set,
+    fetch_config,
+    name_target,
+)
+from tests.fuzzing import broken, fuzz_machine
+
+INDEX = st.integers(min_value=0, max_value=1_000)
+TARGETS = 5
+OUTCOMES = st.one_of(st.just(AttemptOutcome.ANSWERED), st.sampled_from(AttemptOutcome))
+
+
+class HostMachine(RuleBasedStateMachine):
+    """A host and the oracle's account of its requests."""
+
+    @initialize()
+    def start(self) -> None:
+        self.bench = HostBench(build_object_set(targets=TARGETS, floor=2, slots=4))
+        self.version = 1
+        self.sequence = 0
+        self.sending: dict[RequestId, SendToTarget] = {}
+        self.queued: dict[RequestId, AwaitTurn] = {}
+        self.ended: set[RequestId] = set()
+        self.arrived: list[RequestId] = []
+        self.may_have_run: set[RequestId] = set()
+        self.gone: set[RequestId] = set()
+
+    @property
+    def service(self):  # type: ignore[no-untyped-def]
+        return self.bench.state.services[ServiceName(SERVICE)]
+
+    def take(self, effects: list[Effect]) -> None:
+        for effect in effects:
+            match effect:
+                case SendToTarget():
+                    self.take_send(effect)
+                case AwaitTurn():
+                    self.queued[effect.request] = effect
+                case DeliverAnswer():
+                    self.end(effect.request)
+                case RefuseRequest():
+                    self.end(effect.request)
+                    told = effect.refusal.attempt is Verdict.MAY_HAVE_RUN
+                    assert told == (effect.request in self.may_have_run)
+
+    def take_send(self, effect: SendToTarget) -> None:
+        assert effect.request not in self.ended
+        record = self.service.targets[effect.target]
+        assert record.state not in (TargetState.EJECTED, TargetState.LEAVING)
+        assert len(record.attempts) <= self.service.limit_per_target
+        self.queued.pop(effect.request, None)
+        self.sending[effect.request] = effect
+
+    def end(self, request: RequestId) -> None:
+        assert request not in self.ended, f"{request} ended twice"
+        assert request not in self.sending, f"{request} ended while at a target"
+        self.ended.add(request)
+        self.queued.pop(request, None)
+
+    @rule(write=st.booleans(), patience=st.sampled_from((None, 0.01, 0.3)))
+    def arrive(self, write: bool, patience: float | None) -> None:
+        method, path = ("POST", WRITE_PATH) if write else ("GET", READ_PATH)
+        request, effects = self.bench.arrive(method, path, patience=patience)
+        self.arrived.append(request)
+        self.take(effects)
+
+    @rule(index=INDEX, outcome=OUTCOMES, status=st.sampled_from((200, 500)), leaving=st.booleans())
+    def finish(self, index: int, outcome: AttemptOutcome, status: int, leaving: bool) -> None:
+        if not self.sending:
+            return
+        request = sorted(self.sending)[index % len(self.sending)]
+        effect = self.sending.pop(request)
+        answered = outcome is AttemptOutcome.ANSWERED
+        if outcome not in (
+            AttemptOutcome.SHED,
+            AttemptOutcome.DRAINING,
+            AttemptOutcome.NOT_CONNECTED,
+        ):
+            self.may_have_run.add(request)
+        event = AttemptFinished(
+            self.bench.clock.monotonic(),
+            request,
+            effect.target,
+            outcome,
+            timedelta(milliseconds=5 if index % 3 else 500),
+            build_answer(status) if answered else None,
+            leaving and index % 4 == 0,
+        )
+        self.take(self.bench.apply(event))
+
+    @rule(index=INDEX)
+    def hang_up(self, index: int) -> None:
+        open_requests = sorted(set(self.arrived) - self.ended)
+        if open_requests:
+            request = open_requests[index % len(open_requests)]
+            self.take(self.bench.apply(CallerGone(self.bench.clock.monotonic(), request)))
+
+    @rule(seconds=st.sampled_from((0.1, 0.1, 1.0, 6.0, 70.0)))
+    def pass_time(self, seconds: float) -> None:
+        self.take(self.bench.advance(seconds, step=max(0.1, seconds / 10.0)))
+        now = self.bench.clock.monotonic()
+        for request, effect in sorted(self.queued.items()):
+            if effect.until <= now and request in self.queued:
+                self.take(self.bench.apply(QueueWaitExpired(now, request)))
+                assert request in self.ended, "a request waits beyond its time"
+
+    @rule(leaving=st.lists(st.booleans(), min_size=TARGETS, max_size=TARGETS))
+    def list_machines(self, leaving: list[bool]) -> None:
+        targets = build_object_set(targets=TARGETS).upstream_group["group"].targets
+        machines = tuple(
+            ListedMachine(target.address, gone)  # type: ignore[arg-type]
+            for target, gone in zip(targets, leaving, strict=True)
+        )
+        self.take(self.bench.apply(HostListRead(self.bench.clock.monotonic(), machines)))
+
+    @rule(
+        number=st.integers(0, TARGETS - 1),
+        good=st.integers(0, 9),
+        bad=st.integers(0, 9),
+        leaving=st.booleans(),
+    )
+    def hear_evidence(self, number: int, good: int, bad: int, leaving: bool) -> None:
+        self.sequence += 1
+        sender = build_membership(build_identity("h2"), Random(1)).me
+        deltas = (
+            EvidenceDelta(
+                ServiceName(SERVICE), name_target(number), good, bad, leaving and good == 0
+            ),
+        )
+        message = PeerMessage(
+            MessageKind.NOTICE,
+            sender,
+            self.sequence,
+            0,
+            HostId(""),
+            False,
+            self.bench.state.config,
+            (),
+            deltas,
+        )
+        event = PeerMessageReceived(self.bench.clock.monotonic(), sender.peer_address, message)
+        self.take(self.bench.apply(event))
+
+    @rule(floor=st.integers(1, 4), draining=st.integers(0, 1), size=st.integers(4, TARGETS))
+    def publish(self, floor: int, draining: int, size: int) -> None:
+        objects = build_object_set(targets=size, floor=min(floor, size - draining), slots=4)
+        group = objects.upstream_group["group"]
+        changed = tuple(
+            target.model_copy(update={"draining": n < draining})
+            for n, target in enumerate(group.targets)
+        )
+        group = group.model_copy(update={"targets": changed})
+        objects = objects.model_copy(update={"upstream_group": {"group": group}})
+        self.version += 1
+        self.take(self.bench.apply(fetch_config(self.bench.clock, objects, self.version)))
+
+    @invariant()
+    def floor_holds(self) -> None:
+        if not hasattr(self, "bench"):
+            return
+        states = [record.state for record in self.service.targets.values()]
+        out = [s for s in states if s in (TargetState.EJECTED, TargetState.PROBATION)]
+        healthy = states.count(TargetState.HEALTHY)
+        assert not out or healthy >= self.service.ejection.floor, "the floor is broken"
+
+    def teardown(self) -> None:
+        if not hasattr(self, "bench"):
+            return
+        for _ in range(20):
+            while self.sending:
+                self.finish(1, AttemptOutcome.ANSWERED, 200, False)
+            self.pass_time(1.0)
+        assert set(self.arrived) == self.ended, "requests without an end"
+        assert not self.bench.state.requests
+        assert not any(record.attempts for record in self.service.targets.values())
+
+
+class HostFuzzTest(unittest.TestCase):
+    def test_requests_end_once_and_the_floor_holds(self) -> None:
+        fuzz_machine(HostMachine)
+
+
+class HostPowerTest(unittest.TestCase):
+    """Each broken mechanism must be noticed."""
+
+    def assert_noticed(self) -> None:
+        with self.assertRaises(AssertionError):
+            fuzz_machine(HostMachine, examples=1_000, shrink=False)
+
+    def test_ejecting_without_a_floor_is_noticed(self) -> None:
+        with broken(_ejection, "restore_floor", lambda state, at: []):
+            self.assert_noticed()
+
+    def test_calling_a_cut_request_not_run_is_noticed(self) -> None:
+        with broken(_attempts, "judge_outcome", lambda outcome: Verdict.NOT_RUN):
+            self.assert_noticed()
+
+    def test_keeping_a_leaving_target_in_use_is_noticed(self) -> None:
+        with broken(_attempts, "mark_leaving", lambda state, name, at, cause: []):
+            requests = LeavingTest("test_a_draining_answer_ends_new_requests")
+            result = unittest.TestResult()
+            requests.run(result)
+            self.assertTrue(result.failures)
+
+
+class LeavingTest(unittest.TestCase):
+    """A leaving target gets no new request, by whichever sign comes first."""
+
+    def count_sends(self, bench: HostBench, target: TargetName) -> int:
+        sends = 0
+        for _ in range(40):
+            request, effects = bench.arrive()
+            for effect in effects:
+                if isinstance(effect, SendToTarget):
+                    sends += effect.target == target
+                    now = bench.clock.monotonic()
+                    bench.apply(
+                        AttemptFinished(
+                            now,
+                            request,
+                            effect.target,
+                            AttemptOutcome.ANSWERED,
+                            timedelta(milliseconds=5),
+                            build_answer(),
+                        )
+                    )
+        return sends
+
+    def test_a_draining_answer_ends_new_requests(self) -> None:
+        bench = HostBench(build_object_set())
+        request, effects = bench.arrive()
+        sent = next(effect for effect in effects if isinstance(effect, SendToTarget))
+        now = bench.clock.monotonic()
+        latency = timedelta(milliseconds=5)
+        outcome = AttemptOutcome.DRAINING
+        bench.apply(AttemptFinished(now, request, sent.target, outcome, latency, None, True))
+        self.assertEqual(self.count_sends(bench, sent.target), 0)
+
+    def test_the_platforms_list_ends_new_requests(self) -> None:
+        bench = HostBench(build_object_set())
+        address = bench.state.services[ServiceName(SERVICE)].targets[name_target(1)].target.address
+        machines = (ListedMachine(address, True),)  # type: ignore[arg-type]
+        bench.apply(HostListRead(bench.clock.monotonic(), machines))
+        self.assertEqual(self.count_sends(bench, name_target(1)), 0)
+
+    def test_an_object_set_ends_new_requests(self) -> None:
+        bench = HostBench(build_object_set())
+        objects = build_object_set()
+        group = objects.upstream_group["group"]
+        targets = (group.targets[0].model_copy(update={"draining": True}), *group.targets[1:])
+        changed = group.model_copy(update={"targets": targets})
+        objects = objects.model_copy(update={"upstream_group": {"group": changed}})
+        bench.apply(fetch_config(bench.clock, objects, 2))
+        self.assertEqual(self.count_sends(bench, name_target(0)), 0)
+
+    def test_all_targets_are_used_otherwise(self) -> None:
+        bench = HostBench(build_object_set())
+        self.assertGreater(self.count_sends(bench, name_target(0)), 0)
--- /dev/null
+++ b/tests/keys_test.py
@@ -0,0 +1,319 @@
+"""At most once and truthful verdicts, fuzzed over several hosts with a store that loses replies.
+
+The oracle counts what targets ran. A request with a key runs at most once whatever is killed, cut
+or lost, and a key that is called not run has not run and has nothing under way that may run.
+"""
+
+import unittest
+from collections import Counter
+from dataclasses import dataclass
+from datetime import timedelta
+
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, rule
+
+from endivedrift.core import (
+    AttemptOutcome,
+    ClaimId,
+    ClaimOutcome,
+    ForwardOutcome,
+    HostId,
+    IdempotencyKey,
+    Incarnation,
+    KeyPhase,
+    ManualClock,
+    MessageKind,
+    PeerMessage,
+    RequestId,
+    Verdict,
+)
+from endivedrift.core.effects import (
+    ClaimKey,
+    DeliverAnswer,
+    Effect,
+    ForwardToOwner,
+    RefuseRequest,
+    SendToTarget,
+)
+from endivedrift.core.events import (
+    AttemptFinished,
+    ForwardFinished,
+    KeyClaimSettled,
+    PeerMessageReceived,
+)
+from endivedrift.policy import mint_key
+from endivedrift.reducer import _attempts, _keyed, _refusals
+from tests.builders import (
+    SECRET,
+    WRITE_PATH,
+    HostBench,
+    build_answer,
+    build_identity,
+    build_object_set,
+)
+from tests.fuzzing import broken, fuzz_machine
+
+HOSTS = ("h1", "h2", "h3")
+OWN_KEYS = 2
+MAX_KEYS = 4
+OUTCOMES = st.one_of(st.just(AttemptOutcome.ANSWERED), st.sampled_from(AttemptOutcome))
+INDEX = st.integers(min_value=0, max_value=1_000)
+
+
+@dataclass(frozen=True)
+class Pending:
+    """An effect that a host process waits for."""
+
+    host: str
+    incarnation: Incarnation
+    effect: Effect
+
+
+class KeyMachine(RuleBasedStateMachine):
+    """Three hosts, a table of claims and targets that record what they run."""
+
+    @initialize()
+    def start(self) -> None:
+        self.clock = ManualClock()
+        self.benches: dict[str, HostBench] = {}
+        self.started = 0
+        self.minted = 0
+        self.claims: dict[str, tuple[HostId, Incarnation, ClaimId]] = {}
+        self.late_claims: list[tuple[str, tuple[HostId, Incarnation, ClaimId]]] = []
+        self.pending: list[Pending] = []
+        self.keys: list[IdempotencyKey] = [IdempotencyKey(f"own-{n}") for n in range(OWN_KEYS)]
+        self.key_of: dict[RequestId, str] = {}
+        self.waiting: dict[RequestId, tuple[Pending, RequestId]] = {}
+        self.runs: Counter[str] = Counter()
+        for name in HOSTS:
+            self.boot(name)
+        for name in HOSTS:
+            self.introduce(name)
+
+    def boot(self, name: str) -> None:
+        self.started += 1
+        identity = build_identity(name, incarnation=self.started, domain=name)
+        objects = build_object_set(targets=3, floor=1, max_attempts=3)
+        self.benches[name] = HostBench(objects, identity, self.clock, seed=self.started)
+
+    def introduce(self, name: str) -> None:
+        me = self.benches[name].state.membership.me
+        for other, bench in self.benches.items():
+            if other != name:
+                message = PeerMessage(
+                    MessageKind.NOTICE, me, 1, 0, HostId(""), False, bench.state.config
+                )
+                event = PeerMessageReceived(self.clock.monotonic(), me.peer_address, message)
+                bench.apply(event)
+
+    @rule(host=st.sampled_from(HOSTS))
+    def mint(self, host: str) -> None:
+        incarnation = self.benches[host].state.identity.incarnation
+        self.minted += 1
+        nonce = str(self.minted)
+        if len(self.keys) >= MAX_KEYS:
+            del self.keys[OWN_KEYS]
+        self.keys.append(mint_key(SECRET, HostId(host), incarnation, self.clock.wall(), nonce))
+
+    @rule(host=st.sampled_from(HOSTS), index=INDEX, other_body=st.booleans())
+    def arrive(self, host: str, index: int, other_body: bool) -> None:
+        key = self.keys[-1 - index % len(self.keys)]
+        body = b"other" if other_body and index % 5 == 0 else b"body"
+        self.send(host, key, body, forwarded=False)
+
+    def send(self, host: str, key: str, body: bytes, forwarded: bool) -> RequestId:
+        bench = self.benches[host]
+        bench.requests = len(self.key_of)
+        request = RequestId(f"{host}-{bench.requests + 1}")
+        self.key_of[request] = key
+        request, effects = bench.arrive(
+            "POST", WRITE_PATH, key=key, fingerprint=body, forwarded=forwarded
+        )
+        self.take(host, effects)
+        return request
+
+    def take(self, host: str, effects: list[Effect]) -> None:
+        incarnation = self.benches[host].state.identity.incarnation
+        for effect in effects:
+            if isinstance(effect, SendToTarget | ClaimKey | ForwardToOwner):
+                self.pending.append(Pending(host, incarnation, effect))
+            elif isinstance(effect, RefuseRequest):
+                self.check_refusal(effect)
+                outcome = ForwardOutcome.REFUSED
+                self.reply(effect.request, outcome, refusal=effect.refusal)
+            elif isinstance(effect, DeliverAnswer):
+                assert self.runs[self.key_of[effect.request]] == 1
+                self.reply(effect.request, ForwardOutcome.ANSWERED, answer=effect.answer)
+
+    def check_refusal(self, effect: RefuseRequest) -> None:
+        key = self.key_of[effect.request]
+        if effect.refusal.verdict is Verdict.NOT_RUN:
+            assert self.runs[key] == 0, f"{key} was called not run"
+            assert not self.open_attempts(key), f"{key} was called not run while it may run"
+
+    def open_attempts(self, key: str) -> list[Pending]:
+        return [
+            p
+            for p in self.pending
+            if isinstance(p.effect, SendToTarget) and self.key_of[p.effect.request] == key
+        ]
+
+    def reply(self, request: RequestId, outcome: ForwardOutcome, **result: object) -> None:
+        if request not in self.waiting:
+            return
+        pending, original = self.waiting.pop(request)
+        event = ForwardFinished(self.clock.monotonic(), original, outcome, **result)
+        self.deliver(pending, event)
+
+    def deliver(self, pending: Pending, event: object) -> None:
+        bench = self.benches[pending.host]
+        if bench.state.identity.incarnation == pending.incarnation:
+            self.take(pending.host, bench.apply(event))
+
+    def pick(self, index: int, kind: type) -> Pending | None:
+        matching = [p for p in self.pending if isinstance(p.effect, kind)]
+        if not matching:
+            return None
+        chosen = matching[index % len(matching)]
+        self.pending.remove(chosen)
+        return chosen
+
+    @rule(index=INDEX, outcome=OUTCOMES, ran=st.booleans())
+    def end_attempt(self, index: int, outcome: AttemptOutcome, ran: bool) -> None:
+        pending = self.pick(index, SendToTarget)
+        if pending is None:
+            return
+        effect = pending.effect
+        assert isinstance(effect, SendToTarget)
+        answered = outcome is AttemptOutcome.ANSWERED
+        if answered or (ran and judge_outcome_truly(outcome)):
+            self.run(self.key_of[effect.request])
+        event = AttemptFinished(
+            self.clock.monotonic(),
+            effect.request,
+            effect.target,
+            outcome,
+            timedelta(milliseconds=5),
+            build_answer() if answered else None,
+        )
+        self.deliver(pending, event)
+
+    def run(self, key: str) -> None:
+        self.runs[key] += 1
+        assert self.runs[key] <= 1, f"{key} ran twice"
+
+    @rule(index=INDEX, fate=st.sampled_from(("reply", "lost", "never", "late")))
+    def end_claim(self, index: int, fate: str) -> None:
+        pending = self.pick(index, ClaimKey)
+        if pending is None:
+            return
+        effect = pending.effect
+        assert isinstance(effect, ClaimKey)
+        row = (HostId(pending.host), pending.incarnation, effect.claim)
+        if fate in ("reply", "lost"):
+            self.claims.setdefault(effect.key, row)
+        elif fate == "late":
+            self.late_claims.append((effect.key, row))
+        now = self.clock.monotonic()
+        event = KeyClaimSettled(now, effect.request, ClaimOutcome.UNKNOWN)
+        if fate == "reply":
+            holder = self.claims[effect.key]
+            outcome = ClaimOutcome.CLAIMED if holder == row else ClaimOutcome.TAKEN
+            event = KeyClaimSettled(now, effect.request, outcome, *holder)
+        self.deliver(pending, event)
+
+    @rule(index=INDEX)
+    def apply_late_claim(self, index: int) -> None:
+        if self.late_claims:
+            key, row = self.late_claims.pop(index % len(self.late_claims))
+            self.claims.setdefault(key, row)
+
+    @rule(index=INDEX, fate=st.sampled_from(("deliver", "deliver", "refused", "reply lost")))
+    def end_forward(self, index: int, fate: str) -> None:
+        pending = self.pick(index, ForwardToOwner)
+        if pending is None:
+            return
+        effect = pending.effect
+        assert isinstance(effect, ForwardToOwner)
+        if fate == "deliver" or fate == "reply lost":
+            request = RequestId(f"{effect.owner}-{len(self.key_of) + 1}")
+            if fate == "deliver":
+                self.waiting[request] = (pending, effect.request)
+            self.send(effect.owner, self.key_of[effect.request], b"body", forwarded=True)
+        if fate != "deliver":
+            event = ForwardFinished(
+                self.clock.monotonic(),
+                effect.request,
+                ForwardOutcome.BROKEN,
+                connected=fate == "reply lost",
+            )
+            self.deliver(pending, event)
+
+    @rule(host=st.sampled_from(HOSTS), ran=st.booleans(), told=st.booleans())
+    def restart(self, host: str, ran: bool, told: bool) -> None:
+        for pending in [p for p in self.pending if p.host == host]:
+            self.pending.remove(pending)
+            if ran and isinstance(pending.effect, SendToTarget):
+                self.run(self.key_of[pending.effect.request])
+        self.waiting = {r: w for r, w in self.waiting.items() if not r.startswith(f"{host}-")}
+        self.boot(host)
+        for name in HOSTS if told else (host,):
+            self.introduce(name)
+
+    @rule(seconds=st.sampled_from((0.1, 0.1, 1.0, 1.0, 5.0, 700.0, 4000.0)))
+    def pass_time(self, seconds: float) -> None:
+        self.clock.advance(timedelta(seconds=seconds))
+        for name in HOSTS:
+            self.take(name, self.benches[name].advance(0.0001, step=0.0001))
+
+
+def judge_outcome_truly(outcome: AttemptOutcome) -> bool:
+    """Tells, apart from the code under test, whether a target may run in an attempt that failed."""
+    return outcome not in (
+        AttemptOutcome.SHED,
+        AttemptOutcome.DRAINING,
+        AttemptOutcome.NOT_CONNECTED,
+    )
+
+
+class KeyFuzzTest(unittest.TestCase):
+    def test_keys_run_at_most_once_and_not_run_is_true(self) -> None:
+        fuzz_machine(KeyMachine)
+
+
+class KeyPowerTest(unittest.TestCase):
+    """Each broken mechanism must be noticed."""
+
+    def assert_noticed(self) -> None:
+        with self.assertRaises(AssertionError):
+            fuzz_machine(KeyMachine, examples=1_000, shrink=False)
+
+    def test_running_a_key_of_another_host_is_noticed(self) -> None:
+        def run_here(state, at, request, owner, incarnation):  # type: ignore[no-untyped-def]
+            return _attempts.admit(state, at, request)
+
+        with broken(_keyed, "_forward", run_here):
+            self.assert_noticed()
+
+    def test_retrying_a_cut_request_is_noticed(self) -> None:
+        with broken(_attempts, "judge_outcome", lambda outcome: Verdict.NOT_RUN):
+            self.assert_noticed()
+
+    def test_forgetting_what_ran_is_noticed(self) -> None:
+        def forget(table, key, answer):  # type: ignore[no-untyped-def]
+            del table.records[key]
+
+        with broken(_attempts, "store_answer", forget):
+            self.assert_noticed()
+
+    def test_calling_every_refusal_not_run_is_noticed(self) -> None:
+        with broken(_refusals, "judge_key", lambda state, key: Verdict.NOT_RUN):
+            self.assert_noticed()
+
+    def test_taking_an_unsettled_claim_for_granted_is_noticed(self) -> None:
+        def grant(state, event, key):  # type: ignore[no-untyped-def]
+            state.keys.records[key].phase = KeyPhase.RUNNING
+            return _attempts.admit(state, event.at, event.request)
+
+        with broken(_keyed, "_end_claim_unknown", grant):
+            self.assert_noticed()
