--- a/endivedrift/cli/_publishing.py
+++ b/endivedrift/cli/_publishing.py
@@ -27,6 +27,7 @@
     ObjectSet,
     compare_object_sets,
     decode_object_set,
+    describe_object_set,
     encode_object_set,
 )
 from endivedrift.platform import (
@@ -59,7 +60,7 @@
     Exit status: 0 when it may be published, 2 when it has faults.
     """
     objects = load_objects(directory)
-    counts = {kind: len(named) for kind, named in objects.model_dump().items()}
+    counts = {kind: len(named) for kind, named in describe_object_set(objects).items()}
     if as_json:
         print_json({"objects": counts})
         return
@@ -115,10 +116,10 @@
     context = load_context(config)
     head, objects = _read_accepted(context)
     if as_json:
-        print_json({"head": _describe_head(head), "objects": objects.model_dump(mode="json")})
+        print_json({"head": _describe_head(head), "objects": describe_object_set(objects)})
         return
     typer.echo(_format_head(head))
-    for kind, named in objects.model_dump(mode="json").items():
+    for kind, named in describe_object_set(objects).items():
         for name in sorted(named):
             typer.echo(f"{kind}.{name}")
 
--- a/endivedrift/fleet/_members.py
+++ b/endivedrift/fleet/_members.py
@@ -36,7 +36,9 @@
 SUSPICION_BASE = timedelta(seconds=2)
 FORGET_DEAD_AFTER = timedelta(minutes=10)
 SYNC_PERIOD = timedelta(seconds=60)
+SYNC_PERIOD_PER_MEMBER = timedelta(milliseconds=300)
 LONELY_SYNC_PERIOD = timedelta(seconds=1)
+REVIVAL_PERIOD = timedelta(seconds=5)
 HEARD_WINDOW = timedelta(seconds=15)
 INDIRECT_HELPERS = 3
 NEWS_PER_DATAGRAM = 6
@@ -114,6 +116,7 @@
     probe_count: int = 0
     next_probe: Instant = Instant(0)
     next_sync: Instant = Instant(0)
+    next_revival: Instant = Instant(0)
 
 
 def build_membership(identity: HostIdentity, random: Random) -> Membership:
@@ -159,6 +162,9 @@
     effects: list[Effect] = [*_judge_probes(view, at), *_judge_suspects(view, at)]
     if at >= view.next_sync:
         effects += _request_sync(view, at)
+    if at >= view.next_revival:
+        view.next_revival = at + REVIVAL_PERIOD
+        effects += _try_revival(view)
     if at >= view.next_probe:
         view.next_probe = at + PROBE_PERIOD
         effects += _probe_next(view, at)
@@ -353,6 +359,20 @@
     return [_ping(view, record.member, view.probe_count, record.member.host)]
 
 
+def _try_revival(view: Membership) -> list[Effect]:
+    """Pings a host held to be dead, and a seed, so that the two sides of a healed cut meet."""
+    dead = [r.member for r in view.records.values() if r.member.status is MemberStatus.DEAD]
+    effects: list[Effect] = []
+    if dead:
+        effects.append(_ping(view, view.random.choice(dead), 0, HostId("")))
+    known = {r.member.peer_address for r in view.records.values()} | {view.me.peer_address}
+    strangers = [address for address in view.seeds if address not in known]
+    if strangers and view.records:
+        address = view.random.choice(strangers)
+        effects.append(_send(view, address, MessageKind.SYNC_REQUEST))
+    return effects
+
+
 def _ping(view: Membership, member: Member, probe: int, subject: HostId) -> SendPeerMessage:
     told = (member,) if member.status > MemberStatus.ALIVE else ()
     return _send(
@@ -363,7 +383,8 @@
 def _request_sync(view: Membership, at: Instant) -> list[Effect]:
     chosen_alive = _sample_alive(view, 1, view.me.host)
     if chosen_alive:
-        view.next_sync = at + SYNC_PERIOD * view.random.uniform(0.75, 1.25)
+        period = max(SYNC_PERIOD, SYNC_PERIOD_PER_MEMBER * len(view.records))
+        view.next_sync = at + period * view.random.uniform(0.75, 1.25)
         return [_send(view, chosen_alive[0].peer_address, MessageKind.SYNC_REQUEST)]
     view.next_sync = at + LONELY_SYNC_PERIOD
     seeds = [address for address in view.seeds if address != view.me.peer_address]
@@ -375,6 +396,7 @@
     view: Membership, at: Instant, source: Address, message: PeerMessage
 ) -> list[Effect]:
     heard = _heard_lately(view, at, message.subject)
+    sender = view.records[message.sender.host].member
     reply = _send(
         view,
         message.sender.peer_address,
@@ -382,6 +404,7 @@
         probe=message.probe,
         subject=message.subject,
         heard=heard,
+        first=(sender,) if sender.status > MemberStatus.ALIVE else (),
     )
     return [reply]
 
--- a/endivedrift/objects/__init__.py
+++ b/endivedrift/objects/__init__.py
@@ -1,6 +1,11 @@
 """Object sets: their schema, checks, canonical form and differences."""
 
-from endivedrift.objects._canonical import decode_object_set, digest_bytes, encode_object_set
+from endivedrift.objects._canonical import (
+    decode_object_set,
+    describe_object_set,
+    digest_bytes,
+    encode_object_set,
+)
 from endivedrift.objects._difference import ChangeKind, ObjectChange, compare_object_sets
 from endivedrift.objects._schema import (
     MAX_BODY_BYTES,
@@ -36,6 +41,7 @@
     "check_sources",
     "compare_object_sets",
     "decode_object_set",
+    "describe_object_set",
     "digest_bytes",
     "encode_object_set",
     "read_directory",
--- a/endivedrift/objects/_difference.py
+++ b/endivedrift/objects/_difference.py
@@ -4,6 +4,7 @@
 from enum import Enum
 from typing import Any
 
+from endivedrift.objects._canonical import describe_object_set
 from endivedrift.objects._schema import ObjectSet
 
 
@@ -52,7 +53,7 @@
 
 
 def _flatten_objects(objects: ObjectSet) -> dict[str, dict[str, Any]]:
-    dumped = objects.model_dump(mode="json")
+    dumped = describe_object_set(objects)
     return {
         f"{kind}.{name}": body for kind, named in dumped.items() for name, body in named.items()
     }
--- a/endivedrift/objects/_schema.py
+++ b/endivedrift/objects/_schema.py
@@ -5,10 +5,12 @@
 """
 
 import ipaddress
+from dataclasses import field
 from datetime import timedelta
 from typing import Annotated
 
-from pydantic import BaseModel, ConfigDict, Field, field_validator
+from pydantic import ConfigDict, Field, TypeAdapter, field_validator
+from pydantic.dataclasses import dataclass
 
 from endivedrift.core import Importance
 
@@ -35,11 +37,11 @@
     return text
 
 
-class _Object(BaseModel):
-    model_config = ConfigDict(frozen=True, extra="forbid", strict=True)
+_STRICT = ConfigDict(extra="forbid", strict=True)
 
 
-class Target(_Object):
+@dataclass(frozen=True, slots=True, kw_only=True, config=_STRICT)
+class Target:
     """One target of an upstream group.
 
     Attributes:
@@ -57,7 +59,8 @@
     _address = field_validator("address")(check_address)
 
 
-class UpstreamGroup(_Object):
+@dataclass(frozen=True, slots=True, kw_only=True, config=_STRICT)
+class UpstreamGroup:
     """Targets that are able to answer the same requests.
 
     Attributes:
@@ -72,10 +75,11 @@
     connection_cap: Annotated[int, Field(ge=1, le=100_000)]
     not_run_header: Annotated[str, Field(pattern=r"^[a-z0-9-]+$")] = "x-not-run"
     draining_header: Annotated[str, Field(pattern=r"^[a-z0-9-]+$")] = "x-draining"
-    targets: Annotated[tuple[Target, ...], Field(min_length=1, strict=False)]
+    targets: Annotated[tuple[Target, ...], Field(min_length=1)]
 
 
-class EjectionLimit(_Object):
+@dataclass(frozen=True, slots=True, kw_only=True, config=_STRICT)
+class EjectionLimit:
     """How readily and how far targets are taken out of use.
 
     Attributes:
@@ -96,7 +100,8 @@
     max_stay_ms: Milliseconds = 60_000
 
 
-class DrainRule(_Object):
+@dataclass(frozen=True, slots=True, kw_only=True, config=_STRICT)
+class DrainRule:
     """How a host treats leaving and new targets.
 
     Attributes:
@@ -106,7 +111,8 @@
     warm_up_ms: Milliseconds = 5_000
 
 
-class RetryRule(_Object):
+@dataclass(frozen=True, slots=True, kw_only=True, config=_STRICT)
+class RetryRule:
     """How often a request is tried again.
 
     Attributes:
@@ -120,7 +126,8 @@
     budget_cap: Annotated[int, Field(ge=0, le=10_000)] = 20
 
 
-class Service(_Object):
+@dataclass(frozen=True, slots=True, kw_only=True, config=_STRICT)
+class Service:
     """One service that callers reach.
 
     Attributes:
@@ -137,7 +144,8 @@
     queue_length: Annotated[int, Field(ge=0, le=100_000)] = 256
 
 
-class Route(_Object):
+@dataclass(frozen=True, slots=True, kw_only=True, config=_STRICT)
+class Route:
     """Requests that go to one service.
 
     Attributes:
@@ -155,9 +163,7 @@
 
     service: Name
     path: Annotated[str, Field(pattern=r"^/[A-Za-z0-9._~/-]*$")]
-    methods: Annotated[
-        tuple[Annotated[str, Field(pattern=r"^[A-Z]+$")], ...], Field(min_length=1, strict=False)
-    ]
+    methods: Annotated[tuple[Annotated[str, Field(pattern=r"^[A-Z]+$")], ...], Field(min_length=1)]
     repeatable: bool
     key_required: bool = False
     deadline_ms: Milliseconds
@@ -183,7 +189,8 @@
         return Importance[self.importance.upper()]
 
 
-class Caller(_Object):
+@dataclass(frozen=True, slots=True, kw_only=True, config=_STRICT)
+class Caller:
     """A caller's account and its limits at one host.
 
     Attributes:
@@ -191,17 +198,22 @@
       burst: Requests that may come at once.
     """
 
-    requests_per_s: Annotated[float, Field(gt=0.0, strict=False)]
+    requests_per_s: Annotated[float, Field(gt=0.0)]
     burst: Annotated[int, Field(ge=1)]
 
 
-class ObjectSet(_Object):
+@dataclass(frozen=True, slots=True, kw_only=True, config=_STRICT)
+class ObjectSet:
     """All objects that are published together."""
 
-    service: dict[Name, Service] = {}
-    upstream_group: dict[Name, UpstreamGroup] = {}
-    ejection_limit: dict[Name, EjectionLimit] = {}
-    drain_rule: dict[Name, DrainRule] = {}
-    retry_rule: dict[Name, RetryRule] = {}
-    route: dict[Name, Route] = {}
-    caller: dict[Name, Caller] = {}
+    service: dict[Name, Service] = field(default_factory=dict)
+    upstream_group: dict[Name, UpstreamGroup] = field(default_factory=dict)
+    ejection_limit: dict[Name, EjectionLimit] = field(default_factory=dict)
+    drain_rule: dict[Name, DrainRule] = field(default_factory=dict)
+    retry_rule: dict[Name, RetryRule] = field(default_factory=dict)
+    route: dict[Name, Route] = field(default_factory=dict)
+    caller: dict[Name, Caller] = field(default_factory=dict)
+
+
+OBJECT_SET = TypeAdapter(ObjectSet)
+"""Validates object sets from JSON and turns them into plain JSON values."""
--- a/endivedrift/objects/_source.py
+++ b/endivedrift/objects/_source.py
@@ -1,5 +1,6 @@
 """Reads object sets from TOML text and reports every error with the place it came from."""
 
+import json
 import tomllib
 from collections.abc import Iterable
 from dataclasses import dataclass
@@ -10,7 +11,7 @@
 from pydantic import ValidationError
 
 from endivedrift.objects._consistency import check_consistency
-from endivedrift.objects._schema import ObjectSet
+from endivedrift.objects._schema import OBJECT_SET, ObjectSet
 
 
 @dataclass(frozen=True, slots=True)
@@ -115,7 +116,7 @@
     merged: dict[str, dict[str, Any]], origins: dict[str, str]
 ) -> tuple[ObjectSet | None, list[ObjectError]]:
     try:
-        return ObjectSet.model_validate(merged), []
+        return OBJECT_SET.validate_json(json.dumps(merged, default=str)), []
     except ValidationError as error:
         return None, [_describe_fault(fault, origins) for fault in error.errors()]
 
@@ -124,7 +125,7 @@
     path = [str(part) for part in fault["loc"] if part != "[key]"]
     label = ".".join(path[:2])
     message = fault["msg"].removeprefix("Value error, ")
-    if fault["type"] == "extra_forbidden":
+    if fault["type"] == "unexpected_keyword_argument":
         message = "is not a known field" if len(path) > 1 else "is not a known kind of object"
     return ObjectError(_find_file(label, origins), label, ".".join(path[2:]), message)
 
--- a/endivedrift/reducer/_attempts.py
+++ b/endivedrift/reducer/_attempts.py
@@ -196,7 +196,7 @@
         service=service.name,
         target=name,
         address=Address(record.target.address),
-        deadline=held.deadline,
+        deadline=_limit_attempt(service, held, at),
         answer_limit_bytes=route.answer_limit_bytes,
         not_run_header=service.group.not_run_header.encode(),
         draining_header=service.group.draining_header.encode(),
@@ -205,6 +205,18 @@
     return [effect]
 
 
+def _limit_attempt(service: ServiceState, held: RequestState, at: Instant) -> Instant:
+    """Returns the deadline of the attempt that was just counted.
+
+    A repeatable request divides its remaining time among its remaining attempts, so that a target
+    that never answers leaves time for another, as long as there is budget for a retry.
+    """
+    left = service.retry.max_attempts - held.attempts + 1
+    if not held.route.route.repeatable or service.retry_budget.tokens < 1.0 or left <= 1:
+        return held.deadline
+    return at + (held.deadline - at) / left
+
+
 def _enqueue(
     state: HostState, service: ServiceState, at: Instant, request: RequestId
 ) -> list[Effect]:
--- a/endivedrift/shell/_codec.py
+++ b/endivedrift/shell/_codec.py
@@ -117,8 +117,7 @@
     if len(datagram) <= MAC_BYTES or not check_mac(secret, mac, body):
         return None
     try:
-        with _schema.Datagram.from_bytes(body) as built:
-            return _decode_message(built)
+        return _decode_message(_schema.Datagram.from_bytes_packed(body))
     except (capnp.KjException, ValueError, KeyError):
         return None
 
@@ -224,7 +223,7 @@
         slot.good = delta.good
         slot.bad = delta.bad
         slot.leaving = delta.leaving
-    return built.to_bytes()
+    return built.to_bytes_packed()
 
 
 def _decode_message(built: Any) -> PeerMessage:
--- /dev/null
+++ b/lab/slopes.py
@@ -0,0 +1,368 @@
+"""How the costs of a host grow with the size of a deployment.
+
+Each cost is measured at four sizes or more; a straight line is fitted, and its worst relative
+residual shown, so that a cost that does not grow in a straight line is seen.
+"""
+
+import resource
+import statistics
+import subprocess
+import sys
+import tempfile
+import time
+import tracemalloc
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, replace
+from datetime import timedelta
+from functools import partial
+from random import Random
+
+from endivedrift.core import (
+    Address,
+    AttemptOutcome,
+    ConfigRef,
+    FailureDomain,
+    HostId,
+    IdempotencyKey,
+    Incarnation,
+    ManualClock,
+    Member,
+    MemberStatus,
+    MessageKind,
+    PeerMessage,
+    ServiceName,
+    Version,
+)
+from endivedrift.core.effects import SendToTarget
+from endivedrift.core.events import AttemptFinished, ConfigFetched, PeerMessageReceived, Ticked
+from endivedrift.objects import ObjectSet, Target, digest_bytes, encode_object_set
+from endivedrift.policy import choose_target, mint_key
+from endivedrift.reducer import rank_service_hosts
+from endivedrift.shell import host as _host
+from endivedrift.shell._codec import open_datagram, seal_datagram
+from tests.builders import (
+    SECRET,
+    SERVICE,
+    WRITE_PATH,
+    HostBench,
+    build_answer,
+    build_object_set,
+    fetch_config,
+)
+from tests.network import Network
+
+FULL_NODES = 930
+FULL_SERVICES = 190
+FULL_TARGETS = 7_500
+FULL_ROUTES = 7_000
+FULL_CALLERS = 47_000
+REQUESTS_PER_NODE_S = 204
+MEASURED_SECONDS = 120.0
+
+
+@dataclass(frozen=True, slots=True)
+class Slope:
+    """One cost: measured points, the unit, and the size to work it out for."""
+
+    title: str
+    size_name: str
+    unit: str
+    points: Sequence[tuple[float, float]]
+    full_size: float
+
+    def render(self) -> str:
+        """Returns the points, the fitted line, its worst residual and the value at full size."""
+        sizes = [size for size, _ in self.points]
+        values = [value for _, value in self.points]
+        line = statistics.linear_regression(sizes, values)
+        residual = max(
+            abs(line.intercept + line.slope * size - value) / max(abs(value), 1e-9)
+            for size, value in self.points
+        )
+        full = line.intercept + line.slope * self.full_size
+        shown = ", ".join(f"{size:g}: {value:.4g}" for size, value in self.points)
+        return (
+            f"{self.title} [{self.unit}] by {self.size_name}\n"
+            f"    measured {shown}\n"
+            f"    fit {line.intercept:.4g} + {line.slope:.4g} * size, worst residual "
+            f"{residual * 100.0:.0f}%; at {self.full_size:g}: {full:.4g}"
+        )
+
+
+def main() -> None:
+    """Measures all slopes and prints them."""
+    for measure in (
+        measure_choice,
+        measure_request,
+        measure_tick,
+        measure_ranking,
+        measure_keys,
+        measure_members,
+        measure_member_memory,
+        measure_objects,
+    ):
+        for slope in measure():
+            print(slope.render(), flush=True)
+
+
+def measure_choice() -> list[Slope]:
+    """Choice of a target by group size."""
+    points = []
+    home, source = FailureDomain("a"), Random(1)
+    for targets in (6, 14, 40, 160, 640):
+        bench = HostBench(build_object_set(targets=targets))
+        service = bench.state.services[ServiceName(SERVICE)]
+        took = _time(partial(choose_target, service, home, frozenset(), True, source))
+        points.append((targets, took * 1e6))
+    return [Slope("choice of a target", "targets in the group", "us", points, 40)]
+
+
+def measure_request() -> list[Slope]:
+    """Both decisions of a request by the number of its service's targets."""
+    points = []
+    for targets in (6, 14, 40, 160):
+        bench = HostBench(build_object_set(targets=targets))
+        points.append((targets, _time(partial(_serve, bench)) * 1e6))
+    return [Slope("decisions of one request", "targets in the group", "us", points, 40)]
+
+
+def measure_tick() -> list[Slope]:
+    """Processor time of the periodic timer by the number of services in use."""
+    points = []
+    for services in (1, 2, 5, 10, 20):
+        bench = HostBench(build_fleet_objects(services, services * 40, services, 0))
+        bench.advance(6.0)
+        for name in bench.state.services:
+            bench.state.active.add(name)
+        now = Ticked(bench.clock.monotonic(), bench.clock.wall())
+
+        def tick(bench: HostBench = bench, now: Ticked = now) -> None:
+            bench.state.active = set(bench.state.services)
+            bench.apply(now)
+
+        points.append((services, _time(tick) * 10.0 * 1e3))
+    title = "periodic timer, 10 a second"
+    return [Slope(title, "services in use at the host, 40 targets each", "ms/s", points, 5)]
+
+
+def measure_ranking() -> list[Slope]:
+    """Ranking of a service's hosts after a membership change by the number of hosts."""
+    points = []
+    for hosts in (40, 160, 480, FULL_NODES):
+        bench = _know_members(hosts)
+
+        def rank(bench: HostBench = bench) -> None:
+            bench.state.membership.version += 1
+            rank_service_hosts(bench.state, ServiceName(SERVICE))
+
+        points.append((hosts, _time(rank) * 1e3))
+    return [Slope("ranking of a service's hosts", "hosts", "ms", points, FULL_NODES)]
+
+
+def measure_keys() -> list[Slope]:
+    """Memory of remembered idempotency keys with answers of 200 bytes."""
+    points = []
+    for count in (1_000, 2_000, 4_000, 8_000):
+        bench = HostBench(build_object_set(targets=6))
+
+        def fill(bench: HostBench = bench, count: int = count) -> None:
+            for number in range(count):
+                owner = bench.state.identity
+                wall = bench.clock.wall()
+                key = mint_key(SECRET, owner.host, owner.incarnation, wall, str(number))
+                _serve(bench, key)
+
+        points.append((count, _measure_memory(fill) / 1e6))
+    return [Slope("memory of remembered keys", "keys", "MB", points, 30_000)]
+
+
+def measure_members() -> list[Slope]:
+    """Datagram bytes and processor time of membership by the number of hosts."""
+    sent_points, cpu_points = [], []
+    for hosts in (10, 20, 40, 80):
+        network = Network(hosts)
+        network.run(10.0)
+        while any(bench.state.membership.news for bench in network.benches.values()):
+            network.run(10.0)
+        sent = _MeasuredNetwork(network)
+        sent.run(MEASURED_SECONDS)
+        per_node = hosts * MEASURED_SECONDS
+        sent_points.append((hosts, (sent.bytes * 2.0) / per_node))
+        cpu_points.append((hosts, sent.cpu_s * 1e3 / per_node))
+    return [
+        Slope("datagrams sent and received", "hosts", "bytes/s a node", sent_points, FULL_NODES),
+        Slope("membership and codec", "hosts", "ms/s a node", cpu_points, FULL_NODES),
+    ]
+
+
+class _MeasuredNetwork:
+    """Counts the bytes and the processor time of a network in steady state."""
+
+    def __init__(self, network: Network) -> None:
+        self._network = network
+        self.bytes = 0
+        self.cpu_s = 0.0
+        self._deliver = network.deliver
+        network.deliver = self._count  # type: ignore[method-assign]
+
+    def run(self, seconds: float) -> None:
+        """Lets time pass."""
+        before = time.process_time()
+        self._network.run(seconds)
+        self.cpu_s += time.process_time() - before
+
+    def _count(self, sender: str, receiver: str, message: PeerMessage) -> None:
+        datagram = seal_datagram(SECRET, message)
+        self.bytes += len(datagram)
+        opened = open_datagram(SECRET, datagram)
+        assert opened is not None
+        self._deliver(sender, receiver, opened)
+
+
+def measure_member_memory() -> list[Slope]:
+    """Memory of the membership view by the number of hosts."""
+    points = []
+    for hosts in (100, 300, 600, FULL_NODES):
+        memory = _measure_memory(partial(_know_members, hosts))
+        points.append((hosts, memory / 1e6))
+    return [Slope("memory of the membership view", "hosts", "MB", points, FULL_NODES)]
+
+
+def measure_objects() -> list[Slope]:
+    """Size, time in force and memory of an object set by its share of the full size."""
+    size, spent, memory = [], [], []
+    for share in (0.125, 0.25, 0.5, 1.0):
+        objects = build_fleet_objects(
+            round(FULL_SERVICES * share),
+            round(FULL_TARGETS * share),
+            round(FULL_ROUTES * share),
+            round(FULL_CALLERS * share),
+        )
+        canonical = encode_object_set(objects)
+        size.append((share, len(canonical) / 1e6))
+        clock = ManualClock()
+        event = fetch_config(clock, objects)
+        bench = HostBench(None, clock=clock)
+        before = time.process_time()
+        bench.apply(event)
+        spent.append((share, (time.process_time() - before) * 1e3))
+        memory.append((share, _measure_process_memory(objects)))
+    return [
+        Slope("canonical object set", "share of the full size", "MB", size, 1.0),
+        Slope("decode, check and apply", "share of the full size", "ms", spent, 1.0),
+        Slope("resident memory of a process", "share of the full size", "MB", memory, 1.0),
+    ]
+
+
+def build_fleet_objects(services: int, targets: int, routes: int, callers: int) -> ObjectSet:
+    """Builds a set with the given numbers of objects, spread evenly over the services."""
+    base = build_object_set()
+    group = base.upstream_group["group"]
+    names = [f"s{n}" for n in range(services)]
+    members: dict[str, list[Target]] = {name: [] for name in names}
+    for n in range(targets):
+        address = f"10.{n // 65536}.{n // 256 % 256}.{n % 256}:80"
+        target = Target(name=f"t{n}", address=address, failure_domain=f"d{n % 6}")
+        members[names[n % services]].append(target)
+    groups = {name: replace(group, targets=tuple(chosen)) for name, chosen in members.items()}
+    route = base.route["read"]
+    service = base.service[SERVICE]
+    return replace(
+        base,
+        upstream_group=groups,
+        service={name: replace(service, upstream_group=name) for name in names},
+        route={
+            f"r{n}": replace(route, service=names[n % services], path=f"/{names[n % services]}/{n}")
+            for n in range(routes)
+        },
+        caller={f"c{n}": base.caller["guest"] for n in range(callers)},
+    )
+
+
+def _serve(bench: HostBench, key: IdempotencyKey | None = None) -> None:
+    method, path = ("GET", "/rooms/1") if key is None else ("POST", WRITE_PATH)
+    request, effects = bench.arrive(method, path, key=key)
+    sent = effects[0]
+    assert isinstance(sent, SendToTarget)
+    latency = timedelta(milliseconds=5)
+    answer = build_answer(body=bytes(200))
+    outcome = AttemptOutcome.ANSWERED
+    now = bench.clock.monotonic()
+    bench.apply(AttemptFinished(now, request, sent.target, outcome, latency, answer))
+
+
+def _know_members(hosts: int) -> HostBench:
+    """Builds a host that has heard of many others."""
+    bench = HostBench(build_object_set())
+    for number in range(hosts):
+        member = Member(
+            HostId(f"domain-a-host-{number}"),
+            Incarnation(number + 1),
+            0,
+            MemberStatus.ALIVE,
+            FailureDomain(f"d{number % 6}"),
+            Address(f"10.0.{number // 256}.{number % 256}:8080"),
+            Address(f"10.0.{number // 256}.{number % 256}:8081"),
+            Address(f"10.0.{number // 256}.{number % 256}:8082"),
+        )
+        message = PeerMessage(
+            MessageKind.NOTICE, member, 1, 0, HostId(""), False, bench.state.config
+        )
+        now = bench.clock.monotonic()
+        bench.apply(PeerMessageReceived(now, member.peer_address, message))
+    return bench
+
+
+def _time(call: Callable[[], object]) -> float:
+    """Returns the median processor time of one call in seconds, over several batches."""
+    call()
+    once = time.process_time()
+    call()
+    batch = max(1, int(0.02 / max(1e-6, time.process_time() - once)))
+    batches = []
+    for _ in range(7):
+        before = time.process_time()
+        for _ in range(batch):
+            call()
+        batches.append((time.process_time() - before) / batch)
+    return statistics.median(batches)
+
+
+def _measure_memory(call: Callable[[], object]) -> float:
+    """Returns the bytes that a call leaves allocated while its result is held."""
+    tracemalloc.start()
+    before = tracemalloc.get_traced_memory()[0]
+    kept = call()
+    after = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    del kept
+    return after - before
+
+
+def _measure_process_memory(objects: ObjectSet) -> float:
+    """Returns the peak resident memory in MB of a process that applies an object set thrice."""
+    with tempfile.NamedTemporaryFile() as file:
+        file.write(encode_object_set(objects))
+        file.flush()
+        command = [sys.executable, "-m", "lab.slopes", "--hold", file.name]
+        output = subprocess.run(command, capture_output=True, text=True, check=True).stdout
+    return float(output)
+
+
+def _hold(path: str) -> None:
+    assert _host.run_daemon is not None  # The daemon's modules count as part of its memory.
+    clock = ManualClock()
+    bench = HostBench(None, clock=clock)
+    for version in (1, 2, 3):
+        with open(path, "rb") as file:
+            canonical = file.read()
+        config = ConfigRef(Version(version), digest_bytes(canonical))
+        bench.apply(ConfigFetched(clock.monotonic(), config, canonical))
+    print(resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / 1024.0)
+
+
+if __name__ == "__main__":
+    if len(sys.argv) == 3 and sys.argv[1] == "--hold":
+        _hold(sys.argv[2])
+    else:
+        main()
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -22,7 +22,13 @@
 from expression import Result
 
 from endivedrift.core import Address
-from endivedrift.objects import ObjectSet, Target, check_sources, read_directory
+from endivedrift.objects import (
+    ObjectSet,
+    Target,
+    check_sources,
+    describe_object_set,
+    read_directory,
+)
 from endivedrift.shell.exchange import ExchangeError, HttpReply, exchange
 
 FIRST_PORT = 20_000
@@ -89,10 +95,10 @@
         groups = {}
         for name, group in objects.upstream_group.items():
             targets = tuple(self._start_target(target, arguments) for target in group.targets)
-            groups[name] = group.model_copy(update={"targets": targets})
+            groups[name] = replace(group, targets=targets)
         for address in self.targets.values():
             self.wait_listening(address)
-        return objects.model_copy(update={"upstream_group": groups})
+        return replace(objects, upstream_group=groups)
 
     def start_host(
         self, name: str, failure_domain: str, seeds: list[Address] | None = None
@@ -257,7 +263,7 @@
         )
         self.targets[target.name] = address
         self.target_processes[target.name] = process
-        return target.model_copy(update={"address": address})
+        return replace(target, address=address)
 
     def start_module(self, name: str, module: str, *arguments: str) -> subprocess.Popen[bytes]:
         """Starts a Python module as a process whose output goes to a log file."""
@@ -296,7 +302,7 @@
     """Writes an object set as TOML files that `endivedrift publish` reads."""
     directory.mkdir(parents=True, exist_ok=True)
     lines = []
-    for kind, named in objects.model_dump(mode="json").items():
+    for kind, named in describe_object_set(objects).items():
         for name, body in named.items():
             lines.append(f"[{kind}.{name}]")
             lines += [f"{field_name} = {_format(value)}" for field_name, value in body.items()]
--- a/tests/config_test.py
+++ b/tests/config_test.py
@@ -26,7 +26,7 @@
     HeadObserved,
     PeerMessageReceived,
 )
-from endivedrift.objects import ObjectSet, digest_bytes, encode_object_set
+from endivedrift.objects import decode_object_set, digest_bytes, encode_object_set
 from endivedrift.platform import (
     PlatformError,
     PublishOutcome,
@@ -150,7 +150,7 @@
 
         def install_any(state, event):  # type: ignore[no-untyped-def]
             state.fetching = None
-            objects = ObjectSet.model_validate_json(event.canonical)
+            objects = decode_object_set(event.canonical).ok
             return real(state, event, objects)
 
         with broken(_reduce, "apply_config", install_any), self.assertRaises(AssertionError):
--- a/tests/failures_test.py
+++ b/tests/failures_test.py
@@ -11,6 +11,7 @@
 import time
 import unittest
 from collections.abc import Callable
+from dataclasses import replace
 
 import curio
 
@@ -175,9 +176,8 @@
         statuses: list[int] = []
 
         def race(number: int) -> None:
-            objects = self.objects.model_copy(
-                update={"caller": {f"c{number}": self.objects.caller["guest"]}}
-            )
+            accounts = {f"c{number}": self.objects.caller["guest"]}
+            objects = replace(self.objects, caller=accounts)
             statuses.append(self.fleet.publish(objects, "--expected", "1"))
 
         threads = [threading.Thread(target=race, args=(number,)) for number in range(3)]
@@ -190,7 +190,7 @@
 
     def test_a_restored_store_takes_no_host_back(self) -> None:
         self.fleet.call(self.fleet.platform, "POST", "/control/backup")
-        changed = self.objects.model_copy(update={"caller": {}})
+        changed = replace(self.objects, caller={})
         self.assertEqual(self.fleet.publish(changed), 0)
         self.fleet.wait_version(2, IN_FORCE_SECONDS)
         self.fleet.call(self.fleet.platform, "POST", "/control/restore")
@@ -201,7 +201,7 @@
 
     def test_a_publish_whose_reply_is_lost_is_told_truly(self) -> None:
         self.fleet.set_platform_faults(lose_replies=True)
-        status = self.fleet.publish(self.objects.model_copy(update={"caller": {}}))
+        status = self.fleet.publish(replace(self.objects, caller={}))
         self.fleet.set_platform_faults()
         trail = json.loads(self.fleet.run_tool("history", "--json").stdout)["history"]
         self.assertIn((status, len(trail)), [(0, 2), (4, 1), (5, 1), (5, 2)])
--- a/tests/host_test.py
+++ b/tests/host_test.py
@@ -6,6 +6,7 @@
 """
 
 import unittest
+from dataclasses import replace
 from datetime import timedelta
 from random import Random
 
@@ -196,11 +197,10 @@
         objects = build_object_set(targets=size, floor=min(floor, size - draining), slots=4)
         group = objects.upstream_group["group"]
         changed = tuple(
-            target.model_copy(update={"draining": n < draining})
-            for n, target in enumerate(group.targets)
+            replace(target, draining=n < draining) for n, target in enumerate(group.targets)
         )
-        group = group.model_copy(update={"targets": changed})
-        objects = objects.model_copy(update={"upstream_group": {"group": group}})
+        group = replace(group, targets=changed)
+        objects = replace(objects, upstream_group={"group": group})
         self.version += 1
         self.take(self.bench.apply(fetch_config(self.bench.clock, objects, self.version)))
 
@@ -253,6 +253,38 @@
             self.assertTrue(result.failures)
 
 
+class AttemptTimeTest(unittest.TestCase):
+    """A target that never answers does not use up the time of a request that can be repeated."""
+
+    def send(self, method: str, path: str) -> tuple[HostBench, RequestId, SendToTarget]:
+        bench = HostBench(build_object_set(max_attempts=2))
+        request, effects = bench.arrive(method, path)
+        sent = next(effect for effect in effects if isinstance(effect, SendToTarget))
+        return bench, request, sent
+
+    def test_a_repeatable_request_is_tried_elsewhere_in_time(self) -> None:
+        bench, request, sent = self.send("GET", READ_PATH)
+        self.assertEqual(sent.deadline, timedelta(seconds=1))
+        bench.clock.advance(timedelta(seconds=1))
+        now = bench.clock.monotonic()
+        outcome = AttemptOutcome.TIMED_OUT
+        late = AttemptFinished(now, request, sent.target, outcome, timedelta(seconds=1))
+        again = next(e for e in bench.apply(late) if isinstance(e, SendToTarget))
+        self.assertNotEqual(again.target, sent.target)
+        self.assertEqual(again.deadline, timedelta(seconds=2))
+
+    def test_a_request_that_must_not_be_repeated_has_all_its_time(self) -> None:
+        _, _, sent = self.send("POST", WRITE_PATH)
+        self.assertEqual(sent.deadline, timedelta(seconds=4))
+
+    def test_without_retry_budget_the_first_attempt_has_all_the_time(self) -> None:
+        bench = HostBench(build_object_set(max_attempts=2))
+        bench.state.services[ServiceName(SERVICE)].retry_budget.tokens = 0.0
+        _, effects = bench.arrive()
+        sent = next(effect for effect in effects if isinstance(effect, SendToTarget))
+        self.assertEqual(sent.deadline, timedelta(seconds=2))
+
+
 class LeavingTest(unittest.TestCase):
     """A leaving target gets no new request, by whichever sign comes first."""
 
@@ -297,9 +329,9 @@
         bench = HostBench(build_object_set())
         objects = build_object_set()
         group = objects.upstream_group["group"]
-        targets = (group.targets[0].model_copy(update={"draining": True}), *group.targets[1:])
-        changed = group.model_copy(update={"targets": targets})
-        objects = objects.model_copy(update={"upstream_group": {"group": changed}})
+        targets = (replace(group.targets[0], draining=True), *group.targets[1:])
+        changed = replace(group, targets=targets)
+        objects = replace(objects, upstream_group={"group": changed})
         bench.apply(fetch_config(bench.clock, objects, 2))
         self.assertEqual(self.count_sends(bench, name_target(0)), 0)
 
--- /dev/null
+++ b/tests/members_test.py
@@ -0,0 +1,124 @@
+"""Membership over a small fake network with cuts, on a virtual clock."""
+
+import unittest
+
+from endivedrift.core import (
+    Address,
+    HostId,
+    MemberStatus,
+    MessageKind,
+    PeerMessage,
+)
+from endivedrift.core.events import PeerMessageReceived, StopRequested
+from endivedrift.fleet import _members
+from tests.builders import build_object_set, fetch_config
+from tests.fuzzing import broken
+from tests.network import Network
+
+DETECTION_SECONDS = 15.0
+
+
+class MembershipTest(unittest.TestCase):
+    def test_all_hosts_find_one_another(self) -> None:
+        network = Network(20)
+        network.run(10.0)
+        for name in network.benches:
+            self.assertEqual(network.statuses(name), {MemberStatus.ALIVE}, name)
+
+    def test_a_dead_host_is_known_everywhere_in_time(self) -> None:
+        network = Network(20)
+        network.run(10.0)
+        network.stopped.add("h3")
+        network.run(DETECTION_SECONDS * 2)
+        self.assertEqual(network.statuses("h3"), {MemberStatus.DEAD})
+        self.assertEqual(network.count_declared_dead(), 19)
+
+    def test_a_one_way_cut_kills_nobody_and_is_seen_as_such(self) -> None:
+        network = Network(8)
+        network.run(10.0)
+        network.passes = lambda sender, receiver: (sender, receiver) != ("h1", "h2")
+        network.run(60.0)
+        self.assertEqual(network.count_declared_dead(), 0)
+        self.assertEqual(network.statuses("h1"), {MemberStatus.ALIVE})
+        told_by_others = network.benches["h1"].state.membership.records[HostId("h2")].hears_us
+        self.assertIs(told_by_others, False)
+
+    def test_loss_of_datagrams_kills_nobody(self) -> None:
+        network = Network(12)
+        network.run(10.0)
+        network.passes = lambda sender, receiver: network.source.random() > 0.1
+        network.run(120.0)
+        self.assertEqual(network.count_declared_dead(), 0)
+
+    def test_without_indirect_probes_a_lossy_network_kills(self) -> None:
+        no_help = broken(_members, "_ask_helpers", lambda view, number, probe: [])
+        no_denial = broken(_members, "_answer_rumour", lambda view, rumour: [])
+        with no_help, no_denial:
+            network = Network(12)
+            network.run(10.0)
+            network.passes = lambda sender, receiver: network.source.random() > 0.1
+            network.run(120.0)
+        self.assertGreater(network.count_declared_dead(), 0)
+
+    def test_a_replaced_host_is_taken_for_the_new_one(self) -> None:
+        network = Network(10)
+        network.run(10.0)
+        network.boot("h4")
+        network.run(20.0)
+        new = network.benches["h4"].state.identity.incarnation
+        for name, bench in network.benches.items():
+            if name != "h4":
+                member = bench.state.membership.records[HostId("h4")].member
+                self.assertEqual((member.incarnation, member.status), (new, MemberStatus.ALIVE))
+
+    def test_a_lost_failure_domain_comes_back(self) -> None:
+        network = Network(12)
+        network.run(10.0)
+
+        def same_side(sender: str, receiver: str) -> bool:
+            return (int(sender[1:]) % 3 == 0) == (int(receiver[1:]) % 3 == 0)
+
+        network.passes = same_side
+        network.run(40.0)
+        self.assertEqual(network.status("h1", "h0"), MemberStatus.DEAD)
+        network.passes = lambda sender, receiver: True
+        network.run(90.0)
+        for name in network.benches:
+            self.assertEqual(network.statuses(name), {MemberStatus.ALIVE}, name)
+
+    def test_a_leaving_host_is_known_everywhere_in_two_periods(self) -> None:
+        network = Network(40)
+        network.run(15.0)
+        event = StopRequested(network.clock.monotonic())
+        network.take("h5", network.benches["h5"].apply(event))
+        network.run(4.0)
+        self.assertEqual(network.statuses("h5"), {MemberStatus.LEAVING})
+
+    def test_a_forged_or_replayed_datagram_changes_nothing(self) -> None:
+        network = Network(3)
+        network.run(5.0)
+        bench = network.benches["h0"]
+        record = bench.state.membership.records[HostId("h1")]
+        member = record.member.with_status(MemberStatus.DEAD)
+        old = PeerMessage(
+            MessageKind.NOTICE,
+            member,
+            record.sequence,
+            0,
+            HostId(""),
+            False,
+            bench.state.config,
+        )
+        now = network.clock.monotonic()
+        bench.apply(PeerMessageReceived(now, Address("h1:2"), old))
+        self.assertEqual(network.status("h0", "h1"), MemberStatus.ALIVE)
+
+    def test_a_newer_object_set_reaches_all_without_the_store(self) -> None:
+        network = Network(40)
+        network.run(15.0)
+        event = fetch_config(network.clock, build_object_set(queue_length=9), version=2)
+        network.canonical = event.canonical
+        network.take("h0", network.benches["h0"].apply(event))
+        network.run(6.0)
+        versions = {bench.state.config.version for bench in network.benches.values()}
+        self.assertEqual(versions, {2})
