Let a suspected target keep its share of requests until the test decides

Cause: any evidence made a target dearer than every idle other one, so that it got almost no requests; the sequential test then had nothing to decide by, and a healthy target with one slow answer was left out as well. Change: evidence counts in the choice only from the threshold on, for a sick target that stays in use for the floor.

--- a/endivedrift/policy/_choice.py
+++ b/endivedrift/policy/_choice.py
@@ -12,7 +12,7 @@
 
 SCAN_LIMIT = 16
 SAMPLE_SIZE = 8
-EVIDENCE_WEIGHT = 4.0
+SICK_WEIGHT = 4.0
 OTHER_DOMAIN_COST = 0.05
 JITTER = 0.01
 
@@ -83,6 +83,6 @@
 
 def _compute_cost(record: TargetRecord, threshold: float, home: FailureDomain) -> float:
     load = len(record.attempts) + 1.0
-    evidence = 1.0 + EVIDENCE_WEIGHT * record.score / threshold
+    evidence = SICK_WEIGHT if record.score >= threshold else 1.0
     distance = 0.0 if domain_of(record) == home else OTHER_DOMAIN_COST
     return load * evidence + distance
