Count a request that takes several times too long once more

Cause: a target that never answers some hosts is found slowly, since each of the few requests in progress there counts once, however long it hangs. Ruled out: counting finished slow answers by how slow they are, since one outlier of a heavy tail could then eject a target alone; more than two counts a request, for the same reason. Change: a request in progress counts again at four times the slow limit, twice at most.

--- a/endivedrift/policy/_evidence.py
+++ b/endivedrift/policy/_evidence.py
@@ -24,6 +24,8 @@
 TIME_WEIGHT = 0.05
 SCORE_CAP = 2.0
 SERVER_ERROR = 500
+MAX_OVERDUE_COUNT = 2
+OVERDUE_FACTOR = 4
 
 _BAD_OUTCOMES = frozenset(
     {
@@ -106,12 +108,18 @@
 
 
 def count_overdue(state: ServiceState, at: Instant) -> None:
-    """Counts requests in progress as bad once they take too long, without waiting for their end."""
+    """Counts requests in progress as bad once they take too long, without waiting for their end.
+
+    One that takes several times too long is counted once more, so that a target that never answers
+    is found out although few requests are in progress there.
+    """
     limit = state.typical * state.ejection.slow_factor
     for record in state.targets.values():
         for attempt in record.attempts.values():
-            if not attempt.overdue and at - attempt.started > limit:
-                attempt.overdue = True
+            if attempt.overdue >= MAX_OVERDUE_COUNT:
+                continue
+            if at - attempt.started > limit * OVERDUE_FACTOR**attempt.overdue:
+                attempt.overdue += 1
                 add_own_evidence(state, record, bad=True)
 
 
--- a/endivedrift/policy/_service.py
+++ b/endivedrift/policy/_service.py
@@ -30,10 +30,10 @@
 
 @dataclass(slots=True)
 class Attempt:
-    """A request in progress at a target; `overdue` once it was counted as slow."""
+    """A request in progress at a target; `overdue` is how often it was counted as slow."""
 
     started: Instant
-    overdue: bool = False
+    overdue: int = 0
 
 
 @dataclass(slots=True)
