--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 VENV := .venv
 STAMP := $(VENV)/.installed
 
-.PHONY: setup demo test check bench slopes
+.PHONY: setup demo test check bench slopes lab tradeoff
 
 setup: $(STAMP)
 
@@ -28,3 +28,9 @@
 
 slopes: $(STAMP)
 	$(VENV)/bin/python -m lab.slopes
+
+lab: $(STAMP)
+	$(VENV)/bin/python -m lab.policy
+
+tradeoff: $(STAMP)
+	$(VENV)/bin/python -m lab.tradeoff
