--- a/endivedrift/shell/_callers.py
+++ b/endivedrift/shell/_callers.py
@@ -39,7 +39,6 @@
 from endivedrift.shell._log import make_logger
 from endivedrift.shell._requests import HeaderError, build_target_request, read_head
 from endivedrift.shell._serving import Serving, serve_request
-from endivedrift.shell._turnstile import Turnstile
 
 MAX_UNREAD_BYTES = 1_048_576
 WRITE_TIMEOUT = timedelta(seconds=30)
@@ -91,7 +90,6 @@
         self._limits = limits
         self._open: dict[int, _Connection] = {}
         self._closing = False
-        self._turnstile = Turnstile(serving.runtime.clock)
         self._listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self._listener.bind(parse_endpoint(address).pair())
@@ -217,7 +215,6 @@
             await _wait_for_bytes(connection, self._limits.idle_s)
         if connection.closing:
             await _wait_for_bytes(connection, CLOSING_IDLE.total_seconds())
-        await self._turnstile.enter()
         event = await self._next_in_time(connection)
         if not isinstance(event, h11.Request):
             raise _ConnectionEndedError
