Split the membership module by theme, and say once what stood twice

Cause: one module of 515 lines held view, datagrams, rumours, probing and answers; the prefix of minted keys and a test's draining target stood twice or three times. Ruled out: splitting the reducer's attempts as well, which are one theme. Change: fleet/_view, _datagrams, _rumours, _probing, _receiving; no behaviour is changed.

--- a/endivedrift/fleet/__init__.py
+++ b/endivedrift/fleet/__init__.py
@@ -1,21 +1,18 @@
 """How hosts act together: membership, routes and the spread of services over hosts."""
 
+from endivedrift.fleet._datagrams import send_evidence
 from endivedrift.fleet._entry import rank_hosts
-from endivedrift.fleet._members import (
-    HEARD_WINDOW,
+from endivedrift.fleet._probing import advance_membership, announce_leaving, announce_serving
+from endivedrift.fleet._receiving import HEARD_WINDOW, receive_message
+from endivedrift.fleet._routes import NamedRoute, RouteTable, build_routes, find_route
+from endivedrift.fleet._view import (
     MemberRecord,
     Membership,
-    advance_membership,
-    announce_leaving,
-    announce_serving,
     build_membership,
     find_member,
     learn_seeds,
     list_usable,
-    receive_message,
-    send_evidence,
 )
-from endivedrift.fleet._routes import NamedRoute, RouteTable, build_routes, find_route
 
 __all__ = [
     "HEARD_WINDOW",
--- /dev/null
+++ b/endivedrift/fleet/_datagrams.py
@@ -0,0 +1,79 @@
+"""Builds datagrams, which carry news of members whatever else they are for."""
+
+from endivedrift.core import (
+    Address,
+    EvidenceDelta,
+    HostId,
+    Member,
+    MemberStatus,
+    MessageKind,
+    PeerMessage,
+)
+from endivedrift.core.effects import Effect, SendPeerMessage
+from endivedrift.fleet._view import Membership
+
+NEWS_PER_DATAGRAM = 6
+
+
+def send_evidence(
+    view: Membership, receivers: list[Member], evidence: tuple[EvidenceDelta, ...]
+) -> list[Effect]:
+    """Sends outcomes to the hosts that serve the same service."""
+    return [
+        send_datagram(view, member.peer_address, MessageKind.NOTICE, evidence=evidence)
+        for member in receivers
+        if member.host != view.me.host
+    ]
+
+
+def send_datagram(
+    view: Membership,
+    address: Address,
+    kind: MessageKind,
+    probe: int = 0,
+    subject: HostId = HostId(""),
+    heard: bool = False,
+    first: tuple[Member, ...] = (),
+    evidence: tuple[EvidenceDelta, ...] = (),
+) -> SendPeerMessage:
+    """Builds a datagram with the next sequence number and as much news as it has room for."""
+    view.sequence += 1
+    message = PeerMessage(
+        kind=kind,
+        sender=view.me,
+        sequence=view.sequence,
+        probe=probe,
+        subject=subject,
+        heard_subject=heard,
+        config=view.config,
+        members=first + _take_news(view, NEWS_PER_DATAGRAM - len(first)),
+        evidence=evidence,
+    )
+    return SendPeerMessage(address, message)
+
+
+def ping_member(view: Membership, member: Member, probe: int, subject: HostId) -> SendPeerMessage:
+    """Builds a PING, which tells the member of any doubt about it so that it can deny it."""
+    told = (member,) if member.status > MemberStatus.ALIVE else ()
+    return send_datagram(
+        view, member.peer_address, MessageKind.PING, probe=probe, subject=subject, first=told
+    )
+
+
+def sample_alive(view: Membership, count: int, excluded: HostId) -> list[Member]:
+    """Draws members that are held to be alive."""
+    alive = [
+        record.member
+        for host, record in view.records.items()
+        if host != excluded and record.member.status is MemberStatus.ALIVE
+    ]
+    return view.random.sample(alive, min(count, len(alive)))
+
+
+def _take_news(view: Membership, room: int) -> tuple[Member, ...]:
+    hosts = sorted(view.news, key=lambda host: -view.news[host])[: max(0, room)]
+    for host in hosts:
+        view.news[host] -= 1
+        if view.news[host] <= 0:
+            del view.news[host]
+    return tuple(view.records[host].member for host in hosts if host in view.records)
--- a/endivedrift/reducer/_keyed.py
+++ b/endivedrift/reducer/_keyed.py
@@ -26,7 +26,14 @@
 )
 from endivedrift.core.events import ForwardFinished, KeyClaimSettled
 from endivedrift.fleet import find_member
-from endivedrift.policy import CLAIMED_LIFE, MAX_KEYS, KeyRecord, MintedKey, parse_minted
+from endivedrift.policy import (
+    CLAIMED_LIFE,
+    MAX_KEYS,
+    MINTED_PREFIX,
+    KeyRecord,
+    MintedKey,
+    parse_minted,
+)
 from endivedrift.reducer._attempts import admit, end_refused
 from endivedrift.reducer._refusals import refuse
 from endivedrift.reducer._state import HostState, RequestState
@@ -34,7 +41,6 @@
 CLAIM_TIMEOUT = timedelta(seconds=1)
 BUSY_RETRY = timedelta(seconds=1)
 STORE_RETRY = timedelta(seconds=5)
-MINTED_PREFIX = "ed1."
 
 
 def start_keyed(
--- a/tests/host_test.py
+++ b/tests/host_test.py
@@ -324,7 +324,8 @@
             bench.apply(done)
         return sum(1 for _, sent in sends if sent.target == target)
 
-    def test_a_draining_answer_ends_new_requests(self) -> None:
+    def meet_draining(self) -> tuple[HostBench, SendToTarget]:
+        """Returns a host whose first request was refused by a draining target."""
         bench = HostBench(build_object_set())
         request, effects = bench.arrive()
         sent = next(effect for effect in effects if isinstance(effect, SendToTarget))
@@ -332,6 +333,10 @@
         latency = timedelta(milliseconds=5)
         outcome = AttemptOutcome.DRAINING
         bench.apply(AttemptFinished(now, request, sent.target, outcome, latency, None, True))
+        return bench, sent
+
+    def test_a_draining_answer_ends_new_requests(self) -> None:
+        bench, sent = self.meet_draining()
         self.assertEqual(self.count_sends(bench, sent.target), 0)
 
     def test_the_platforms_list_ends_new_requests(self) -> None:
@@ -351,13 +356,7 @@
         self.assertEqual(self.count_sends(bench, name_target(0)), 0)
 
     def test_a_lagging_list_does_not_overrule_the_targets_own_word(self) -> None:
-        bench = HostBench(build_object_set())
-        request, effects = bench.arrive()
-        sent = next(effect for effect in effects if isinstance(effect, SendToTarget))
-        now = bench.clock.monotonic()
-        latency = timedelta(milliseconds=5)
-        outcome = AttemptOutcome.DRAINING
-        bench.apply(AttemptFinished(now, request, sent.target, outcome, latency, None, True))
+        bench, sent = self.meet_draining()
         for _ in range(60):
             self.list_machine(bench, sent.address, leaving=False)
             bench.advance(2.0, step=0.5)
@@ -375,12 +374,7 @@
         self.assertGreater(self.count_sends(bench, name_target(1)), 0)
 
     def test_a_target_that_drained_and_restarted_unlisted_comes_back(self) -> None:
-        bench = HostBench(build_object_set())
-        request, effects = bench.arrive()
-        sent = next(effect for effect in effects if isinstance(effect, SendToTarget))
-        now = bench.clock.monotonic()
-        outcome = AttemptOutcome.DRAINING
-        bench.apply(AttemptFinished(now, request, sent.target, outcome, timedelta(0), None, True))
+        bench, sent = self.meet_draining()
         bench.advance(400.0, step=1.0)
         self.assertGreater(self.count_sends(bench, sent.target), 0)
 
