Give up a late attempt only where another target is able to answer

Cause: a full test run on a busy machine failed in a case that had passed by chance: with all targets taking 1.5 s, a read with a deadline of 2 s was cut at its first third, tried again, cut again, and refused, though its first target would have answered. Ruled out: a longer first share, which only moves the limit; a second copy while the first runs, which adds load in the rush; learning from timeouts, which takes as many failures as it has to learn. Change: the shell raises AttemptLate each time that an attempt has taken its share. The reducer gives the attempt up only if another usable target has answered since it began, in less than half its time, and a retry is in the budget. The hostile bytes test waits for the operator port to be free again before it judges the state.

--- a/endivedrift/core/effects.py
+++ b/endivedrift/core/effects.py
@@ -1,6 +1,7 @@
 """Everything the reducer can ask the shell to do, as immutable values."""
 
 from dataclasses import dataclass
+from datetime import timedelta
 from typing import TypeAlias
 
 from endivedrift.core._clock import Instant
@@ -21,7 +22,8 @@
 class SendToTarget:
     """Send the request to a target and wait for the answer until `deadline`.
 
-    `reuse` tells whether a connection that was used before may carry the request.
+    `reuse` tells whether a connection that was used before may carry the request. Each time that
+    `patience` has passed without an answer, AttemptLate is raised.
     """
 
     request: RequestId
@@ -29,12 +31,20 @@
     target: TargetName
     address: Address
     deadline: Instant
+    patience: timedelta
     answer_limit_bytes: int
     not_run_header: bytes
     draining_header: bytes
     reuse: bool
 
 
+@dataclass(frozen=True, slots=True)
+class GiveUpAttempt:
+    """End the attempt in progress as timed out."""
+
+    request: RequestId
+
+
 @dataclass(frozen=True, slots=True)
 class AwaitTurn:
     """Keep the request waiting until `until`, then raise QueueWaitExpired."""
@@ -113,6 +123,7 @@
 
 Effect: TypeAlias = (
     SendToTarget
+    | GiveUpAttempt
     | AwaitTurn
     | DeliverAnswer
     | RefuseRequest
@@ -124,5 +135,11 @@
     | RecordAudit
 )
 RequestEffect: TypeAlias = (
-    SendToTarget | AwaitTurn | DeliverAnswer | RefuseRequest | ClaimKey | ForwardToOwner
+    SendToTarget
+    | GiveUpAttempt
+    | AwaitTurn
+    | DeliverAnswer
+    | RefuseRequest
+    | ClaimKey
+    | ForwardToOwner
 )
--- a/endivedrift/core/events.py
+++ b/endivedrift/core/events.py
@@ -51,6 +51,15 @@
     leaving: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class AttemptLate:
+    """An attempt has taken its share of the request's time and has no answer yet."""
+
+    at: Instant
+    request: RequestId
+    target: TargetName
+
+
 @dataclass(frozen=True, slots=True)
 class CallerGone:
     """The caller closed its connection before it had an answer."""
@@ -144,6 +153,7 @@
     RequestArrived
     | QueueWaitExpired
     | AttemptFinished
+    | AttemptLate
     | CallerGone
     | KeyClaimSettled
     | ForwardFinished
--- a/endivedrift/policy/__init__.py
+++ b/endivedrift/policy/__init__.py
@@ -1,7 +1,7 @@
 """Decisions over requests and targets: evidence, ejection, choice, queues, limits and keys."""
 
 from endivedrift.policy._bucket import TokenBucket
-from endivedrift.policy._choice import choose_target, has_room
+from endivedrift.policy._choice import choose_target, has_room, others_answer
 from endivedrift.policy._ejection import (
     mark_leaving,
     note_listed_live,
@@ -80,6 +80,7 @@
     "mint_key",
     "note_listed_live",
     "note_probation",
+    "others_answer",
     "parse_minted",
     "pop_waiting",
     "push_back",
--- a/endivedrift/policy/_choice.py
+++ b/endivedrift/policy/_choice.py
@@ -7,7 +7,7 @@
 
 from random import Random
 
-from endivedrift.core import FailureDomain, TargetName, TargetState
+from endivedrift.core import FailureDomain, Instant, TargetName, TargetState
 from endivedrift.policy._service import ServiceState, TargetRecord, domain_of
 
 SCAN_LIMIT = 16
@@ -47,6 +47,26 @@
     return _choose_cheapest(state, names, home, excluded, trial_allowed, random)
 
 
+def others_answer(state: ServiceState, name: TargetName, started: Instant, at: Instant) -> bool:
+    """Tells whether an attempt takes long for its target's sake and not for the whole service's.
+
+    Args:
+      state: The service.
+      name: Target of the attempt.
+      started: When the attempt began.
+      at: Present time.
+    Returns:
+      Whether another usable target has answered since, in less than half the attempt's time.
+    """
+    return any(
+        record.answered is not None
+        and record.answered > started
+        and record.latency * 2 < at - started
+        for other, record in state.targets.items()
+        if other != name and record.state in _USABLE
+    )
+
+
 def has_room(state: ServiceState, record: TargetRecord, trial_allowed: bool) -> bool:
     """Tells whether a target may be given one more request."""
     if record.state not in _USABLE:
--- a/endivedrift/policy/_service.py
+++ b/endivedrift/policy/_service.py
@@ -54,6 +54,8 @@
       good_in_row: Good answers in a row during probation.
       leaving_sign: Latest sign that the target is shutting down.
       leaving_seen: When that sign was last seen.
+      answered: When its last answer to this host arrived, or None.
+      latency: Time that answer took.
       unsent_good, unsent_bad: Outcomes not yet told to other hosts.
       unsent_leaving: Whether other hosts have not been told yet that it is leaving.
     """
@@ -70,6 +72,8 @@
     good_in_row: int = 0
     leaving_sign: LeavingSign = LeavingSign.NONE
     leaving_seen: Instant = Instant(0)
+    answered: Instant | None = None
+    latency: timedelta = timedelta(0)
     unsent_good: int = 0
     unsent_bad: int = 0
     unsent_leaving: bool = False
--- a/endivedrift/reducer/_attempts.py
+++ b/endivedrift/reducer/_attempts.py
@@ -20,10 +20,11 @@
     AwaitTurn,
     DeliverAnswer,
     Effect,
+    GiveUpAttempt,
     RecordAudit,
     SendToTarget,
 )
-from endivedrift.core.events import AttemptFinished
+from endivedrift.core.events import AttemptFinished, AttemptLate
 from endivedrift.policy import (
     Attempt,
     ServiceState,
@@ -35,6 +36,7 @@
     learn_latency,
     mark_leaving,
     note_probation,
+    others_answer,
     pop_waiting,
     push_back,
     push_waiting,
@@ -143,6 +145,25 @@
     return effects
 
 
+def judge_late(state: HostState, event: AttemptLate) -> list[Effect]:
+    """Gives up a late attempt where another target is able to answer.
+
+    While no other target answers faster, the whole service is slow, and waiting is best.
+    """
+    held = state.requests.get(event.request)
+    service = state.services.get(held.service) if held is not None else None
+    if held is None or service is None or held.target != event.target:
+        return []
+    record = service.targets.get(event.target)
+    attempt = record.attempts.get(event.request) if record is not None else None
+    may_repeat = held.route.route.repeatable and held.attempts < service.retry.max_attempts
+    if attempt is None or not may_repeat or service.retry_budget.tokens < 1.0:
+        return []
+    if not others_answer(service, event.target, attempt.started, event.at):
+        return []
+    return [GiveUpAttempt(event.request)]
+
+
 def end_answered(state: HostState, request: RequestId, answer: Answer) -> list[Effect]:
     """Ends a request with an answer, which is kept where the request has a key."""
     held = state.requests.pop(request)
@@ -198,7 +219,8 @@
         service=service.name,
         target=name,
         address=Address(record.target.address),
-        deadline=_limit_attempt(service, held, at),
+        deadline=held.deadline,
+        patience=_share_time(service, held, at),
         answer_limit_bytes=route.answer_limit_bytes,
         not_run_header=service.group.not_run_header.encode(),
         draining_header=service.group.draining_header.encode(),
@@ -207,16 +229,14 @@
     return [effect]
 
 
-def _limit_attempt(service: ServiceState, held: RequestState, at: Instant) -> Instant:
-    """Returns the deadline of the attempt that was just counted.
+def _share_time(service: ServiceState, held: RequestState, at: Instant) -> timedelta:
+    """Returns the time after which the attempt just counted is late.
 
-    A repeatable request divides its remaining time among its remaining attempts, so that a target
-    that never answers leaves time for another, as long as there is budget for a retry.
+    A repeatable request divides its remaining time among its remaining attempts.
     """
     left = service.retry.max_attempts - held.attempts + 1
-    if not held.route.route.repeatable or service.retry_budget.tokens < 1.0 or left <= 1:
-        return held.deadline
-    return at + (held.deadline - at) / left
+    shares = max(1, left) if held.route.route.repeatable else 1
+    return (held.deadline - at) / shares
 
 
 def _enqueue(
@@ -268,6 +288,8 @@
             add_own_evidence(service, record, bad)
         entries += note_probation(service, record, bad, event.at)
     if event.outcome is AttemptOutcome.ANSWERED:
+        record.answered = event.at
+        record.latency = event.latency
         learn_latency(service, event.latency)
     if event.leaving or event.outcome is AttemptOutcome.DRAINING:
         cause = "its answer says that it is draining"
--- a/endivedrift/reducer/_reduce.py
+++ b/endivedrift/reducer/_reduce.py
@@ -10,6 +10,7 @@
 from endivedrift.core.effects import Effect, RecordAudit
 from endivedrift.core.events import (
     AttemptFinished,
+    AttemptLate,
     CallerGone,
     ConfigFetched,
     ConfigFetchFailed,
@@ -25,7 +26,7 @@
     Ticked,
 )
 from endivedrift.fleet import announce_leaving, learn_seeds, receive_message
-from endivedrift.reducer._attempts import finish_attempt
+from endivedrift.reducer._attempts import finish_attempt, judge_late
 from endivedrift.reducer._config import apply_config, fail_fetch, want_config
 from endivedrift.reducer._keyed import finish_forward, settle_claim
 from endivedrift.reducer._periodic import advance_time
@@ -66,6 +67,11 @@
     return finish_attempt(state, event)
 
 
+@_reduce.register
+def _(event: AttemptLate, state: HostState) -> list[Effect]:
+    return judge_late(state, event)
+
+
 @_reduce.register
 def _(event: CallerGone, state: HostState) -> list[Effect]:
     return drop_caller(state, event)
--- a/endivedrift/shell/_runtime.py
+++ b/endivedrift/shell/_runtime.py
@@ -27,6 +27,7 @@
     Effect,
     FetchConfig,
     ForwardToOwner,
+    GiveUpAttempt,
     RecordAudit,
     RefuseRequest,
     RequestEffect,
@@ -99,7 +100,15 @@
         await mailbox.ready.set()
 
 
-for _kind in (SendToTarget, AwaitTurn, DeliverAnswer, RefuseRequest, ClaimKey, ForwardToOwner):
+for _kind in (
+    SendToTarget,
+    GiveUpAttempt,
+    AwaitTurn,
+    DeliverAnswer,
+    RefuseRequest,
+    ClaimKey,
+    ForwardToOwner,
+):
     _perform.register(_kind)(_post)
 
 
--- a/endivedrift/shell/_serving.py
+++ b/endivedrift/shell/_serving.py
@@ -17,11 +17,13 @@
     ClaimKey,
     DeliverAnswer,
     ForwardToOwner,
+    GiveUpAttempt,
     RefuseRequest,
     RequestEffect,
     SendToTarget,
 )
 from endivedrift.core.events import (
+    AttemptLate,
     CallerGone,
     ForwardFinished,
     KeyClaimSettled,
@@ -95,7 +97,7 @@
 ) -> None:
     match effect:
         case SendToTarget():
-            await _attempt(serving, effect, request)
+            await _attempt(serving, mailbox, effect, request)
         case AwaitTurn():
             await _await_turn(serving.runtime, mailbox, effect)
         case ClaimKey():
@@ -104,9 +106,19 @@
             await _forward(serving, effect, request, head)
 
 
-async def _attempt(serving: Serving, effect: SendToTarget, request: TargetRequest) -> None:
+async def _attempt(
+    serving: Serving, mailbox: Mailbox, effect: SendToTarget, request: TargetRequest
+) -> None:
     runtime = serving.runtime
-    finished = await serving.pool.attempt(effect, request)
+
+    async def is_given_up() -> bool:
+        now = runtime.clock.monotonic()
+        await runtime.dispatch(AttemptLate(now, effect.request, effect.target))
+        given_up = any(isinstance(posted, GiveUpAttempt) for posted in mailbox.effects)
+        mailbox.effects.clear()
+        return given_up
+
+    finished = await serving.pool.attempt(effect, request, is_given_up)
     runtime.metrics.count_attempt(effect.service, finished.outcome)
     await runtime.dispatch(finished)
 
--- a/endivedrift/shell/_targets.py
+++ b/endivedrift/shell/_targets.py
@@ -8,7 +8,8 @@
 import contextlib
 import socket as stdlib_socket
 from collections import deque
-from dataclasses import dataclass, replace
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field, replace
 from datetime import timedelta
 
 import curio
@@ -76,19 +77,25 @@
         self._clock = clock
         self._idle: dict[Address, deque[_Connection]] = {}
 
-    async def attempt(self, effect: SendToTarget, request: TargetRequest) -> AttemptFinished:
+    async def attempt(
+        self,
+        effect: SendToTarget,
+        request: TargetRequest,
+        is_given_up: Callable[[], Awaitable[bool]],
+    ) -> AttemptFinished:
         """Sends a request to a target and reads its answer.
 
         Args:
           effect: Target, deadline and limits.
           request: The request.
+          is_given_up: Asked each time that the attempt's patience has passed.
         Returns:
           How the attempt ended.
         Raises:
           curio.CancelledError: If the attempt was cancelled; its connection is closed.
         """
         started = self._clock.monotonic()
-        ended = await self._run(effect, request, started)
+        ended = await self._run(effect, request, started, is_given_up)
         now = self._clock.monotonic()
         return AttemptFinished(
             now,
@@ -119,7 +126,13 @@
             if not queue:
                 del self._idle[address]
 
-    async def _run(self, effect: SendToTarget, request: TargetRequest, started: Instant) -> _Ended:
+    async def _run(
+        self,
+        effect: SendToTarget,
+        request: TargetRequest,
+        started: Instant,
+        is_given_up: Callable[[], Awaitable[bool]],
+    ) -> _Ended:
         remaining = (effect.deadline - started).total_seconds()
         if remaining <= 0.0:
             return _Ended(AttemptOutcome.NOT_CONNECTED)
@@ -129,23 +142,34 @@
         if connection is None:
             return _Ended(AttemptOutcome.NOT_CONNECTED)
         try:
-            return await self._exchange(effect, request, connection)
+            return await self._exchange(effect, request, connection, is_given_up)
         except BaseException:
             await _close(connection.sock)
             raise
 
     async def _exchange(
-        self, effect: SendToTarget, request: TargetRequest, connection: _Connection
+        self,
+        effect: SendToTarget,
+        request: TargetRequest,
+        connection: _Connection,
+        is_given_up: Callable[[], Awaitable[bool]],
     ) -> _Ended:
         remaining = (effect.deadline - self._clock.monotonic()).total_seconds()
         if remaining <= 0.0:
             await _close(connection.sock)
             return _Ended(AttemptOutcome.NOT_CONNECTED)
         ended = _Ended(AttemptOutcome.TIMED_OUT)
+        reader = _AnswerReader(effect, request, connection)
         try:
             async with curio.ignore_after(remaining):
                 await _send(connection, effect, request, remaining)
-                ended = await _read_answer(connection, effect, request)
+                answer = None
+                while answer is None:
+                    async with curio.ignore_after(effect.patience.total_seconds()):
+                        answer = await reader.read()
+                    if answer is None and await is_given_up():
+                        answer = ended
+                ended = answer
         except OSError:
             ended = _Ended(AttemptOutcome.CUT)
         except h11.RemoteProtocolError:
@@ -215,33 +239,49 @@
     await connection.sock.sendall(data)
 
 
-async def _read_answer(
-    connection: _Connection, effect: SendToTarget, request: TargetRequest
-) -> _Ended:
-    http = connection.http
+@dataclass(slots=True)
+class _AnswerReader:
+    """Reads one answer; a read that was interrupted may be taken up again."""
+
+    effect: SendToTarget
+    request: TargetRequest
+    connection: _Connection
     response: h11.Response | None = None
     headers: Headers = ()
-    body = bytearray()
-    while True:
-        event = http.next_event()
-        if event is h11.NEED_DATA:
-            data = await connection.sock.recv(READ_BYTES)
-            if not data:
-                return _Ended(AttemptOutcome.CUT)
-            http.receive_data(data)
-        elif isinstance(event, h11.Response):
-            response = event
-            headers = copy_headers(response.headers)
-            if not _is_trustworthy(effect, request, response, headers):
+    body: bytearray = field(default_factory=bytearray)
+
+    async def read(self) -> _Ended:
+        """Reads to the end of the answer."""
+        ended = None
+        while ended is None:
+            event = self.connection.http.next_event()
+            if event is h11.NEED_DATA:
+                data = await self.connection.sock.recv(READ_BYTES)
+                if not data:
+                    return _Ended(AttemptOutcome.CUT)
+                self.connection.http.receive_data(data)
+            else:
+                ended = self._take(event)
+        return ended
+
+    def _take(self, event: object) -> _Ended | None:
+        if isinstance(event, h11.Response):
+            self.response = event
+            self.headers = copy_headers(event.headers)
+            if not _is_trustworthy(self.effect, self.request, event, self.headers):
                 return _Ended(AttemptOutcome.MALFORMED)
         elif isinstance(event, h11.Data):
-            body += event.data
-            if len(body) > effect.answer_limit_bytes:
+            self.body += event.data
+            if len(self.body) > self.effect.answer_limit_bytes:
                 return _Ended(AttemptOutcome.TOO_LARGE)
-        elif isinstance(event, h11.EndOfMessage) and response is not None:
-            if http.trailing_data[0]:
+        elif isinstance(event, h11.EndOfMessage) and self.response is not None:
+            if self.connection.http.trailing_data[0]:
                 return _Ended(AttemptOutcome.MALFORMED)
-            return _classify(effect, response.status_code, headers, bytes(body), request.method)
+            status, method = self.response.status_code, self.request.method
+            return _classify(self.effect, status, self.headers, bytes(self.body), method)
+        elif not isinstance(event, h11.InformationalResponse):
+            return _Ended(AttemptOutcome.MALFORMED)
+        return None
 
 
 def _is_trustworthy(
--- a/lab/_bench.py
+++ b/lab/_bench.py
@@ -31,6 +31,7 @@
     AwaitTurn,
     DeliverAnswer,
     Effect,
+    GiveUpAttempt,
     RecordAudit,
     RefuseRequest,
     SendPeerMessage,
@@ -38,6 +39,7 @@
 )
 from endivedrift.core.events import (
     AttemptFinished,
+    AttemptLate,
     PeerMessageReceived,
     QueueWaitExpired,
     Ticked,
@@ -274,6 +276,7 @@
         left = (effect.deadline - self._clock.monotonic()).total_seconds()
         started = self._now
         self._at(left, lambda: self._time_out(name, effect, started))
+        self._watch(name, effect, started)
         fault = self._script(effect.target, self._now)
         home = self.hosts[name].state.identity.failure_domain
         if fault.dead_outside is not None and home != fault.dead_outside:
@@ -283,6 +286,23 @@
         else:
             target.queue.append((name, effect))
 
+    def _watch(self, name: str, effect: SendToTarget, started: float) -> None:
+        """Raises AttemptLate each time that the attempt's patience has passed."""
+
+        def late() -> None:
+            held = self.hosts[name].state.requests.get(effect.request)
+            if held is None or held.target != effect.target:
+                return
+            now = self._clock.monotonic()
+            event = AttemptLate(now, effect.request, effect.target)
+            effects = self.hosts[name].apply(event)
+            if any(isinstance(e, GiveUpAttempt) for e in effects):
+                self._time_out(name, effect, started)
+            else:
+                self._watch(name, effect, started)
+
+        self._at(effect.patience.total_seconds(), late)
+
     def _work(self, name: str, effect: SendToTarget, started: float) -> None:
         key = (name, effect.request)
         self._targets[effect.target].busy.add(key)
--- a/tests/failures_test.py
+++ b/tests/failures_test.py
@@ -372,6 +372,9 @@
                 self.poke(address, bytes(data))
             udp.sendto(bytes(data), (ip, int(port)))
         udp.close()
+        self.fleet.wait_until(
+            "operators are answered again", lambda: "members" in self.fleet.read_state(host), 15.0
+        )
         self.assertEqual(len(self.fleet.read_state(host)["members"]), 2)
         record = curio.run(self.callers[0].send, host.callers, "GET", "/rooms/1")
         self.assertEqual(record.seen, Seen.ANSWERED)
