--- a/endivedrift/shell/_callers.py
+++ b/endivedrift/shell/_callers.py
@@ -18,6 +18,7 @@
     Answer,
     Headers,
     HostPhase,
+    Instant,
     Refusal,
     RefusalReason,
     RequestId,
@@ -40,7 +41,7 @@
 from endivedrift.shell._requests import HeaderError, build_target_request, read_head
 from endivedrift.shell._serving import Serving, serve_request
 
-MAX_UNREAD_BYTES = 1_048_576
+MAX_UNREAD_BYTES = 131_072
 WRITE_TIMEOUT = timedelta(seconds=30)
 CLOSING_IDLE = timedelta(milliseconds=500)
 LISTEN_BACKLOG = 1_024
@@ -74,6 +75,7 @@
     ended: bool = False
     serving: RequestId | None = None
     closing: bool = False
+    read_by: Instant = Instant(0)
 
 
 class CallerSide:
@@ -173,19 +175,17 @@
                 await connection.drained.wait()
 
     async def _next_event(self, connection: _Connection, timeout: float) -> object:
-        while True:
-            connection.arrived.clear()
-            try:
-                event = connection.http.next_event()
-            except h11.RemoteProtocolError as error:
-                raise _RequestRefusedError(_describe_protocol_error(error)) from None
-            if event is not h11.NEED_DATA:
-                return event
-            connection.unread = 0
-            if not connection.drained.is_set():
-                await connection.drained.set()
-            async with curio.timeout_after(timeout):
+        event = _parse_event(connection)
+        if event is not h11.NEED_DATA:
+            return event
+        async with curio.timeout_after(timeout):
+            while event is h11.NEED_DATA:
+                connection.unread = 0
+                if not connection.drained.is_set():
+                    await connection.drained.set()
                 await connection.arrived.wait()
+                event = _parse_event(connection)
+        return event
 
     async def _serve_next(self, connection: _Connection) -> bool:
         """Serves one request and tells whether another may follow."""
@@ -215,6 +215,8 @@
             await _wait_for_bytes(connection, self._limits.idle_s)
         if connection.closing:
             await _wait_for_bytes(connection, CLOSING_IDLE.total_seconds())
+        limit = timedelta(seconds=self._limits.head_s)
+        connection.read_by = self._runtime.clock.monotonic() + limit
         event = await self._next_in_time(connection)
         if not isinstance(event, h11.Request):
             raise _ConnectionEndedError
@@ -247,8 +249,10 @@
                 raise _ConnectionEndedError
 
     async def _next_in_time(self, connection: _Connection) -> object:
+        """Returns the next parsed event of a request, all of which must arrive in time."""
+        remaining = connection.read_by - self._runtime.clock.monotonic()
         try:
-            return await self._next_event(connection, self._limits.head_s)
+            return await self._next_event(connection, max(0.0, remaining.total_seconds()))
         except curio.TaskTimeout:
             detail = "the request did not arrive in time"
             raise _RequestRefusedError(make_refusal(RefusalReason.SLOW_CALLER, detail)) from None
@@ -325,6 +329,15 @@
         return not last
 
 
+def _parse_event(connection: _Connection) -> object:
+    """Returns the next event that the bytes so far hold, or NEED_DATA."""
+    connection.arrived.clear()
+    try:
+        return connection.http.next_event()
+    except h11.RemoteProtocolError as error:
+        raise _RequestRefusedError(_describe_protocol_error(error)) from None
+
+
 async def _wait_for_bytes(connection: _Connection, seconds: float) -> None:
     """Waits until bytes arrive, the caller hangs up, or the connection is told to close."""
     if connection.unread or connection.ended:
--- a/tests/failures_test.py
+++ b/tests/failures_test.py
@@ -402,3 +402,18 @@
         self.assertIn(b"408", slow[0].recv(4096))
         for sock in slow:
             sock.close()
+
+    def test_a_sender_of_one_byte_at_a_time_is_cut_off(self) -> None:
+        host = self.fleet.hosts["h1"]
+        ip, _, port = host.callers.rpartition(":")
+        answered = b""
+        with socket.create_connection((ip, int(port)), timeout=1.0) as sock:
+            sock.sendall(b"GET /rooms HTTP/1.1\r\nx-long: ")
+            end = time.monotonic() + 20.0
+            while not answered and time.monotonic() < end:
+                sock.sendall(b"a")
+                try:
+                    answered = sock.recv(4096)
+                except TimeoutError:
+                    continue
+        self.assertIn(b"408", answered)
