--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 VENV := .venv
 STAMP := $(VENV)/.installed
 
-.PHONY: setup demo test check bench slopes rush lab tradeoff
+.PHONY: setup demo play test check bench slopes rush lab tradeoff
 
 setup: $(STAMP)
 
@@ -15,6 +15,9 @@
 demo: $(STAMP)
 	$(VENV)/bin/python -m standins.demo
 
+play: $(STAMP)
+	$(VENV)/bin/python -m standins.playground
+
 test: $(STAMP)
 	$(VENV)/bin/python -m tests.run
 
