Test each kind of faulty answer at the target side, pipelining, and cold targets

Cause: faulty answers were tried on whole processes only, where no broken mechanism can be switched in. Ruled out: switches for faults in the daemon itself, which do not belong there. Change: scripted targets in the process of the test; power tests for trusting any answer and for not looking for late bytes; pipelined requests; a cold start and misleading health and load in the target stand-in.

--- /dev/null
+++ b/endivedrift/shell/targets_test.py
@@ -0,0 +1,190 @@
+"""One attempt at a target: whole answers of its own count, and clean connections are kept."""
+
+import contextlib
+import unittest
+from datetime import timedelta
+
+import curio
+from curio import socket
+
+from endivedrift.core import (
+    Address,
+    AttemptOutcome,
+    RequestId,
+    ServiceName,
+    SystemClock,
+    TargetName,
+)
+from endivedrift.core.effects import SendToTarget
+from endivedrift.core.events import AttemptFinished
+from endivedrift.shell import _targets
+from endivedrift.shell._targets import TargetPool, TargetRequest
+from tests.fuzzing import broken
+
+BODY = b"whole"
+ECHO = "x-request-id: r1.t\r\n"
+
+
+def write_answer(body: bytes = BODY, status: int = 200, extra: str = ECHO) -> bytes:
+    head = f"HTTP/1.1 {status} X\r\ncontent-length: {len(body)}\r\n{extra}\r\n"
+    return head.encode() + body
+
+
+class ScriptedTarget:
+    """Answers every request with the same bytes, sends late ones, and closes if told to."""
+
+    def __init__(self, answer: bytes, close: bool, late: bytes) -> None:
+        self.answer = answer
+        self.late = late
+        self.close = close
+        self.accepted = 0
+        self.listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self.listener.bind(("127.0.0.1", 0))
+        self.listener.listen(8)
+        ip, port = self.listener.getsockname()
+        self.address = Address(f"{ip}:{port}")
+
+    async def serve(self) -> None:
+        while True:
+            sock, _ = await self.listener.accept()
+            self.accepted += 1
+            await curio.spawn(self.answer_all(sock), daemon=True)
+
+    async def answer_all(self, sock: socket.socket) -> None:
+        with contextlib.suppress(OSError):
+            while await sock.recv(65_536):
+                await sock.sendall(self.answer)
+                await curio.sleep(0.01)
+                await sock.sendall(self.late)
+                if self.close:
+                    break
+        await sock.close()
+
+
+async def never_give_up() -> bool:
+    return False
+
+
+def build_effect(address: Address, deadline_s: float) -> SendToTarget:
+    return SendToTarget(
+        request=RequestId("r1"),
+        service=ServiceName("s"),
+        target=TargetName("t"),
+        address=address,
+        deadline=SystemClock().monotonic() + timedelta(seconds=deadline_s),
+        patience=timedelta(seconds=deadline_s),
+        answer_limit_bytes=100,
+        not_run_header=b"x-not-run",
+        draining_header=b"x-draining",
+        reuse=True,
+    )
+
+
+def run_attempts(
+    answer: bytes,
+    count: int = 1,
+    close: bool = False,
+    deadline_s: float = 5.0,
+    late: bytes = b"",
+) -> tuple[list[AttemptFinished], int]:
+    """Makes attempts one after the other; returns their ends and the connections opened."""
+
+    async def run() -> tuple[list[AttemptFinished], int]:
+        target = ScriptedTarget(answer, close, late)
+        serving = await curio.spawn(target.serve(), daemon=True)
+        pool = TargetPool(SystemClock())
+        request = TargetRequest("GET", b"/", ((b"host", b"x"),), b"")
+        ends = []
+        for _ in range(count):
+            effect = build_effect(target.address, deadline_s)
+            ends.append(await pool.attempt(effect, request, never_give_up))
+            await curio.sleep(0.05)
+        await pool.close()
+        await serving.cancel()
+        await target.listener.close()
+        return ends, target.accepted
+
+    result: tuple[list[AttemptFinished], int] = curio.run(run)
+    return result
+
+
+class AttemptTest(unittest.TestCase):
+    def assert_outcome(self, outcome: AttemptOutcome, answer: bytes, **options: object) -> None:
+        ends, _ = run_attempts(answer, **options)  # type: ignore[arg-type]
+        self.assertIs(ends[0].outcome, outcome)
+        self.assertIsNone(ends[0].answer)
+
+    def test_a_whole_answer_is_taken(self) -> None:
+        ends, _ = run_attempts(write_answer())
+        self.assertIs(ends[0].outcome, AttemptOutcome.ANSWERED)
+        assert ends[0].answer is not None
+        self.assertEqual(ends[0].answer.body, BODY)
+
+    def test_half_an_answer_is_a_cut(self) -> None:
+        self.assert_outcome(AttemptOutcome.CUT, write_answer()[:-2], close=True)
+
+    def test_an_answer_whose_end_cannot_be_told_is_refused(self) -> None:
+        answer = b"HTTP/1.1 200 X\r\n\r\nwho knows"
+        self.assert_outcome(AttemptOutcome.MALFORMED, answer, close=True)
+
+    def test_bytes_after_the_end_are_refused(self) -> None:
+        self.assert_outcome(AttemptOutcome.MALFORMED, write_answer() + write_answer())
+
+    def test_the_answer_to_another_request_is_refused(self) -> None:
+        answer = write_answer(extra="x-request-id: other\r\n")
+        self.assert_outcome(AttemptOutcome.MALFORMED, answer)
+
+    def test_an_answer_over_the_limit_is_refused(self) -> None:
+        self.assert_outcome(AttemptOutcome.TOO_LARGE, write_answer(bytes(101)))
+
+    def test_no_answer_is_a_timeout(self) -> None:
+        self.assert_outcome(AttemptOutcome.TIMED_OUT, b"", deadline_s=0.2)
+
+    def test_explicit_refusals_are_told_apart(self) -> None:
+        shed = write_answer(status=503, extra=ECHO + "x-not-run: 1\r\n")
+        self.assert_outcome(AttemptOutcome.SHED, shed)
+        draining = write_answer(status=503, extra=ECHO + "x-not-run: 1\r\nx-draining: 1\r\n")
+        self.assert_outcome(AttemptOutcome.DRAINING, draining)
+
+    def test_a_plain_503_is_an_answer_and_no_proof_that_nothing_ran(self) -> None:
+        ends, _ = run_attempts(write_answer(status=503))
+        self.assertIs(ends[0].outcome, AttemptOutcome.ANSWERED)
+
+    def test_a_closed_port_is_not_connected(self) -> None:
+        async def run() -> AttemptFinished:
+            sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+            sock.bind(("127.0.0.1", 0))
+            ip, port = sock.getsockname()
+            effect = build_effect(Address(f"{ip}:{port}"), 1.0)
+            request = TargetRequest("GET", b"/", ((b"host", b"x"),), b"")
+            finished = await TargetPool(SystemClock()).attempt(effect, request, never_give_up)
+            await sock.close()
+            return finished
+
+        self.assertIs(curio.run(run).outcome, AttemptOutcome.NOT_CONNECTED)
+
+
+class ReuseTest(unittest.TestCase):
+    def test_a_connection_is_kept_after_an_answer_that_echoes_its_id(self) -> None:
+        ends, accepted = run_attempts(write_answer(), count=3)
+        self.assertEqual([end.outcome for end in ends], [AttemptOutcome.ANSWERED] * 3)
+        self.assertEqual(accepted, 1)
+
+    def test_a_connection_is_not_kept_without_the_echo(self) -> None:
+        _, accepted = run_attempts(write_answer(extra=""), count=3)
+        self.assertEqual(accepted, 3)
+
+    def test_a_late_second_answer_is_never_read(self) -> None:
+        ends, _ = run_attempts(write_answer(), count=2, late=write_answer(b"late!"))
+        self.assertEqual([e.answer.body for e in ends if e.answer], [BODY, BODY])
+
+    def test_reading_a_late_second_answer_is_noticed(self) -> None:
+        with broken(_targets, "_is_silent", lambda sock: True):
+            ends, _ = run_attempts(write_answer(), count=2, late=write_answer(b"late!"))
+        self.assertNotEqual([e.answer.body for e in ends if e.answer], [BODY, BODY])
+
+    def test_trusting_any_answer_is_noticed(self) -> None:
+        answer = write_answer(extra="x-request-id: other\r\n")
+        with broken(_targets, "_is_trustworthy", lambda *arguments: True):
+            ends, _ = run_attempts(answer)
+        self.assertIs(ends[0].outcome, AttemptOutcome.ANSWERED)
--- a/standins/target.py
+++ b/standins/target.py
@@ -1,13 +1,16 @@
 """Stand-in for one target or several: slots, faults, and a truthful record of what ran.
 
-Each port is a target. `PUT /control/faults` takes a JSON object with members of `Faults`.
-Each request that runs is appended to the record file before it does its work, so that the record
-outlives a killed process. `GET /control/record` returns the number of requests received.
+Each port is a target. `/health` and `/load` always tell of a healthy idle target. For `--cold-s`
+after its start a target takes several times as long. `PUT /control/faults` takes a JSON object with
+members of `Faults`. Each request that runs is appended to the record file before it does its work,
+so that the record outlives a killed process. `GET /control/record` returns the number of requests
+received.
 """
 
 import argparse
 import json
 import random
+import time
 from collections import deque
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -18,6 +21,7 @@
 from standins.tasks import run_together
 
 REQUEST_ID = "x-request-id"
+COLD_FACTOR = 5.0
 
 
 @dataclass(slots=True)
@@ -69,14 +73,15 @@
     waiting: deque[curio.Event] = field(default_factory=deque)
     previous: bytes = b"{}"
     record_file: Path | None = None
+    cold_until: float = 0.0
     source: random.Random = field(default_factory=random.Random)
 
     async def handle(self, request: StandinRequest) -> StandinReply:
         """Answers one request."""
         if request.path.startswith("/control/"):
             return self._control(request)
-        if request.path == "/health":
-            return StandinReply(200, body=b"ok")
+        if request.path in ("/health", "/load"):
+            return StandinReply(200, body=b"ok" if request.path == "/health" else b"0")
         self.received += 1
         echo = {REQUEST_ID: request.headers.get(REQUEST_ID, "")}
         if self.faults.draining:
@@ -93,7 +98,8 @@
         key = request.headers.get("idempotency-key", "")
         run = Run(request.method, request.path, key, echo[REQUEST_ID])
         self._append(run)
-        await curio.sleep((self.work_ms + self.faults.extra_ms) / 1000.0)
+        factor = COLD_FACTOR if time.monotonic() < self.cold_until else 1.0
+        await curio.sleep((self.work_ms * factor + self.faults.extra_ms) / 1000.0)
         if self._draw(self.faults.hang_share):
             await curio.sleep(3600)
         body = self._make_body(request, run)
@@ -163,6 +169,7 @@
             arguments.slots,
             arguments.body_bytes,
             record_file=arguments.record,
+            cold_until=time.monotonic() + arguments.cold_s,
             source=source,
         )
         targets.append(serve_http(arguments.ip, port, standin.handle))
@@ -177,6 +184,7 @@
     parser.add_argument("--work-ms", type=float, default=5.0)
     parser.add_argument("--slots", type=int, default=2)
     parser.add_argument("--body-bytes", type=int, default=200)
+    parser.add_argument("--cold-s", type=float, default=0.0)
     parser.add_argument("--record", type=Path, default=None)
     parser.add_argument("--seed", type=int, default=1)
     curio.run(_serve_all, parser.parse_args())
--- a/tests/path_test.py
+++ b/tests/path_test.py
@@ -2,6 +2,7 @@
 
 import json
 import signal
+import socket
 import subprocess
 import sys
 import unittest
@@ -39,6 +40,18 @@
             self.assertEqual(write.seen, Seen.ANSWERED)
         self.assertEqual(check_history(caller.history, self.fleet.list_runs()), [])
 
+    def test_pipelined_requests_are_answered_in_order(self) -> None:
+        host = next(iter(self.fleet.hosts.values()))
+        ip, _, port = host.callers.rpartition(":")
+        requests = [f"GET /rooms/{n} HTTP/1.1\r\nhost: x\r\n\r\n" for n in range(5)]
+        received = b""
+        with socket.create_connection((ip, int(port)), timeout=10.0) as sock:
+            sock.sendall("".join(requests).encode())
+            while received.count(b'"path"') < len(requests):
+                received += sock.recv(65_536)
+        places = [received.index(f'"/rooms/{n}"'.encode()) for n in range(5)]
+        self.assertEqual(places, sorted(places))
+
     def test_a_repeat_through_another_host_gets_the_first_answer(self) -> None:
         caller = CallerStandin([host.callers for host in self.fleet.hosts.values()])
         hosts = curio.run(caller.list_hosts, "rooms", 1)
