Search several fixed seeds for a broken mechanism, and direct the one that was missed

Alone it passes. hypothesis draws from the constants of all loaded modules, so that its luck changes with every new module, and with running one test or all. Ruled out: chance of the machine's load (the run is on a virtual clock); the mechanism itself, since the fault is the switched one. Change: a power test searches 10 fixed seeds of 1,000 histories each until one notices; forgetting what ran is noticed by a directed history besides. No bound, check or seed of the tests of the real mechanisms is changed.

--- a/tests/config_test.py
+++ b/tests/config_test.py
@@ -41,7 +41,7 @@
 from endivedrift.reducer import _config, _reduce
 from standins.tasks import run_together
 from tests.builders import HostBench, build_identity, build_object_set
-from tests.fuzzing import broken, fuzz_machine
+from tests.fuzzing import broken, fuzz_machine, notices_fault
 
 HOSTS = ("h1", "h2", "h3")
 INDEX = st.integers(min_value=0, max_value=1_000)
@@ -153,8 +153,8 @@
             objects = decode_object_set(event.canonical).ok
             return real(state, event, objects)
 
-        with broken(_reduce, "apply_config", install_any), self.assertRaises(AssertionError):
-            fuzz_machine(SpreadMachine, examples=1_000, shrink=False)
+        with broken(_reduce, "apply_config", install_any):
+            self.assertTrue(notices_fault(SpreadMachine))
 
     def test_a_starting_host_waits_for_a_peer_before_it_trusts_a_stale_head(self) -> None:
         bench = HostBench(None)
--- a/tests/host_test.py
+++ b/tests/host_test.py
@@ -59,7 +59,7 @@
     fetch_config,
     name_target,
 )
-from tests.fuzzing import broken, fuzz_machine
+from tests.fuzzing import broken, fuzz_machine, notices_fault
 
 INDEX = st.integers(min_value=0, max_value=1_000)
 TARGETS = 5
@@ -239,8 +239,7 @@
     """Each broken mechanism must be noticed."""
 
     def assert_noticed(self) -> None:
-        with self.assertRaises(AssertionError):
-            fuzz_machine(HostMachine, examples=1_000, shrink=False)
+        self.assertTrue(notices_fault(HostMachine))
 
     def test_ejecting_without_a_floor_is_noticed(self) -> None:
         with broken(_ejection, "restore_floor", lambda state, at: []):
--- a/tests/keys_test.py
+++ b/tests/keys_test.py
@@ -51,7 +51,7 @@
     build_identity,
     build_object_set,
 )
-from tests.fuzzing import broken, fuzz_machine
+from tests.fuzzing import broken, fuzz_machine, notices_fault
 
 HOSTS = ("h1", "h2", "h3")
 OWN_KEYS = 2
@@ -285,8 +285,7 @@
     """Each broken mechanism must be noticed."""
 
     def assert_noticed(self) -> None:
-        with self.assertRaises(AssertionError):
-            fuzz_machine(KeyMachine, examples=1_000, shrink=False)
+        self.assertTrue(notices_fault(KeyMachine))
 
     def test_running_a_key_of_another_host_is_noticed(self) -> None:
         def run_here(state, at, request, owner, incarnation):  # type: ignore[no-untyped-def]
@@ -304,6 +303,14 @@
             del table.records[key]
 
         with broken(_attempts, "store_answer", forget):
+            machine = KeyMachine()
+            machine.start()
+            machine.mint(host="h1")
+            machine.arrive(host="h1", index=0, other_body=False)
+            machine.end_attempt(index=0, outcome=AttemptOutcome.ANSWERED, ran=True)
+            machine.arrive(host="h1", index=0, other_body=False)
+            with self.assertRaises(AssertionError):
+                machine.end_attempt(index=0, outcome=AttemptOutcome.ANSWERED, ran=True)
             self.assert_noticed()
 
     def test_calling_every_refusal_not_run_is_noticed(self) -> None:
