Remove what nothing uses, and mend a docstring that told of more than is done

Cause: a last read of the whole change found a method, two loggers and half a docstring without use or truth. Ruled out: joining the rows that the search for repeated code shows; they are imports, dataclass fields and messages of like shape, not the same logic. Change: TargetPool.count_idle and the loggers of callers and peers are gone; advance_date says what it does.

--- a/endivedrift/policy/_keys.py
+++ b/endivedrift/policy/_keys.py
@@ -125,7 +125,7 @@
 
 
 def advance_date(table: KeyTable, wall: datetime) -> datetime:
-    """Returns the present date by a reading that never goes back, and drops expired records."""
+    """Moves the date by which keys expire forward, never back, and returns it."""
     table.latest = max(table.latest, wall)
     return table.latest
 
--- a/endivedrift/shell/_callers.py
+++ b/endivedrift/shell/_callers.py
@@ -37,7 +37,6 @@
     measure_head,
     parse_endpoint,
 )
-from endivedrift.shell._log import make_logger
 from endivedrift.shell._requests import HeaderError, build_target_request, read_head
 from endivedrift.shell._serving import Serving, serve_request
 
@@ -48,7 +47,6 @@
 OVERLOAD_RETRY = timedelta(seconds=1)
 LINGER = timedelta(seconds=1)
 
-_log = make_logger("callers")
 _REQUEST_ID = b"x-request-id"
 _PLAIN_METHODS = frozenset({"GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"})
 
--- a/endivedrift/shell/_peers.py
+++ b/endivedrift/shell/_peers.py
@@ -24,7 +24,6 @@
     seal_datagram,
 )
 from endivedrift.shell._http import parse_endpoint
-from endivedrift.shell._log import make_logger
 from endivedrift.shell._peer_calls import PeerCallError, answer_peer, call_peer
 from endivedrift.shell._requests import fingerprint_request
 from endivedrift.shell._serving import Serving, serve_request
@@ -33,8 +32,6 @@
 FETCH_TIMEOUT = timedelta(seconds=2)
 MAX_PEER_CONNECTIONS = 256
 
-_log = make_logger("peers")
-
 
 class Peers:
     """Sockets towards the other hosts."""
--- a/endivedrift/shell/_targets.py
+++ b/endivedrift/shell/_targets.py
@@ -107,10 +107,6 @@
             ended.leaving,
         )
 
-    def count_idle(self) -> int:
-        """Returns the number of idle connections."""
-        return sum(len(queue) for queue in self._idle.values())
-
     async def close(self) -> None:
         """Closes all idle connections."""
         for queue in self._idle.values():
