--- a/endivedrift/cli/_context.py
+++ b/endivedrift/cli/_context.py
@@ -13,7 +13,7 @@
 
 from endivedrift.core import Address
 from endivedrift.objects import ObjectSet, check_address, check_sources, read_directory
-from endivedrift.platform import HttpPlatform
+from endivedrift.store import HttpPlatform
 
 
 class ExitStatus(IntEnum):
--- a/endivedrift/cli/_publishing.py
+++ b/endivedrift/cli/_publishing.py
@@ -30,7 +30,7 @@
     describe_object_set,
     encode_object_set,
 )
-from endivedrift.platform import (
+from endivedrift.store import (
     Head,
     PlatformError,
     PublishOutcome,
--- a/endivedrift/core/__init__.py
+++ b/endivedrift/core/__init__.py
@@ -35,6 +35,8 @@
     Refusal,
     RequestHead,
     StampedEntry,
+    TargetEntry,
+    TargetLoad,
 )
 from endivedrift.core._states import (
     AttemptOutcome,
@@ -97,6 +99,8 @@
     "ServiceName",
     "StampedEntry",
     "SystemClock",
+    "TargetEntry",
+    "TargetLoad",
     "TargetName",
     "TargetState",
     "Verdict",
--- a/endivedrift/core/_records.py
+++ b/endivedrift/core/_records.py
@@ -32,6 +32,7 @@
     Attributes:
       method: HTTP method in upper case.
       path: Path without the query.
+      host: Name in the Host header in lower case and without a port, or the empty string.
       caller: Account the caller named, or None.
       key: Idempotency key the caller sent, or None.
       fingerprint: Digest of caller, method, path, query and body.
@@ -41,6 +42,7 @@
 
     method: str
     path: str
+    host: str = ""
     caller: CallerName | None = None
     key: IdempotencyKey | None = None
     fingerprint: bytes = b""
@@ -123,6 +125,7 @@
       good: Number of timely complete answers.
       bad: Number of failures and slow answers.
       leaving: Whether the target said that it is shutting down.
+      running: Requests that the sender has in progress at the target.
     """
 
     service: ServiceName
@@ -130,6 +133,7 @@
     good: int
     bad: int
     leaving: bool
+    running: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -168,6 +172,37 @@
     peer_address: Address = Address("")
 
 
+@dataclass(frozen=True, slots=True)
+class TargetEntry:
+    """One target as it registered itself.
+
+    Attributes:
+      name: Unique id of the target; another process at the same address has another.
+      slots: Requests it works on at a time.
+      leaving: Whether it announced that it is shutting down.
+      warm_up_left: How much longer it stays slow after its start.
+      born: Start of its process in Unix milliseconds; grows when it restarts under the same name.
+    """
+
+    name: TargetName
+    service: ServiceName
+    address: Address
+    failure_domain: FailureDomain
+    slots: int
+    leaving: bool
+    warm_up_left: timedelta
+    born: int
+
+
+@dataclass(frozen=True, slots=True)
+class TargetLoad:
+    """Requests that a target works on and that wait there, and how many it works on at a time."""
+
+    running: int
+    waiting: int
+    slots: int
+
+
 @dataclass(frozen=True, slots=True)
 class AuditEntry:
     """One entry of a host's audit trail."""
--- a/endivedrift/core/_verdicts.py
+++ b/endivedrift/core/_verdicts.py
@@ -17,7 +17,12 @@
 
 
 NOT_RUN_OUTCOMES = frozenset(
-    {AttemptOutcome.SHED, AttemptOutcome.DRAINING, AttemptOutcome.NOT_CONNECTED}
+    {
+        AttemptOutcome.SHED,
+        AttemptOutcome.DRAINING,
+        AttemptOutcome.NOT_CONNECTED,
+        AttemptOutcome.MISDIRECTED,
+    }
 )
 """Ends of an attempt after which the target surely did not run the request."""
 
--- a/endivedrift/core/effects.py
+++ b/endivedrift/core/effects.py
@@ -22,8 +22,10 @@
 class SendToTarget:
     """Send the request to a target and wait for the answer until `deadline`.
 
-    `reuse` tells whether a connection that was used before may carry the request. Each time that
-    `patience` has passed without an answer, AttemptLate is raised.
+    A connection that was idle for at most `reuse_idle` may carry the request; `connect_timeout`
+    bounds the opening of a new one. An answer without a length is complete at the end of its
+    connection where `close_delimited` says so. Each time that `patience` has passed without an
+    answer, AttemptLate is raised.
     """
 
     request: RequestId
@@ -35,7 +37,9 @@
     answer_limit_bytes: int
     not_run_header: bytes
     draining_header: bytes
-    reuse: bool
+    reuse_idle: timedelta
+    connect_timeout: timedelta = timedelta(seconds=1)
+    close_delimited: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/endivedrift/core/events.py
+++ b/endivedrift/core/events.py
@@ -16,6 +16,8 @@
     PeerMessage,
     Refusal,
     RequestHead,
+    TargetEntry,
+    TargetLoad,
 )
 from endivedrift.core._states import AttemptOutcome, ClaimOutcome, ForwardOutcome
 
@@ -49,6 +51,7 @@
     latency: timedelta
     answer: Answer | None = None
     leaving: bool = False
+    load: TargetLoad | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -125,6 +128,31 @@
     machines: tuple[ListedMachine, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class TargetsObserved:
+    """Targets registered, changed or vanished; `complete` where `entries` are all there are."""
+
+    at: Instant
+    entries: tuple[TargetEntry, ...]
+    gone: tuple[TargetName, ...] = ()
+    complete: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class StoreLost:
+    """The store in which targets register stopped answering this host."""
+
+    at: Instant
+    cause: str
+
+
+@dataclass(frozen=True, slots=True)
+class StoreRegained:
+    """The store in which targets register answers this host again."""
+
+    at: Instant
+
+
 @dataclass(frozen=True, slots=True)
 class PeerMessageReceived:
     """A datagram of another host passed its authentication."""
@@ -161,6 +189,9 @@
     | ConfigFetched
     | ConfigFetchFailed
     | HostListRead
+    | TargetsObserved
+    | StoreLost
+    | StoreRegained
     | PeerMessageReceived
     | Ticked
     | StopRequested
--- a/endivedrift/fleet/_entry.py
+++ b/endivedrift/fleet/_entry.py
@@ -8,16 +8,16 @@
 import hashlib
 from collections.abc import Iterable
 
-from endivedrift.core import FailureDomain, HostId, Member, MemberStatus, ServiceName
+from endivedrift.core import FailureDomain, HostId, Member, MemberStatus
 
 FALLBACKS_PER_DOMAIN = 2
 
 
-def rank_hosts(service: ServiceName, members: Iterable[Member], primaries: int) -> list[Member]:
+def rank_hosts(group: str, members: Iterable[Member], primaries: int) -> list[Member]:
     """Ranks the hosts that callers of a service are told.
 
     Args:
-      service: The service.
+      group: Name under which services are dealt to hosts together.
       members: Usable hosts.
       primaries: Number of hosts that share the service in normal operation.
     Returns:
@@ -26,7 +26,7 @@
     """
     ordered = sorted(
         members,
-        key=lambda m: (m.status is not MemberStatus.ALIVE, -_weigh(service, m.host), m.host),
+        key=lambda m: (m.status is not MemberStatus.ALIVE, -_weigh(group, m.host), m.host),
     )
     first = _spread_domains(ordered)[:primaries]
     chosen = {member.host for member in first}
@@ -34,8 +34,8 @@
     return first + _limit_domains(rest)
 
 
-def _weigh(service: ServiceName, host: HostId) -> int:
-    digest = hashlib.blake2b(f"{service}/{host}".encode(), digest_size=8)
+def _weigh(group: str, host: HostId) -> int:
+    digest = hashlib.blake2b(f"{group}/{host}".encode(), digest_size=8)
     return int.from_bytes(digest.digest(), "big")
 
 
--- a/endivedrift/objects/_consistency.py
+++ b/endivedrift/objects/_consistency.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
+from itertools import product
 
 from endivedrift.objects._schema import ObjectSet, Route, Service
 
@@ -41,12 +42,20 @@
         if route.service not in objects.service:
             cause = f"there is no service.{route.service}"
             yield Inconsistency(f"route.{name}", "service", cause)
+        for share in route.split:
+            if share.service not in objects.service:
+                cause = f"there is no service.{share.service}"
+                yield Inconsistency(f"route.{name}", "split", cause)
+        if route.split and not any(share.weight for share in route.split):
+            yield Inconsistency(f"route.{name}", "split", "every weight is 0")
 
 
 def _check_targets(objects: ObjectSet) -> Iterator[Inconsistency]:
     owners: dict[str, str] = {}
     for name, group in objects.upstream_group.items():
         label = f"upstream_group.{name}"
+        if not group.targets and not group.discovered:
+            yield Inconsistency(label, "targets", "a group that is not discovered needs targets")
         seen: set[str] = set()
         for index, target in enumerate(group.targets):
             if target.name in seen:
@@ -64,7 +73,7 @@
     for name, service in objects.service.items():
         limit = objects.ejection_limit.get(service.ejection_limit)
         group = objects.upstream_group.get(service.upstream_group)
-        if limit is None or group is None:
+        if limit is None or group is None or group.discovered:
             continue
         able = sum(1 for target in group.targets if not target.draining)
         if limit.floor > able:
@@ -73,17 +82,17 @@
 
 
 def _check_routes(objects: ObjectSet) -> Iterator[Inconsistency]:
-    yield from _check_unrouted(objects.service, objects.route.values())
-    places: dict[tuple[str, str], str] = {}
+    yield from _check_unrouted(objects.service, list(objects.route.values()))
+    places: dict[tuple[str, str, str], str] = {}
     for name, route in objects.route.items():
         label = f"route.{name}"
         if route.queue_wait_ms >= route.deadline_ms:
             cause = f"must be shorter than the deadline of {route.deadline_ms} ms"
             yield Inconsistency(label, "queue_wait_ms", cause)
-        for method in route.methods:
-            other = places.setdefault((method, route.path.rstrip("/")), name)
+        for host, method in product(route.hosts or ("",), route.methods):
+            other = places.setdefault((host, method, route.path.rstrip("/")), name)
             if other != name:
-                cause = f"{method} {route.path} belongs to route.{other} too"
+                cause = f"{method} {host}{route.path} belongs to route.{other} too"
                 yield Inconsistency(label, "path", cause)
         if route.repeatable and route.key_required:
             cause = "a repeatable route needs no idempotency key"
@@ -93,7 +102,7 @@
 def _check_unrouted(
     services: dict[str, Service], routes: Iterable[Route]
 ) -> Iterator[Inconsistency]:
-    routed = {route.service for route in routes}
+    routed = {route.service for route in routes} | {s.service for r in routes for s in r.split}
     for name in services:
         if name not in routed:
             yield Inconsistency(f"service.{name}", "", "no route leads to it")
--- a/endivedrift/objects/_schema.py
+++ b/endivedrift/objects/_schema.py
@@ -14,10 +14,10 @@
 
 from endivedrift.core import Importance
 
-MAX_BODY_BYTES = 8 * 1024 * 1024
+MAX_BODY_BYTES = 64 * 1024 * 1024
 MAX_DEADLINE_MS = 120_000
 
-Name = Annotated[str, Field(pattern=r"^[a-z0-9][a-z0-9-]{0,62}$")]
+Name = Annotated[str, Field(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,126}$")]
 Milliseconds = Annotated[int, Field(ge=1, le=MAX_DEADLINE_MS)]
 Probability = Annotated[float, Field(gt=0.0, lt=1.0)]
 
@@ -68,6 +68,11 @@
       connection_cap: Connections that one target accepts from the whole fleet.
       not_run_header: Header by which a target's 429 or 503 tells that it did not run the request.
       draining_header: Header by which a target's answer tells that it is shutting down.
+      discovered: Whether targets register themselves in place of being published.
+      close_delimited: Whether an answer without a length is complete when its connection is closed.
+      connect_ms: Longest time to open a connection to a target.
+      reuse_unrepeatable_ms: Longest time for which a connection was idle that may carry a request
+        that is not repeatable; 0 gives each such request a connection of its own.
       targets: The targets.
     """
 
@@ -75,7 +80,11 @@
     connection_cap: Annotated[int, Field(ge=1, le=100_000)]
     not_run_header: Annotated[str, Field(pattern=r"^[a-z0-9-]+$")] = "x-not-run"
     draining_header: Annotated[str, Field(pattern=r"^[a-z0-9-]+$")] = "x-draining"
-    targets: Annotated[tuple[Target, ...], Field(min_length=1)]
+    discovered: bool = False
+    close_delimited: bool = False
+    connect_ms: Milliseconds = 1_000
+    reuse_unrepeatable_ms: Annotated[int, Field(ge=0, le=60_000)] = 0
+    targets: tuple[Target, ...] = ()
 
 
 @dataclass(frozen=True, slots=True, kw_only=True, config=_STRICT)
@@ -84,6 +93,8 @@
 
     Attributes:
       floor: Number of usable targets that each host keeps, whatever the evidence.
+      floor_share: Share of the targets that each host keeps, where that is more than the floor.
+      pause_ms: Time for which a target is avoided after a single failure; 0 never avoids one.
       false_ejection_rate: Accepted probability of ejecting a target that is as good as its group,
         per target and restart of the sequential test.
       detectable_failure_rate: Share of bad answers that marks a sick target.
@@ -93,6 +104,8 @@
     """
 
     floor: Annotated[int, Field(ge=1)]
+    floor_share: Annotated[float, Field(ge=0.0, le=1.0)] = 0.0
+    pause_ms: Annotated[int, Field(ge=0, le=60_000)] = 0
     false_ejection_rate: Probability
     detectable_failure_rate: Probability
     slow_factor: Annotated[float, Field(gt=1.0, le=100.0)] = 3.0
@@ -134,6 +147,7 @@
       upstream_group, ejection_limit, drain_rule, retry_rule: Names of other objects.
       entry_hosts: Hosts that the entry answer names first for this service.
       queue_length: Requests that may wait at one host.
+      share_at_once: Whether the entry hosts tell one another of each attempt as it begins and ends.
     """
 
     upstream_group: Name
@@ -142,6 +156,15 @@
     retry_rule: Name
     entry_hosts: Annotated[int, Field(ge=1, le=1_000)] = 2
     queue_length: Annotated[int, Field(ge=0, le=100_000)] = 256
+    share_at_once: bool = False
+
+
+@dataclass(frozen=True, slots=True, kw_only=True, config=_STRICT)
+class Share:
+    """A service's part of the requests of a route, in proportion to the weights."""
+
+    service: Name
+    weight: Annotated[int, Field(ge=0)]
 
 
 @dataclass(frozen=True, slots=True, kw_only=True, config=_STRICT)
@@ -151,7 +174,11 @@
     Attributes:
       service: Name of the service.
       path: Path prefix, matched at segment boundaries; the longest prefix wins.
-      methods: HTTP methods.
+      subpaths_only: Whether a prefix that ends with a slash leaves out the path without it.
+      hosts: Names in the Host header, in lower case; empty for any.
+      split: Services that share the requests; empty where all go to `service`.
+      max_attempts: Attempts for one request, the first included; 0 leaves it to the retry rule.
+      methods: HTTP methods, or an asterisk for any.
       repeatable: Whether running the request twice does no harm.
       key_required: Whether a request must carry an idempotency key.
       deadline_ms: Longest time from arrival to answer.
@@ -162,8 +189,14 @@
     """
 
     service: Name
-    path: Annotated[str, Field(pattern=r"^/[A-Za-z0-9._~/-]*$")]
-    methods: Annotated[tuple[Annotated[str, Field(pattern=r"^[A-Z]+$")], ...], Field(min_length=1)]
+    path: Annotated[str, Field(pattern=r"^/[A-Za-z0-9._~/%!$&'()*+,;=:@-]*$")]
+    methods: Annotated[
+        tuple[Annotated[str, Field(pattern=r"^([A-Z]+|\*)$")], ...], Field(min_length=1)
+    ]
+    subpaths_only: bool = False
+    hosts: tuple[str, ...] = ()
+    split: tuple[Share, ...] = ()
+    max_attempts: Annotated[int, Field(ge=0, le=10)] = 0
     repeatable: bool
     key_required: bool = False
     deadline_ms: Milliseconds
@@ -189,6 +222,21 @@
         return Importance[self.importance.upper()]
 
 
+@dataclass(frozen=True, slots=True, kw_only=True, config=_STRICT)
+class ConnectionLimit:
+    """Limits of callers' connections, in place of those of the settings.
+
+    Attributes:
+      head_bytes: Largest request line and headers together.
+      head_ms: Longest time in which a request's head must arrive once it has begun.
+      idle_ms: Time after which a connection without a request is closed.
+    """
+
+    head_bytes: Annotated[int, Field(ge=256, le=1_048_576)] = 16_384
+    head_ms: Milliseconds = 10_000
+    idle_ms: Annotated[int, Field(ge=1, le=3_600_000)] = 60_000
+
+
 @dataclass(frozen=True, slots=True, kw_only=True, config=_STRICT)
 class Caller:
     """A caller's account and its limits at one host.
@@ -213,6 +261,7 @@
     retry_rule: dict[Name, RetryRule] = field(default_factory=dict)
     route: dict[Name, Route] = field(default_factory=dict)
     caller: dict[Name, Caller] = field(default_factory=dict)
+    connection_limit: dict[Name, ConnectionLimit] = field(default_factory=dict)
 
 
 OBJECT_SET = TypeAdapter(ObjectSet)
--- /dev/null
+++ b/endivedrift/platform/_configuration.py
@@ -0,0 +1,125 @@
+"""Turns the operator's configuration into an object set."""
+
+from typing import Any
+
+from pydantic import ValidationError
+
+from endivedrift.core import ConfigRef, Importance, Instant, Version
+from endivedrift.core.events import ConfigFetched
+from endivedrift.objects import (
+    MAX_BODY_BYTES,
+    RULE_NAME,
+    ConnectionLimit,
+    FleetBounds,
+    ObjectSet,
+    Route,
+    Service,
+    Share,
+    UpstreamGroup,
+    build_discovered_group,
+    build_discovered_service,
+    build_drain_rule,
+    build_ejection_limit,
+    build_retry_rule,
+    digest_bytes,
+    encode_object_set,
+)
+from endivedrift.platform._headers import NOT_RUN_HEADER
+from endivedrift.platform._values import WireError, read_duration, read_field
+
+_KINDS = {"safe": True, "unsafe": False}
+
+
+def read_configuration(document: object, bounds: FleetBounds, at: Instant) -> ConfigFetched:
+    """Reads a configuration.
+
+    Args:
+      document: JSON value of the row.
+      bounds: Bounds that hold for the fleet.
+      at: Present time.
+    Returns:
+      The object set in its canonical form, with its version.
+    Raises:
+      WireError: If a field is missing or has a value that cannot be used.
+    """
+    version = read_field(document, "version", int)
+    try:
+        objects = _build_objects(document, bounds)
+    except ValidationError as error:
+        first = error.errors()[0]
+        place = ".".join(str(part) for part in first["loc"])
+        raise WireError(f"version {version}: {error.title} {place}: {first['msg']}") from None
+    canonical = encode_object_set(objects)
+    return ConfigFetched(at, ConfigRef(Version(version), digest_bytes(canonical)), canonical)
+
+
+def _build_objects(document: object, bounds: FleetBounds) -> ObjectSet:
+    limits = read_field(document, "limits", dict)
+    max_body = min(MAX_BODY_BYTES, read_field(limits, "maxBodyBytes", int))
+    routes: dict[str, Route] = {}
+    for listener in read_field(document, "listeners", list):
+        host = read_field(listener, "host", str).lower()
+        for rule in read_field(listener, "rules", list):
+            # Names of rules are unique within a host only.
+            name = f"{read_field(rule, 'name', str)}.{host}"
+            routes[name] = _build_route(rule, host, max_body)
+    routed = {route.service for route in routes.values()}
+    routed |= {share.service for route in routes.values() for share in route.split}
+    services: dict[str, Service] = {}
+    groups: dict[str, UpstreamGroup] = {}
+    for cluster in read_field(document, "clusters", list):
+        name = read_field(cluster, "name", str)
+        if name in routed:
+            services[name] = build_discovered_service(name, bounds)
+            cap = read_field(cluster, "maxConns", int)
+            groups[name] = build_discovered_group(cap, NOT_RUN_HEADER.decode())
+    return ObjectSet(
+        service=services,
+        upstream_group=groups,
+        ejection_limit={RULE_NAME: build_ejection_limit(bounds)},
+        drain_rule={RULE_NAME: build_drain_rule()},
+        retry_rule={RULE_NAME: build_retry_rule(bounds)},
+        route=routes,
+        connection_limit={RULE_NAME: _build_limit(limits)},
+    )
+
+
+def _build_limit(limits: dict[str, Any]) -> ConnectionLimit:
+    head = read_duration(read_field(limits, "headerTimeout", str), "limits.headerTimeout")
+    idle = read_duration(read_field(limits, "idleTimeout", str), "limits.idleTimeout")
+    return ConnectionLimit(
+        head_bytes=read_field(limits, "maxHeaderBytes", int),
+        head_ms=round(head.total_seconds() * 1000.0),
+        idle_ms=round(idle.total_seconds() * 1000.0),
+    )
+
+
+def _build_route(rule: Any, host: str, max_body: int) -> Route:
+    action = read_field(rule, "action", dict)
+    kind = read_field(rule, "kind", str)
+    if kind not in _KINDS:
+        raise WireError(f"kind: {kind!r} is neither safe nor unsafe")
+    timeout = read_duration(read_field(action, "timeout", str), "action.timeout")
+    timeout_ms = round(timeout.total_seconds() * 1000.0)
+    split = tuple(
+        Share(service=read_field(part, "service", str), weight=read_field(part, "weight", int))
+        for part in action.get("trafficSplit", ())
+    )
+    # `priority` ranks from 0, the most urgent.
+    rank = Importance(min(read_field(rule, "priority", int), max(Importance)))
+    return Route(
+        service=split[0].service if split else read_field(action, "service", str),
+        # `match` holds the prefix of the path.
+        path=read_field(rule, "match.prefix", str),
+        subpaths_only=True,
+        hosts=(host,),
+        split=split,
+        max_attempts=read_field(action, "maxAttempts", int),
+        methods=("*",),
+        repeatable=_KINDS[kind],
+        deadline_ms=timeout_ms,
+        queue_wait_ms=max(1, timeout_ms - 1),
+        importance=rank.name.lower(),
+        request_limit_bytes=max_body,
+        answer_limit_bytes=MAX_BODY_BYTES,
+    )
--- /dev/null
+++ b/endivedrift/platform/_surroundings.py
@@ -0,0 +1,196 @@
+"""Joins the daemon to the platform: feeds of the store, entry questions and readiness."""
+
+import json
+from collections.abc import Callable, Coroutine
+from datetime import timedelta
+from pathlib import Path
+from typing import Any
+from urllib.parse import parse_qs
+
+import curio
+import h11
+
+from endivedrift.core import ClaimOutcome, Digest, FailureDomain, HostPhase, TargetEntry, TargetName
+from endivedrift.core.events import StoreLost, StoreRegained, TargetsObserved
+from endivedrift.platform._configuration import read_configuration
+from endivedrift.platform._entries import read_entry
+from endivedrift.platform._headers import DIALECT
+from endivedrift.platform._node_file import ENTRY_MAX_AGE_S, NodeFile, read_node_file
+from endivedrift.platform._store import (
+    StoreClient,
+    StoreError,
+    StoreRow,
+    TableRead,
+    follow_table,
+)
+from endivedrift.platform._values import WireError, read_row_value
+from endivedrift.reducer import list_named_hosts
+from endivedrift.shell.host import Install
+from endivedrift.shell.interface import HttpAnswer, PlainServer
+from endivedrift.shell.running import Runtime, draw_period, make_logger
+from endivedrift.store import Claim, ClaimTable, SettledClaim
+
+OPERATOR_TABLE = "op"
+TARGET_TABLE = "servers"
+CONFIGURATION_KEY = "config"
+GATHER_PERIOD = timedelta(milliseconds=500)
+"""Least time between two answers of a feed: a quarter of the bound in which a change is in force, so
+that changes in quick succession cost one call."""
+RETRY_PERIOD = timedelta(milliseconds=500)
+"""Time after which a store that does not answer is asked again."""
+MAX_QUESTIONS = 256
+
+_log = make_logger("platform")
+
+
+class PlatformSurroundings:
+    """The platform as a host sees it."""
+
+    def __init__(self, node: NodeFile) -> None:
+        """Takes the settings file as read."""
+        self.dialect = DIALECT
+        self.claims: ClaimTable = self
+        self.entry_at_callers = False
+        self._node = node
+
+    async def claim(self, claim: Claim) -> SettledClaim:
+        """Claims nothing: callers have no keys here."""
+        return SettledClaim(ClaimOutcome.UNKNOWN)
+
+    async def read_object(self, digest: Digest) -> bytes | None:
+        """Returns nothing: the feed brings object sets, and the store holds them under no digest."""
+        return None
+
+    def build_loops(self, runtime: Runtime, install: Install) -> list[Coroutine[Any, Any, None]]:
+        """Builds the loops that follow the store and answer the platform's questions."""
+        node = self._node
+        feeds = _Feeds(node, runtime, install)
+        questions = _Questions(runtime)
+        return [
+            feeds.follow(OPERATOR_TABLE, feeds.take_configuration),
+            feeds.follow(TARGET_TABLE, feeds.take_entries),
+            PlainServer(node.readiness, questions.answer_readiness, MAX_QUESTIONS).accept(),
+            PlainServer(node.entry, questions.answer_entry, MAX_QUESTIONS).accept(),
+            PlainServer(node.internal, questions.answer_internal, MAX_QUESTIONS).accept(),
+        ]
+
+
+class _Feeds:
+    """Follows tables of the store and turns their rows into events."""
+
+    def __init__(self, node: NodeFile, runtime: Runtime, install: Install) -> None:
+        self._node = node
+        self._runtime = runtime
+        self._install = install
+
+    async def follow(
+        self, table: str, take: Callable[[TableRead, bool], Coroutine[Any, Any, None]]
+    ) -> None:
+        """Gives each state and change of a table to `take`, until cancelled."""
+        client = StoreClient(self._node.store)
+        lost = False
+        while True:
+            try:
+                async for read, complete in follow_table(client, table):
+                    if lost:
+                        lost = False
+                        _log.info("Store regained.", table=table)
+                        await self._runtime.dispatch(StoreRegained(self._now()))
+                    await take(read, complete)
+                    await curio.sleep(GATHER_PERIOD.total_seconds())
+            except StoreError as error:
+                self._runtime.metrics.platform_failures.labels(table).inc()
+                if not lost:
+                    lost = True
+                    _log.warning("Store lost.", table=table, cause=str(error))
+                    await self._runtime.dispatch(StoreLost(self._now(), str(error)))
+                await curio.sleep(draw_period(RETRY_PERIOD))
+
+    async def take_configuration(self, read: TableRead, complete: bool) -> None:
+        """Installs the configuration where its row is new."""
+        for row in read.rows:
+            if row.key != CONFIGURATION_KEY or row.deleted:
+                continue
+            try:
+                document = read_row_value(row.value)
+                fetched = read_configuration(document, self._node.bounds, self._now())
+            except WireError as error:
+                _log.error("Configuration refused; the one in force stays.", cause=str(error))
+                continue
+            await self._install(fetched)
+
+    async def take_entries(self, read: TableRead, complete: bool) -> None:
+        """Tells the decisions of targets that registered, changed or vanished."""
+        entries: dict[TargetName, TargetEntry] = {}
+        gone: set[TargetName] = set()
+        for row in read.rows:
+            name = TargetName(row.key)
+            entry = _read_target(row)
+            if entry is None:
+                entries.pop(name, None)
+                gone.add(name)
+            else:
+                gone.discard(name)
+                entries[name] = entry
+        if entries or gone or complete:
+            event = TargetsObserved(
+                self._now(), tuple(entries.values()), tuple(sorted(gone)), complete
+            )
+            await self._runtime.dispatch(event)
+
+    def _now(self) -> timedelta:
+        return self._runtime.clock.monotonic()
+
+
+def _read_target(row: StoreRow) -> TargetEntry | None:
+    """Reads a target's row, or None where it is deleted or names no target."""
+    if row.deleted:
+        return None
+    try:
+        return read_entry(row.key, read_row_value(row.value))
+    except WireError as error:
+        _log.warning("Entry is unreadable and names no target.", target=row.key, cause=str(error))
+        return None
+
+
+class _Questions:
+    """Answers the platform's and the callers' questions about hosts."""
+
+    def __init__(self, runtime: Runtime) -> None:
+        self._state = runtime.state
+
+    def answer_readiness(self, request: h11.Request) -> HttpAnswer:
+        """Tells whether this host takes requests."""
+        ready = self._state.phase is HostPhase.SERVING
+        return HttpAnswer(200 if ready else 503, (), b"")
+
+    def answer_internal(self, request: h11.Request) -> HttpAnswer:
+        """Answers nothing: hosts speak to one another on ports of their own."""
+        return HttpAnswer(404, (), b"")
+
+    def answer_entry(self, request: h11.Request) -> HttpAnswer:
+        """Names the hosts that callers of a name connect to."""
+        query = parse_qs(request.target.decode("ascii").partition("?")[2])
+        # `name` is the host that the caller will put into its requests, and `zone` its own place.
+        name = query.get("name", [""])[0].lower()
+        domain = FailureDomain(query.get("zone", [""])[0])
+        members = list_named_hosts(self._state, name, domain)
+        headers = ((b"content-type", b"application/json"),)
+        if not members:
+            body = {"error": "this host knows no host that is ready"}
+            return HttpAnswer(503, headers, json.dumps(body).encode())
+        answer = {
+            "addresses": [member.caller_address for member in members],
+            "ttl": f"{round(ENTRY_MAX_AGE_S * 1000)}ms",
+        }
+        return HttpAnswer(200, headers, json.dumps(answer).encode())
+
+
+def read_surroundings(path: Path) -> tuple[NodeFile, PlatformSurroundings]:
+    """Reads the settings file and joins the platform that it names.
+
+    Raises:
+      WireError: If the file cannot be used.
+    """
+    node = read_node_file(path)
+    return node, PlatformSurroundings(node)
--- a/endivedrift/policy/__init__.py
+++ b/endivedrift/policy/__init__.py
@@ -7,6 +7,7 @@
     note_listed_live,
     note_probation,
     restore_floor,
+    return_target,
     update_states,
 )
 from endivedrift.policy._evidence import (
@@ -17,6 +18,7 @@
     judge_evidence,
     learn_latency,
     learn_usual_rate,
+    pause_target,
     take_deltas,
 )
 from endivedrift.policy._keys import (
@@ -37,9 +39,11 @@
 from endivedrift.policy._service import (
     Attempt,
     ServiceState,
+    SharedCount,
     TargetRecord,
     Waiting,
     build_service,
+    place_entry,
 )
 from endivedrift.policy._waiting import (
     estimate_wait,
@@ -60,6 +64,7 @@
     "KeyTable",
     "MintedKey",
     "ServiceState",
+    "SharedCount",
     "TargetRecord",
     "TokenBucket",
     "Waiting",
@@ -82,11 +87,14 @@
     "note_probation",
     "others_answer",
     "parse_minted",
+    "pause_target",
+    "place_entry",
     "pop_waiting",
     "push_back",
     "push_waiting",
     "remove_waiting",
     "restore_floor",
+    "return_target",
     "store_answer",
     "take_deltas",
     "update_states",
--- a/endivedrift/policy/_ejection.py
+++ b/endivedrift/policy/_ejection.py
@@ -74,12 +74,22 @@
     return _return_left(state, record, at, "listed as live again")
 
 
+def return_target(
+    state: ServiceState, name: TargetName, at: Instant, cause: str
+) -> list[AuditEntry]:
+    """Takes a target back that registered as ready after it had registered as leaving."""
+    record = state.targets[name]
+    if record.leaving_sign is not LeavingSign.LISTED:
+        return []
+    return _return_left(state, record, at, cause)
+
+
 def _return_left(
     state: ServiceState, record: TargetRecord, at: Instant, cause: str
 ) -> list[AuditEntry]:
     record.leaving_sign = LeavingSign.NONE
     record.unsent_leaving = False
-    if record.target.draining:
+    if record.target.draining or (record.entry is not None and record.entry.leaving):
         return []
     return _move(state, record, TargetState.WARMING, at, AuditKind.READMITTED, cause)
 
@@ -147,7 +157,7 @@
     healthy = [r for r in state.targets.values() if r.state is TargetState.HEALTHY]
     sick = [record for record in healthy if is_sick(state, record)]
     sick.sort(key=lambda record: (-record.score, record.target.name))
-    for record in sick[: max(0, len(healthy) - state.ejection.floor)]:
+    for record in sick[: max(0, len(healthy) - state.floor)]:
         threshold = state.threshold
         cause = (
             f"own score {record.own_score:.1f}, shared score {record.shared_score:.1f}, "
@@ -164,7 +174,7 @@
     Must follow each change that may lower the number of healthy targets or raise the floor.
     """
     entries: list[AuditEntry] = []
-    missing = state.ejection.floor - state.healthy
+    missing = state.floor - state.healthy
     if missing <= 0:
         return entries
     out = (TargetState.EJECTED, TargetState.PROBATION)
--- a/endivedrift/policy/_evidence.py
+++ b/endivedrift/policy/_evidence.py
@@ -35,7 +35,9 @@
         AttemptOutcome.TOO_LARGE,
     }
 )
-_SILENT_OUTCOMES = frozenset({AttemptOutcome.SHED, AttemptOutcome.DRAINING})
+_SILENT_OUTCOMES = frozenset(
+    {AttemptOutcome.SHED, AttemptOutcome.DRAINING, AttemptOutcome.MISDIRECTED}
+)
 
 
 def is_slow(state: ServiceState, latency: timedelta) -> bool:
@@ -91,6 +93,21 @@
     record.shared_score = _bound_score(state, record.shared_score + change)
 
 
+def pause_target(state: ServiceState, record: TargetRecord, at: Instant) -> bool:
+    """Avoids a target for a while after a failure, without waiting for the sequential test.
+
+    Targets that turn bad for a second or two are back before that test could tell. How many may be
+    avoided at a time is bounded where a target is chosen.
+
+    Returns:
+      Whether the target was not being avoided before.
+    """
+    pause = timedelta(milliseconds=state.ejection.pause_ms)
+    fresh = record.paused_until <= at
+    record.paused_until = max(record.paused_until, at + pause)
+    return fresh and bool(pause)
+
+
 def is_sick(state: ServiceState, record: TargetRecord) -> bool:
     """Tells whether the evidence against a target passes the threshold.
 
@@ -133,11 +150,18 @@
     """Removes and returns the outcomes that other hosts have not been told."""
     deltas = []
     for name, record in state.targets.items():
-        if record.unsent_good or record.unsent_bad or record.unsent_leaving:
+        unsent = record.unsent_good or record.unsent_bad or record.unsent_leaving
+        if unsent or record.unsent_change:
             delta = EvidenceDelta(
-                state.name, name, record.unsent_good, record.unsent_bad, record.unsent_leaving
+                state.name,
+                name,
+                record.unsent_good,
+                record.unsent_bad,
+                record.unsent_leaving,
+                len(record.attempts),
             )
             deltas.append(delta)
+            record.unsent_change = False
             record.unsent_good = 0
             record.unsent_bad = 0
             record.unsent_leaving = False
--- a/endivedrift/policy/_service.py
+++ b/endivedrift/policy/_service.py
@@ -7,11 +7,13 @@
 
 from endivedrift.core import (
     FailureDomain,
+    HostId,
     Importance,
     Instant,
     LeavingSign,
     RequestId,
     ServiceName,
+    TargetEntry,
     TargetName,
     TargetState,
 )
@@ -27,6 +29,9 @@
 from endivedrift.policy._bucket import TokenBucket
 
 INITIAL_TYPICAL = timedelta(milliseconds=25)
+SHARED_COUNT_LIFE = timedelta(seconds=3)
+"""Time for which another host's count of requests in progress is believed: several times the
+usual time of an answer, after which a lost datagram or host no longer blocks a slot."""
 
 
 @dataclass(slots=True)
@@ -37,6 +42,14 @@
     overdue: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class SharedCount:
+    """Requests that another host has in progress at a target, as told at `heard`."""
+
+    running: int
+    heard: Instant
+
+
 @dataclass(slots=True)
 class TargetRecord:
     """What a host knows of one target.
@@ -55,6 +68,12 @@
       leaving_sign: Latest sign that the target is shutting down.
       leaving_seen: When that sign was last seen.
       answered: When its last answer to this host arrived, or None.
+      entry: What it registered, or None where it is published.
+      shared_counts: Requests in progress from other hosts.
+      succeeded: When its last good answer to any host arrived, or None.
+      tried: When a request was last sent to it from any host that tells, or None.
+      paused_until: End of the time for which it is avoided after a failure.
+      unsent_change: Whether the number of requests in progress changed since other hosts were told.
       latency: Time that answer took.
       unsent_good, unsent_bad: Outcomes not yet told to other hosts.
       unsent_leaving: Whether other hosts have not been told yet that it is leaving.
@@ -77,12 +96,27 @@
     unsent_good: int = 0
     unsent_bad: int = 0
     unsent_leaving: bool = False
+    entry: TargetEntry | None = None
+    shared_counts: dict[HostId, SharedCount] = field(default_factory=dict)
+    succeeded: Instant | None = None
+    tried: Instant | None = None
+    paused_until: Instant = Instant(0)
+    unsent_change: bool = False
 
     @property
     def score(self) -> float:
         """The stronger of the two sequential tests."""
         return max(self.own_score, self.shared_score)
 
+    def count_running(self, at: Instant) -> int:
+        """Returns the requests in progress here, from this host and from others that told."""
+        shared = sum(
+            count.running
+            for count in self.shared_counts.values()
+            if at - count.heard < SHARED_COUNT_LIFE
+        )
+        return len(self.attempts) + shared
+
 
 @dataclass(frozen=True, slots=True)
 class Waiting:
@@ -93,6 +127,34 @@
     deadline: Instant
 
 
+RECENT_WINDOW = timedelta(seconds=2)
+
+
+@dataclass(slots=True)
+class RecentEnds:
+    """Requests that ended of late, weighed down with age, and those that were not served.
+
+    Attributes:
+      ended, unserved: Weighed counts at `updated`.
+    """
+
+    ended: float = 0.0
+    unserved: float = 0.0
+    updated: Instant = Instant(0)
+
+    def add(self, served: bool, at: Instant) -> None:
+        """Counts the end of a request."""
+        fade = math.exp(-(at - self.updated) / RECENT_WINDOW)
+        self.updated = at
+        self.ended = self.ended * fade + 1.0
+        self.unserved = self.unserved * fade + (0.0 if served else 1.0)
+
+    @property
+    def unserved_share(self) -> float:
+        """Share of the recent requests that were not served."""
+        return self.unserved / self.ended if self.ended else 0.0
+
+
 @dataclass(slots=True)
 class ServiceState:
     """What a host knows of one service.
@@ -104,6 +166,7 @@
       queues: Waiting requests by importance.
       limit_per_target: Requests this host may have in progress at one target.
       service_time: Moving average of the time of an answer.
+      recent: Ends of requests of late, which tell whether the service is failing.
     """
 
     name: ServiceName
@@ -122,12 +185,22 @@
     )
     limit_per_target: int = 1
     service_time: timedelta = INITIAL_TYPICAL
+    recent: RecentEnds = field(default_factory=RecentEnds)
 
     @property
     def queued(self) -> int:
         """Number of waiting requests."""
         return sum(len(queue) for queue in self.queues.values())
 
+    @property
+    def floor(self) -> int:
+        """Number of usable targets that are kept, whatever the evidence."""
+        share = self.ejection.floor_share
+        if not share:
+            return self.ejection.floor
+        able = sum(1 for r in self.targets.values() if r.state is not TargetState.LEAVING)
+        return max(self.ejection.floor, math.ceil(share * able))
+
     @property
     def healthy(self) -> int:
         """Number of targets that count as capacity."""
@@ -170,12 +243,40 @@
     return state
 
 
+def place_entry(state: ServiceState, entry: TargetEntry, at: Instant) -> bool:
+    """Adds a target that registered itself, or takes in what it changed.
+
+    Args:
+      state: The service it belongs to.
+      entry: What it registered.
+      at: Present time.
+    Returns:
+      Whether it is new or started again, so that nothing known of before holds.
+    """
+    known = state.targets.get(entry.name)
+    if known is not None and known.entry is not None:
+        same = known.entry.born == entry.born and known.entry.address == entry.address
+        if same:
+            known.entry = entry
+            return False
+    target = Target(name=entry.name, address=entry.address, failure_domain=entry.failure_domain)
+    record = TargetRecord(target, TargetState.HEALTHY, at, entry=entry)
+    if entry.warm_up_left > timedelta(0):
+        record.state = TargetState.WARMING
+        record.since = at + entry.warm_up_left - timedelta(milliseconds=state.drain.warm_up_ms)
+    state.targets[entry.name] = record
+    return True
+
+
 def _carry_over(state: ServiceState, previous: ServiceState) -> None:
     state.typical = previous.typical
     state.usual_rate = previous.usual_rate
     state.service_time = previous.service_time
     state.queues = previous.queues
     state.limit_per_target = previous.limit_per_target
+    state.recent = previous.recent
+    if state.group.discovered:
+        state.targets.update({n: r for n, r in previous.targets.items() if r.entry is not None})
     state.retry_budget.tokens = min(state.retry_budget.cap, previous.retry_budget.tokens)
 
 
--- a/endivedrift/reducer/__init__.py
+++ b/endivedrift/reducer/__init__.py
@@ -5,6 +5,8 @@
     HostState,
     RequestState,
     build_host,
+    list_entry_hosts,
+    list_named_hosts,
     list_primaries,
     rank_service_hosts,
 )
@@ -13,6 +15,8 @@
     "HostState",
     "RequestState",
     "build_host",
+    "list_entry_hosts",
+    "list_named_hosts",
     "list_primaries",
     "rank_service_hosts",
     "reduce",
--- a/endivedrift/reducer/_attempts.py
+++ b/endivedrift/reducer/_attempts.py
@@ -7,6 +7,7 @@
     Answer,
     AttemptOutcome,
     AuditEntry,
+    AuditKind,
     Instant,
     KeyPhase,
     LeavingSign,
@@ -28,6 +29,7 @@
 from endivedrift.policy import (
     Attempt,
     ServiceState,
+    TargetRecord,
     Waiting,
     add_own_evidence,
     choose_target,
@@ -37,6 +39,7 @@
     mark_leaving,
     note_probation,
     others_answer,
+    pause_target,
     pop_waiting,
     push_back,
     push_waiting,
@@ -48,6 +51,7 @@
 _REASONS = {
     AttemptOutcome.SHED: RefusalReason.TARGET_REFUSED,
     AttemptOutcome.DRAINING: RefusalReason.TARGET_REFUSED,
+    AttemptOutcome.MISDIRECTED: RefusalReason.TARGET_REFUSED,
     AttemptOutcome.NOT_CONNECTED: RefusalReason.TARGET_UNREACHABLE,
     AttemptOutcome.CUT: RefusalReason.TARGET_CUT,
     AttemptOutcome.CANCELLED: RefusalReason.TARGET_CUT,
@@ -56,6 +60,22 @@
     AttemptOutcome.TOO_LARGE: RefusalReason.TARGET_TOO_LARGE,
 }
 _FINAL_OUTCOMES = frozenset({AttemptOutcome.CANCELLED, AttemptOutcome.TOO_LARGE})
+_PAUSING_OUTCOMES = frozenset(
+    {
+        AttemptOutcome.CUT,
+        AttemptOutcome.MALFORMED,
+        AttemptOutcome.NOT_CONNECTED,
+        AttemptOutcome.SHED,
+        AttemptOutcome.TIMED_OUT,
+    }
+)
+SERVER_ERROR = 500
+MAX_REUSE_IDLE = timedelta(seconds=10)
+"""Idle time after which a connection is not used again: the shortest idle timeout of the users'
+targets."""
+MAX_UNCONNECTED = 4
+"""Targets that may fail to open a connection before a request is refused: each costs at most the
+connection timeout and nothing at the target."""
 
 
 def admit(state: HostState, at: Instant, request: RequestId) -> list[Effect]:
@@ -71,7 +91,8 @@
     held = state.requests[request]
     service = state.services.get(held.service)
     if service is None:
-        return end_refused(state, at, request, RefusalReason.NO_ROUTE, "the service was removed")
+        detail = "the service was removed"
+        return end_refused(state, at, request, RefusalReason.NO_TARGET, detail, timedelta(0))
     if at >= held.deadline:
         return end_refused(state, at, request, RefusalReason.DEADLINE, "no time is left")
     service.limit_per_target = share_slots(state, held.service)
@@ -125,17 +146,21 @@
     if held is None or held.target != event.target:
         return []
     held.target = None
+    if event.outcome is AttemptOutcome.NOT_CONNECTED:
+        held.attempts -= 1
+        held.unconnected += 1
     held.may_have_run |= judge_outcome(event.outcome) is Verdict.MAY_HAVE_RUN
     service = state.services.get(held.service)
     effects: list[Effect] = []
     if service is not None:
-        effects += _account_attempt(service, event)
-    if event.outcome is AttemptOutcome.ANSWERED and event.answer is not None:
-        if service is not None:
-            service.retry_budget.add(service.retry.budget_ratio)
-        effects += end_answered(state, event.request, event.answer)
-    elif service is not None and _may_retry(service, held, event):
+        effects += _account_attempt(state, service, event)
+    answer = event.answer if event.outcome is AttemptOutcome.ANSWERED else None
+    served = answer is not None and answer.status < SERVER_ERROR
+    if not served and service is not None and _may_retry(service, held, event):
+        held.failure = answer or held.failure
         effects += admit(state, event.at, event.request)
+    elif answer is not None:
+        effects += end_answered(state, event.at, event.request, answer)
     else:
         detail = f"target {event.target}: {event.outcome.value}"
         reason = _REASONS[event.outcome]
@@ -156,7 +181,7 @@
         return []
     record = service.targets.get(event.target)
     attempt = record.attempts.get(event.request) if record is not None else None
-    may_repeat = held.route.route.repeatable and held.attempts < service.retry.max_attempts
+    may_repeat = held.route.route.repeatable and held.attempts < _limit_attempts(service, held)
     if attempt is None or not may_repeat or service.retry_budget.tokens < 1.0:
         return []
     if not others_answer(service, event.target, attempt.started, event.at):
@@ -164,9 +189,10 @@
     return [GiveUpAttempt(event.request)]
 
 
-def end_answered(state: HostState, request: RequestId, answer: Answer) -> list[Effect]:
+def end_answered(state: HostState, at: Instant, request: RequestId, answer: Answer) -> list[Effect]:
     """Ends a request with an answer, which is kept where the request has a key."""
     held = state.requests.pop(request)
+    _count_end(state, held, answer.status < SERVER_ERROR, at)
     if held.key is not None:
         store_answer(state.keys, held.key, answer)
     return [DeliverAnswer(request, answer)]
@@ -180,8 +206,15 @@
     detail: str,
     retry_base: timedelta | None = None,
 ) -> list[Effect]:
-    """Ends a request with a refusal and records under its key whether it may have run."""
-    held = state.requests.pop(request)
+    """Ends a request with a refusal and records under its key whether it may have run.
+
+    Where a target has answered with a failure of its own, that answer is delivered.
+    """
+    held = state.requests[request]
+    if held.failure is not None:
+        return end_answered(state, at, request, held.failure)
+    del state.requests[request]
+    _count_end(state, held, False, at)
     if held.key is not None:
         phase = KeyPhase.UNCERTAIN if held.may_have_run else KeyPhase.IDLE
         state.keys.records[held.key].phase = phase
@@ -200,17 +233,32 @@
     )
 
 
+def _count_end(state: HostState, held: RequestState, served: bool, at: Instant) -> None:
+    service = state.services.get(held.service)
+    if service is None:
+        return
+    service.recent.add(served, at)
+    if served:
+        service.retry_budget.add(service.retry.budget_ratio)
+
+
+def _limit_attempts(service: ServiceState, held: RequestState) -> int:
+    return held.route.route.max_attempts or service.retry.max_attempts
+
+
 def _try_target(
     state: HostState, service: ServiceState, at: Instant, request: RequestId
 ) -> list[Effect]:
     held = state.requests[request]
     route = held.route.route
     home = state.identity.failure_domain
-    name = choose_target(service, home, held.tried, route.repeatable, state.random)
+    name = choose_target(service, home, held.tried, route.repeatable, state.random, at)
     if name is None:
         return []
     record = service.targets[name]
     record.attempts[request] = Attempt(at)
+    record.tried = at
+    _share_change(state, service, record)
     held.attempts += 1
     held.tried = held.tried | {name}
     held.target = name
@@ -224,17 +272,32 @@
         answer_limit_bytes=route.answer_limit_bytes,
         not_run_header=service.group.not_run_header.encode(),
         draining_header=service.group.draining_header.encode(),
-        reuse=route.repeatable,
+        reuse_idle=_limit_reuse(service, route.repeatable),
+        connect_timeout=timedelta(milliseconds=service.group.connect_ms),
+        close_delimited=service.group.close_delimited,
     )
     return [effect]
 
 
+def _limit_reuse(service: ServiceState, repeatable: bool) -> timedelta:
+    """Returns for how long a connection may have been idle that carries a request."""
+    if repeatable:
+        return MAX_REUSE_IDLE
+    return timedelta(milliseconds=service.group.reuse_unrepeatable_ms)
+
+
+def _share_change(state: HostState, service: ServiceState, record: TargetRecord) -> None:
+    if service.service.share_at_once:
+        record.unsent_change = True
+        state.urgent.add(service.name)
+
+
 def _share_time(service: ServiceState, held: RequestState, at: Instant) -> timedelta:
     """Returns the time after which the attempt just counted is late.
 
     A repeatable request divides its remaining time among its remaining attempts.
     """
-    left = service.retry.max_attempts - held.attempts + 1
+    left = _limit_attempts(service, held) - held.attempts + 1
     shares = max(1, left) if held.route.route.repeatable else 1
     return (held.deadline - at) / shares
 
@@ -275,7 +338,9 @@
     )
 
 
-def _account_attempt(service: ServiceState, event: AttemptFinished) -> list[Effect]:
+def _account_attempt(
+    state: HostState, service: ServiceState, event: AttemptFinished
+) -> list[Effect]:
     record = service.targets.get(event.target)
     if record is None:
         return []
@@ -287,6 +352,15 @@
         if attempt is None or not attempt.overdue:
             add_own_evidence(service, record, bad)
         entries += note_probation(service, record, bad, event.at)
+    if bad is False:
+        record.succeeded = event.at
+    failed = event.outcome in _PAUSING_OUTCOMES or status >= SERVER_ERROR
+    if failed and pause_target(service, record, event.at):
+        cause = f"{event.outcome.value} {status or ''}".strip()
+        entries.append(
+            AuditEntry(event.at, AuditKind.PAUSED, event.target, cause, service.name, event.request)
+        )
+    _share_change(state, service, record)
     if event.outcome is AttemptOutcome.ANSWERED:
         record.answered = event.at
         record.latency = event.latency
@@ -294,14 +368,21 @@
     if event.leaving or event.outcome is AttemptOutcome.DRAINING:
         cause = "its answer says that it is draining"
         entries += mark_leaving(service, event.target, event.at, LeavingSign.TOLD, cause)
+    if event.outcome is AttemptOutcome.MISDIRECTED:
+        cause = "another target answers at its address"
+        entries += mark_leaving(service, event.target, event.at, LeavingSign.TOLD, cause)
     return [RecordAudit(entry) for entry in entries]
 
 
 def _may_retry(service: ServiceState, held: RequestState, event: AttemptFinished) -> bool:
-    if event.outcome in _FINAL_OUTCOMES or held.attempts >= service.retry.max_attempts:
+    if event.outcome in _FINAL_OUTCOMES or held.attempts >= _limit_attempts(service, held):
+        return False
+    if held.unconnected > MAX_UNCONNECTED:
         return False
     if held.may_have_run and not held.route.route.repeatable:
         return False
     if event.at + service.typical >= held.deadline:
         return False
+    if not held.attempts:
+        return True
     return service.retry_budget.take(event.at)
--- a/endivedrift/reducer/_config.py
+++ b/endivedrift/reducer/_config.py
@@ -22,6 +22,7 @@
 from endivedrift.objects import ObjectSet, decode_object_set
 from endivedrift.policy import ServiceState, build_service, pop_waiting, restore_floor
 from endivedrift.reducer._attempts import end_refused
+from endivedrift.reducer._discovery import place_discovered
 from endivedrift.reducer._state import HostState
 from endivedrift.reducer._targets import apply_host_list
 
@@ -113,6 +114,7 @@
     }
     state.active = set(state.services)
     state.callers.clear()
+    state.dealt.clear()
     if state.phase is HostPhase.STARTING:
         state.phase = HostPhase.SERVING
         announce_serving(state.membership)
@@ -120,6 +122,8 @@
     entry = AuditEntry(event.at, AuditKind.CONFIG_APPLIED, "objects", cause)
     effects: list[Effect] = [RecordAudit(entry)]
     effects += apply_host_list(state, event.at)
+    for discovered in state.discovered.values():
+        effects += [RecordAudit(e) for e in place_discovered(state, discovered, event.at)]
     for service in state.services.values():
         effects += [RecordAudit(entry) for entry in restore_floor(service, event.at)]
     for name, service in previous.items():
@@ -133,8 +137,8 @@
     while (waiting := pop_waiting(service)) is not None:
         if waiting.request in state.requests:
             detail = "the service was removed"
-            reason = RefusalReason.NO_ROUTE
-            effects += end_refused(state, at, waiting.request, reason, detail)
+            reason = RefusalReason.NO_TARGET
+            effects += end_refused(state, at, waiting.request, reason, detail, timedelta(0))
     return effects
 
 
--- /dev/null
+++ b/endivedrift/reducer/_discovery.py
@@ -0,0 +1,143 @@
+"""Targets that register themselves: they come, change, announce that they leave, and vanish."""
+
+from datetime import timedelta
+
+from endivedrift.core import (
+    AuditEntry,
+    AuditKind,
+    Instant,
+    LeavingSign,
+    ServiceName,
+    TargetEntry,
+    TargetName,
+)
+from endivedrift.core.effects import Effect, RecordAudit
+from endivedrift.core.events import StoreLost, StoreRegained, TargetsObserved
+from endivedrift.policy import mark_leaving, place_entry, return_target
+from endivedrift.reducer._attempts import serve_waiting
+from endivedrift.reducer._state import HostState
+
+RETURN_PERIOD = timedelta(seconds=2)
+"""Time after the store's return in which entries that lapsed meanwhile come back; the users state
+it for their platform."""
+MASS_LOSS_PERIOD = timedelta(milliseconds=1_200)
+"""Time for which targets are kept whose loss at one moment would break the floor of their service:
+over half of the two seconds in which the users want a vanished target to get no more requests."""
+
+
+def lose_store(state: HostState, event: StoreLost) -> list[Effect]:
+    """Notes that entries may lapse although their targets live."""
+    if state.store_lost:
+        return []
+    state.store_lost = True
+    return [_record_store(event.at, f"lost: {event.cause}")]
+
+
+def regain_store(state: HostState, event: StoreRegained) -> list[Effect]:
+    """Gives entries that lapsed meanwhile the time to come back."""
+    if not state.store_lost:
+        return []
+    state.store_lost = False
+    state.store_regained = event.at
+    return [_record_store(event.at, "answers again")]
+
+
+def observe_targets(state: HostState, event: TargetsObserved) -> list[Effect]:
+    """Takes in what targets registered.
+
+    Args:
+      state: The host.
+      event: Entries that are new or changed, and names that vanished.
+    Returns:
+      Audit entries, and the effects on requests that waited for a target.
+    """
+    entries: list[AuditEntry] = []
+    gone = set(event.gone) & set(state.discovered)
+    if event.complete:
+        gone |= set(state.discovered) - {entry.name for entry in event.entries}
+    entries += _lose_entries(state, gone, event.at)
+    touched = set()
+    for entry in event.entries:
+        state.missing.pop(entry.name, None)
+        known = state.discovered.get(entry.name)
+        if known == entry or (known is not None and known.born > entry.born):
+            continue
+        if known is not None and known.service != entry.service:
+            entries += _remove(state, entry.name, event.at)
+        state.discovered[entry.name] = entry
+        entries += place_discovered(state, entry, event.at)
+        touched.add(entry.service)
+    effects: list[Effect] = [RecordAudit(entry) for entry in entries]
+    for service in sorted(touched & set(state.services)):
+        state.active.add(service)
+        effects += serve_waiting(state, state.services[service], event.at)
+    return effects
+
+
+def remove_missing(state: HostState, at: Instant) -> list[Effect]:
+    """Takes targets out of use whose entries did not come back in time."""
+    due = sorted(name for name, until in state.missing.items() if until <= at)
+    return [RecordAudit(entry) for name in due for entry in _remove(state, name, at)]
+
+
+def _lose_entries(state: HostState, gone: set[TargetName], at: Instant) -> list[AuditEntry]:
+    """Removes targets whose entries vanished, or lets them be for a while.
+
+    Entries lapse while the store is away, although their targets live. A loss of many targets of a
+    service at one moment is more likely the store's than the targets'.
+    """
+    entries: list[AuditEntry] = []
+    for name in sorted(gone - set(state.missing)):
+        until = _date_removal(state, gone, name, at)
+        if until <= at:
+            entries += _remove(state, name, at)
+            continue
+        state.missing[name] = until
+        cause = f"its entry vanished; kept for {(until - at).total_seconds():.1f} s"
+        service = state.discovered[name].service
+        entries.append(AuditEntry(at, AuditKind.TARGET_MISSING, name, cause, service))
+    return entries
+
+
+def _date_removal(
+    state: HostState, gone: set[TargetName], name: TargetName, at: Instant
+) -> Instant:
+    until = at
+    if state.store_regained is not None:
+        until = max(until, state.store_regained + RETURN_PERIOD)
+    service = state.services.get(state.discovered[name].service)
+    if service is not None and len(set(service.targets) - gone) < service.floor:
+        until = max(until, at + MASS_LOSS_PERIOD)
+    return until
+
+
+def _record_store(at: Instant, cause: str) -> Effect:
+    return RecordAudit(AuditEntry(at, AuditKind.STORE_CHANGED, "store", cause))
+
+
+def place_discovered(state: HostState, entry: TargetEntry, at: Instant) -> list[AuditEntry]:
+    """Puts a registered target into its service, if the object set in force has that service."""
+    service = state.services.get(entry.service)
+    if service is None or not service.group.discovered:
+        return []
+    entries = []
+    if place_entry(service, entry, at):
+        cause = f"registered at {entry.address}, started {entry.born}"
+        entries.append(AuditEntry(at, AuditKind.TARGET_JOINED, entry.name, cause, service.name))
+    if entry.leaving:
+        cause = "it registered that it is shutting down"
+        entries += mark_leaving(service, entry.name, at, LeavingSign.LISTED, cause)
+    else:
+        entries += return_target(service, entry.name, at, "registered as ready again")
+    return entries
+
+
+def _remove(state: HostState, name: TargetName, at: Instant) -> list[AuditEntry]:
+    state.missing.pop(name, None)
+    entry = state.discovered.pop(name, None)
+    if entry is None:
+        return []
+    service = state.services.get(ServiceName(entry.service))
+    if service is None or service.targets.pop(name, None) is None:
+        return []
+    return [AuditEntry(at, AuditKind.TARGET_GONE, name, "its entry was removed", service.name)]
--- a/endivedrift/reducer/_periodic.py
+++ b/endivedrift/reducer/_periodic.py
@@ -15,6 +15,7 @@
 )
 from endivedrift.reducer._attempts import serve_waiting
 from endivedrift.reducer._config import retry_fetch
+from endivedrift.reducer._discovery import remove_missing
 from endivedrift.reducer._state import HostState
 from endivedrift.reducer._targets import share_evidence
 
@@ -28,6 +29,7 @@
     if state.started is None:
         state.started = event.at
     effects: list[Effect] = list(retry_fetch(state, event.at))
+    effects += remove_missing(state, event.at)
     for name in sorted(state.active):
         effects += _advance_service(state, name, event.at)
     if event.at >= state.next_evidence:
--- a/endivedrift/reducer/_reduce.py
+++ b/endivedrift/reducer/_reduce.py
@@ -23,16 +23,20 @@
     QueueWaitExpired,
     RequestArrived,
     StopRequested,
+    StoreLost,
+    StoreRegained,
+    TargetsObserved,
     Ticked,
 )
 from endivedrift.fleet import announce_leaving, learn_seeds, receive_message
 from endivedrift.reducer._attempts import finish_attempt, judge_late
 from endivedrift.reducer._config import apply_config, fail_fetch, want_config
+from endivedrift.reducer._discovery import lose_store, observe_targets, regain_store
 from endivedrift.reducer._keyed import finish_forward, settle_claim
 from endivedrift.reducer._periodic import advance_time
 from endivedrift.reducer._requests import drop_caller, expire_wait, start_request
 from endivedrift.reducer._state import HostState
-from endivedrift.reducer._targets import apply_host_list, take_evidence
+from endivedrift.reducer._targets import apply_host_list, share_urgent, take_evidence
 
 
 def reduce(state: HostState, event: Event) -> list[Effect]:
@@ -44,7 +48,10 @@
     Returns:
       What the shell has to do, in order.
     """
-    return _reduce(event, state)
+    effects = _reduce(event, state)
+    if state.urgent:
+        effects += share_urgent(state)
+    return effects
 
 
 @singledispatch
@@ -111,13 +118,29 @@
     return apply_host_list(state, event.at)
 
 
+@_reduce.register
+def _(event: TargetsObserved, state: HostState) -> list[Effect]:
+    return observe_targets(state, event)
+
+
+@_reduce.register
+def _(event: StoreLost, state: HostState) -> list[Effect]:
+    return lose_store(state, event)
+
+
+@_reduce.register
+def _(event: StoreRegained, state: HostState) -> list[Effect]:
+    return regain_store(state, event)
+
+
 @_reduce.register
 def _(event: PeerMessageReceived, state: HostState) -> list[Effect]:
     fresh, effects = receive_message(state.membership, event.at, event.source, event.message)
     if not fresh:
         return effects
     effects += want_config(state, event.at, event.message.config, event.message.sender.peer_address)
-    return effects + take_evidence(state, event.at, event.message.evidence)
+    sender = event.message.sender.host
+    return effects + take_evidence(state, event.at, sender, event.message.evidence)
 
 
 @_reduce.register
--- a/endivedrift/reducer/_requests.py
+++ b/endivedrift/reducer/_requests.py
@@ -7,6 +7,7 @@
     CallerName,
     Instant,
     RefusalReason,
+    ServiceName,
 )
 from endivedrift.core.effects import AbandonRequest, Effect
 from endivedrift.core.events import CallerGone, QueueWaitExpired, RequestArrived
@@ -37,9 +38,9 @@
         return refuse(
             state, event.at, event.request, head, reason, detail, NO_CONFIG_RETRY, key=head.key
         )
-    found = find_route(state.routes, head.method, head.path)
+    found = find_route(state.routes, head.method, head.path, head.host)
     if found is None:
-        detail = f"no route for {head.method} {head.path}"
+        detail = f"no route for {head.method} {head.host}{head.path}"
         return refuse(state, event.at, event.request, head, RefusalReason.NO_ROUTE, detail)
     refusal = _check_caller(state, event, found) or _check_key(state, event, found)
     if refusal:
@@ -47,7 +48,8 @@
     patience = found.route.deadline
     if head.patience is not None:
         patience = min(patience, head.patience)
-    state.requests[event.request] = RequestState(head, found, event.at + patience)
+    held = RequestState(head, found, event.at + patience, share=_deal_request(state, found))
+    state.requests[event.request] = held
     if head.key is not None and not found.route.repeatable:
         return start_keyed(state, event.at, event.request, head.key)
     return admit(state, event.at, event.request)
@@ -83,6 +85,21 @@
     return [*effects, AbandonRequest(event.request)]
 
 
+def _deal_request(state: HostState, found: NamedRoute) -> ServiceName | None:
+    """Deals a request of a split route to the service that is furthest behind its weight."""
+    weighed = [share for share in found.route.split if share.weight]
+    if not weighed:
+        return None
+    dealt = state.dealt.setdefault(found.name, {})
+    chosen = min(
+        weighed,
+        key=lambda s: ((dealt.get(ServiceName(s.service), 0.0) + 1.0) / s.weight, s.service),
+    )
+    name = ServiceName(chosen.service)
+    dealt[name] = dealt.get(name, 0.0) + 1.0
+    return name
+
+
 def _check_caller(state: HostState, event: RequestArrived, found: NamedRoute) -> list[Effect]:
     head = event.head
     key = None if found.route.repeatable else head.key
--- a/endivedrift/reducer/_state.py
+++ b/endivedrift/reducer/_state.py
@@ -6,8 +6,10 @@
 
 from endivedrift.core import (
     NO_CONFIG,
+    Answer,
     CallerName,
     ConfigRef,
+    FailureDomain,
     HostIdentity,
     HostPhase,
     IdempotencyKey,
@@ -16,7 +18,9 @@
     Member,
     RequestHead,
     RequestId,
+    RouteName,
     ServiceName,
+    TargetEntry,
     TargetName,
 )
 from endivedrift.fleet import (
@@ -46,6 +50,9 @@
       target: Target of the attempt in progress, or None.
       may_have_run: Whether any attempt may have run.
       key: Key whose record this request holds, or None.
+      share: Service that the request was dealt to where its route is split, or None.
+      unconnected: Targets to which no connection could be opened.
+      failure: A target's own failure, which is delivered where no other attempt succeeds.
     """
 
     head: RequestHead
@@ -56,11 +63,14 @@
     target: TargetName | None = None
     may_have_run: bool = False
     key: IdempotencyKey | None = None
+    share: ServiceName | None = None
+    unconnected: int = 0
+    failure: Answer | None = None
 
     @property
     def service(self) -> ServiceName:
         """Name of the service that the request is for."""
-        return ServiceName(self.route.route.service)
+        return self.share or ServiceName(self.route.route.service)
 
 
 @dataclass(frozen=True, slots=True)
@@ -90,6 +100,12 @@
       active: Services whose targets or queues need the periodic timer.
       machines: The platform's latest list of machines by target address.
       ranked: Cache of the ranked hosts of each service.
+      discovered: Targets that registered themselves, by name.
+      missing: When targets whose entries vanished count as gone, by name.
+      store_lost: Whether the store in which targets register does not answer.
+      store_regained: When it answered again after it had been lost, or None.
+      urgent: Services with news of attempts that other hosts are told at once.
+      dealt: Requests dealt to each service of each split route.
     """
 
     identity: HostIdentity
@@ -111,6 +127,12 @@
     callers: OrderedDict[CallerName, TokenBucket] = field(default_factory=OrderedDict)
     machines: tuple[ListedMachine, ...] = ()
     ranked: dict[ServiceName, RankedHosts] = field(default_factory=dict)
+    discovered: dict[TargetName, TargetEntry] = field(default_factory=dict)
+    missing: dict[TargetName, Instant] = field(default_factory=dict)
+    store_lost: bool = False
+    store_regained: Instant | None = None
+    urgent: set[ServiceName] = field(default_factory=set)
+    dealt: dict[RouteName, dict[ServiceName, float]] = field(default_factory=dict)
     next_evidence: Instant = Instant(0)
     next_cleaning: Instant = Instant(0)
 
@@ -139,6 +161,26 @@
     return _rank(state, name).members[: state.services[name].service.entry_hosts]
 
 
+def list_entry_hosts(
+    state: HostState, name: ServiceName, domain: FailureDomain
+) -> tuple[Member, ...]:
+    """Returns the hosts of a service for callers of a failure domain: those in it, if any."""
+    primaries = list_primaries(state, name)
+    near = tuple(member for member in primaries if member.failure_domain == domain)
+    return near or primaries
+
+
+def list_named_hosts(state: HostState, host: str, domain: FailureDomain) -> tuple[Member, ...]:
+    """Returns the hosts for callers of a failure domain whose requests name `host`.
+
+    A name that no route knows gets the hosts of any service, which refuse its requests truly.
+    """
+    service = state.routes.services.get(host)
+    if service is None and state.services:
+        service = min(state.services)
+    return list_entry_hosts(state, service, domain) if service is not None else ()
+
+
 def share_slots(state: HostState, name: ServiceName) -> int:
     """Returns the requests that this host may have in progress at one target of a service."""
     return _rank(state, name).share
@@ -150,7 +192,8 @@
     if cached is not None and cached.membership == version and cached.config == state.config:
         return cached
     service = state.services[name]
-    members = rank_hosts(name, list_usable(state.membership), service.service.entry_hosts)
+    group = state.routes.groups.get(name, name)
+    members = rank_hosts(group, list_usable(state.membership), service.service.entry_hosts)
     primaries = members[: service.service.entry_hosts]
     share = 1
     if any(member.host == state.identity.host for member in primaries):
--- a/endivedrift/reducer/_targets.py
+++ b/endivedrift/reducer/_targets.py
@@ -1,15 +1,19 @@
 """What other sources than requests tell of targets: the list of machines and other hosts."""
 
-from endivedrift.core import AuditEntry, EvidenceDelta, Instant, LeavingSign
+from endivedrift.core import AuditEntry, EvidenceDelta, HostId, Instant, LeavingSign, ServiceName
 from endivedrift.core.effects import Effect, RecordAudit
 from endivedrift.fleet import send_evidence
 from endivedrift.policy import (
     ServiceState,
+    SharedCount,
+    TargetRecord,
     add_shared_evidence,
     mark_leaving,
     note_listed_live,
+    pause_target,
     take_deltas,
 )
+from endivedrift.reducer._attempts import serve_waiting
 from endivedrift.reducer._state import HostState, list_primaries
 
 
@@ -34,27 +38,60 @@
     return [RecordAudit(entry) for entry in entries]
 
 
-def take_evidence(state: HostState, at: Instant, deltas: tuple[EvidenceDelta, ...]) -> list[Effect]:
-    """Accounts the outcomes that another host saw."""
+def take_evidence(
+    state: HostState, at: Instant, sender: HostId, deltas: tuple[EvidenceDelta, ...]
+) -> list[Effect]:
+    """Accounts the outcomes that another host saw and the requests it has in progress."""
     effects: list[Effect] = []
+    services: set[ServiceName] = set()
     for delta in deltas:
         service = state.services.get(delta.service)
         if service is None or delta.target not in service.targets:
             continue
         state.active.add(delta.service)
-        add_shared_evidence(service, service.targets[delta.target], delta)
+        record = service.targets[delta.target]
+        add_shared_evidence(service, record, delta)
+        if service.service.share_at_once:
+            _take_running(service, record, sender, at, delta)
+            services.add(delta.service)
         if delta.leaving:
             cause = "another host says it is draining"
             entries = mark_leaving(service, delta.target, at, LeavingSign.TOLD, cause)
             service.targets[delta.target].unsent_leaving = False
             effects += [RecordAudit(entry) for entry in entries]
+    for name in sorted(services):
+        if state.services[name].queued:
+            effects += serve_waiting(state, state.services[name], at)
     return effects
 
 
+def _take_running(
+    service: ServiceState, record: TargetRecord, sender: HostId, at: Instant, delta: EvidenceDelta
+) -> None:
+    before = record.shared_counts.get(sender)
+    record.shared_counts[sender] = SharedCount(delta.running, at)
+    if before is None or delta.running > before.running:
+        record.tried = at
+    if delta.good:
+        record.succeeded = at
+    if delta.bad:
+        pause_target(service, record, at)
+
+
+def share_urgent(state: HostState) -> list[Effect]:
+    """Tells the other hosts of a service at once of attempts that began or ended."""
+    names, state.urgent = state.urgent, set()
+    return _share(state, names)
+
+
 def share_evidence(state: HostState) -> list[Effect]:
     """Tells the hosts that serve the same services what this host saw of their targets."""
+    return _share(state, state.active)
+
+
+def _share(state: HostState, names: set[ServiceName]) -> list[Effect]:
     effects: list[Effect] = []
-    for name in sorted(state.active):
+    for name in sorted(names & set(state.services)):
         service: ServiceState = state.services[name]
         deltas = take_deltas(service)
         if deltas:
--- a/endivedrift/settings.py
+++ b/endivedrift/settings.py
@@ -3,6 +3,7 @@
 import re
 import tomllib
 from dataclasses import dataclass
+from datetime import timedelta
 from pathlib import Path
 from typing import Annotated, Any
 
@@ -12,8 +13,9 @@
 from endivedrift.objects import check_address
 
 MIN_KEY_LENGTH = 16
+LEAVE_MARGIN_S = 1.0
 
-Name = Annotated[str, Field(pattern=r"^[a-z0-9][a-z0-9-]{0,62}$")]
+Name = Annotated[str, Field(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,126}$")]
 
 
 @dataclass(frozen=True, slots=True)
@@ -110,6 +112,9 @@
       head_s: Time in which a request must arrive in full once it has begun.
       entry_max_age_s: Time for which callers may keep an entry answer.
       body_bytes: Largest request body where no route says otherwise.
+      leave_wait_s: Time for which a stopping host still takes new requests, or 0 for the time that
+        entry answers are kept and a second.
+      drain_s: Time that a stopping host then has to finish requests in progress.
     """
 
     connections: Annotated[int, Field(ge=1, le=60_000)] = 2_000
@@ -117,6 +122,13 @@
     head_s: Annotated[float, Field(gt=0, le=60, strict=False)] = 10.0
     entry_max_age_s: Annotated[float, Field(gt=0, le=300, strict=False)] = 5.0
     body_bytes: Annotated[int, Field(ge=0)] = 65_536
+    leave_wait_s: Annotated[float, Field(ge=0, le=600, strict=False)] = 0.0
+    drain_s: Annotated[float, Field(gt=0, le=600, strict=False)] = 150.0
+
+    @property
+    def leave_wait(self) -> timedelta:
+        """Time for which a stopping host still takes new requests."""
+        return timedelta(seconds=self.leave_wait_s or self.entry_max_age_s + LEAVE_MARGIN_S)
 
 
 class LogSection(_Section):
--- a/endivedrift/shell/_codec.py
+++ b/endivedrift/shell/_codec.py
@@ -223,6 +223,7 @@
         slot.good = delta.good
         slot.bad = delta.bad
         slot.leaving = delta.leaving
+        slot.running = delta.running
     return built.to_bytes_packed()
 
 
@@ -243,6 +244,7 @@
                 delta.good,
                 delta.bad,
                 delta.leaving,
+                delta.running,
             )
             for delta in built.evidence
         ),
--- a/endivedrift/shell/_daemon.py
+++ b/endivedrift/shell/_daemon.py
@@ -16,26 +16,22 @@
     Incarnation,
     SystemClock,
 )
-from endivedrift.core.events import HeadObserved, HostListRead, StopRequested, Ticked
-from endivedrift.platform import HttpPlatform, PlatformError, read_head
+from endivedrift.core.events import StopRequested, Ticked
 from endivedrift.reducer import build_host
 from endivedrift.settings import Settings
 from endivedrift.shell._callers import CallerSide
 from endivedrift.shell._log import make_logger
 from endivedrift.shell._metrics import Metrics
 from endivedrift.shell._operators import OperatorSide
-from endivedrift.shell._peers import Peers, draw_period
+from endivedrift.shell._peers import Peers
 from endivedrift.shell._runtime import Runtime
 from endivedrift.shell._serving import Serving
 from endivedrift.shell._signals import SignalInbox
+from endivedrift.shell._surroundings import Surroundings
 from endivedrift.shell._targets import TargetPool
 
 TICK = timedelta(milliseconds=100)
-HEAD_PERIOD = timedelta(seconds=2)
-MACHINES_PERIOD = timedelta(seconds=2)
 POOL_CLEANING_PERIOD = timedelta(seconds=5)
-LEAVE_MARGIN = timedelta(seconds=1)
-DRAIN_LIMIT = timedelta(seconds=150)
 DRAIN_POLL = timedelta(milliseconds=50)
 INCARNATION_RANDOM_BITS = 20
 
@@ -50,43 +46,43 @@
     )
 
 
-def run_daemon(settings: Settings) -> None:
+def run_daemon(settings: Settings, surroundings: Surroundings) -> None:
     """Runs a host until it is asked to stop.
 
+    Args:
+      settings: Settings of the host.
+      surroundings: Where object sets, targets and other hosts are learned of.
     Raises:
       OSError: If an address cannot be used.
     """
-    curio.run(_run, settings)
+    curio.run(_run, settings, surroundings)
 
 
-async def _run(settings: Settings) -> None:
-    await _run_host(settings, SignalInbox(signal.SIGTERM, signal.SIGINT))
+async def _run(settings: Settings, surroundings: Surroundings) -> None:
+    await _run_host(settings, surroundings, SignalInbox(signal.SIGTERM, signal.SIGINT))
 
 
-async def _run_host(settings: Settings, signals: SignalInbox) -> None:
+async def _run_host(settings: Settings, surroundings: Surroundings, signals: SignalInbox) -> None:
     clock = SystemClock()
     identity = _identify(settings, clock)
     secret = settings.fleet.key.encode()
     state = build_host(identity, secret, secrets.randbits(64))
     runtime = Runtime(state, clock, Metrics())
-    pool = TargetPool(clock)
-    platform = HttpPlatform(
-        Address(settings.platform.table),
-        Address(settings.platform.objects),
-        Address(settings.platform.hosts),
-    )
-    serving = Serving(runtime, pool, platform, settings.fleet.deployment, secret)
+    dialect = surroundings.dialect
+    pool = TargetPool(clock, dialect)
+    serving = Serving(runtime, pool, surroundings.claims, secret, dialect)
     operators = OperatorSide(runtime, identity.operator_address)
-    peers = Peers(serving, identity.peer_address)
-    callers = CallerSide(serving, identity.caller_address, settings.limits)
+    peers = Peers(serving, identity.peer_address, surroundings.read_object)
+    callers = CallerSide(
+        serving, identity.caller_address, settings.limits, surroundings.entry_at_callers
+    )
     loops = [
         _tick(runtime),
-        _poll_head(runtime, platform, settings.fleet.deployment),
-        _poll_machines(runtime, platform),
         _clean_pool(pool),
         peers.receive(),
         peers.accept(),
         operators.accept(),
+        *surroundings.build_loops(runtime, peers.install),
     ]
     tasks = [await curio.spawn(loop, daemon=True) for loop in loops]
     accepting = await curio.spawn(callers.accept(), daemon=True)
@@ -129,12 +125,11 @@
     """
     _log.info("Leaving.", host=runtime.state.identity.host)
     await runtime.dispatch(StopRequested(runtime.clock.monotonic()))
-    wait = timedelta(seconds=settings.limits.entry_max_age_s) + LEAVE_MARGIN
-    async with curio.ignore_after(wait.total_seconds()):
+    async with curio.ignore_after(settings.limits.leave_wait.total_seconds()):
         await signals.wait()
     await accepting.cancel()
     await callers.stop_listening()
-    deadline = runtime.clock.monotonic() + DRAIN_LIMIT
+    deadline = runtime.clock.monotonic() + timedelta(seconds=settings.limits.drain_s)
     while callers.count_open() or runtime.state.requests:
         if runtime.clock.monotonic() > deadline:
             _log.warning("Requests are still in progress at the end of the drain limit.")
@@ -149,26 +144,6 @@
         await runtime.dispatch(Ticked(clock.monotonic(), clock.wall()))
 
 
-async def _poll_head(runtime: Runtime, platform: HttpPlatform, deployment: str) -> None:
-    while True:
-        try:
-            head = await read_head(platform, deployment)
-            await runtime.dispatch(HeadObserved(runtime.clock.monotonic(), head.config))
-        except PlatformError:
-            runtime.metrics.platform_failures.labels("table").inc()
-        await curio.sleep(draw_period(HEAD_PERIOD))
-
-
-async def _poll_machines(runtime: Runtime, platform: HttpPlatform) -> None:
-    while True:
-        try:
-            machines = await platform.list_machines()
-            await runtime.dispatch(HostListRead(runtime.clock.monotonic(), machines))
-        except PlatformError:
-            runtime.metrics.platform_failures.labels("hosts").inc()
-        await curio.sleep(draw_period(MACHINES_PERIOD))
-
-
 async def _clean_pool(pool: TargetPool) -> None:
     while True:
         await curio.sleep(POOL_CLEANING_PERIOD.total_seconds())
--- a/endivedrift/shell/_metrics.py
+++ b/endivedrift/shell/_metrics.py
@@ -1,12 +1,16 @@
 """Metrics in Prometheus format; names carry their units."""
 
+from datetime import timedelta
+
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
 
 from endivedrift.core import (
+    Answer,
     AttemptOutcome,
     AuditEntry,
     HostPhase,
     MemberStatus,
+    Refusal,
     TargetState,
 )
 from endivedrift.reducer import HostState
@@ -86,6 +90,12 @@
         """Counts an audit entry."""
         self.audit.labels(entry.kind.value).inc()
 
+    def count_request(self, service: str, result: Answer | Refusal, took: timedelta) -> None:
+        """Counts the end of a request."""
+        label = "answered" if isinstance(result, Answer) else result.reason.value
+        self.requests.labels(service, label).inc()
+        self.request_seconds.labels(service).observe(took.total_seconds())
+
     def count_attempt(self, service: str, outcome: AttemptOutcome) -> None:
         """Counts the end of an attempt."""
         self.attempts.labels(service, outcome.value).inc()
--- a/endivedrift/shell/_peers.py
+++ b/endivedrift/shell/_peers.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import random
+from collections.abc import Awaitable, Callable
 from datetime import timedelta
 
 import curio
@@ -11,7 +12,6 @@
 from endivedrift.core.effects import FetchConfig
 from endivedrift.core.events import ConfigFetched, ConfigFetchFailed, PeerMessageReceived
 from endivedrift.objects import digest_bytes
-from endivedrift.platform import PlatformError
 from endivedrift.shell._codec import (
     MAX_DATAGRAM_BYTES,
     Call,
@@ -36,14 +36,24 @@
 class Peers:
     """Sockets towards the other hosts."""
 
-    def __init__(self, serving: Serving, address: Address) -> None:
+    def __init__(
+        self,
+        serving: Serving,
+        address: Address,
+        read_object: Callable[[Digest], Awaitable[bytes | None]],
+    ) -> None:
         """Opens the sockets.
 
+        Args:
+          serving: What serving a request needs.
+          address: Where to listen for datagrams and calls.
+          read_object: Reads an object set from the store, or None where that has no answer.
         Raises:
           OSError: If the address cannot be used.
         """
         self._serving = serving
         self._runtime = serving.runtime
+        self._read_object = read_object
         self._canonical: dict[str, bytes] = {}
         pair = parse_endpoint(address).pair()
         self._udp = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
@@ -96,13 +106,17 @@
             if canonical is not None:
                 break
         if canonical is None:
-            canonical = await self._ask_store(config.digest)
+            canonical = await self._read_object(config.digest)
         now = self._runtime.clock.monotonic()
         if canonical is None or digest_bytes(canonical) != config.digest:
             await self._runtime.dispatch(ConfigFetchFailed(now, config))
             return
-        self._canonical = {config.digest: canonical}
-        await self._runtime.dispatch(ConfigFetched(now, config, canonical))
+        await self.install(ConfigFetched(now, config, canonical))
+
+    async def install(self, fetched: ConfigFetched) -> None:
+        """Keeps an object set for other hosts to fetch, and gives it to the decisions."""
+        self._canonical = {fetched.config.digest: fetched.canonical}
+        await self._runtime.dispatch(fetched)
 
     async def close(self) -> None:
         """Closes the sockets."""
@@ -118,13 +132,6 @@
             return reply.canonical
         return None
 
-    async def _ask_store(self, digest: Digest) -> bytes | None:
-        try:
-            return await self._serving.platform.get_object(digest)
-        except PlatformError:
-            self._runtime.metrics.platform_failures.labels("objects").inc()
-            return None
-
     async def _answer(self, sock: socket.socket) -> None:
         try:
             if not await answer_peer(self._serving.secret, sock, self._carry_out):
@@ -153,7 +160,7 @@
             forwarded=True,
         )
         request_id = self._runtime.new_request_id()
-        return await serve_request(self._serving, request_id, head, request)
+        return (await serve_request(self._serving, request_id, head, request)).result
 
 
 def draw_period(period: timedelta) -> float:
--- a/endivedrift/shell/_requests.py
+++ b/endivedrift/shell/_requests.py
@@ -7,17 +7,14 @@
 
 from endivedrift.core import CallerName, Headers, IdempotencyKey, RequestHead
 from endivedrift.policy import MAX_KEY_LENGTH
+from endivedrift.shell._dialect import Dialect
 from endivedrift.shell._http import find_header, strip_hop_headers
-from endivedrift.shell._targets import DEADLINE_HEADER, REQUEST_ID_HEADER, TargetRequest
+from endivedrift.shell._targets import TargetRequest
 
-CALLER_HEADER = b"x-caller"
-KEY_HEADER = b"idempotency-key"
 FINGERPRINT_BYTES = 16
 MAX_PATIENCE_MS = 600_000
 MAX_PATIENCE_DIGITS = 6
 
-_REPLACED_HEADERS = frozenset({REQUEST_ID_HEADER, DEADLINE_HEADER, b"expect"})
-
 
 class HeaderError(ValueError):
     """A header has a value that cannot be used."""
@@ -37,34 +34,45 @@
     return digest.digest()
 
 
-def read_head(request: h11.Request, headers: Headers, target_request: TargetRequest) -> RequestHead:
+def read_head(dialect: Dialect, headers: Headers, target_request: TargetRequest) -> RequestHead:
     """Reads what the decisions need to know.
 
     Args:
-      request: The request line and headers as parsed by h11.
-      headers: The same headers as a plain tuple.
+      dialect: Names of the headers.
+      headers: The headers as the caller sent them.
       target_request: The request as it will be sent to a target.
     Returns:
       The head.
     Raises:
       HeaderError: If the deadline or the idempotency key cannot be used.
     """
-    caller = find_header(headers, CALLER_HEADER)
-    key = find_header(headers, KEY_HEADER)
+    caller = find_header(headers, dialect.caller_header) if dialect.caller_header else None
+    key = find_header(headers, dialect.key_header) if dialect.key_header else None
     account = CallerName(caller.decode("latin-1")) if caller else None
     return RequestHead(
         method=target_request.method,
         path=target_request.target.decode("ascii").partition("?")[0],
+        host=read_host(headers),
         caller=account,
         key=_read_key(key) if key is not None else None,
         fingerprint=fingerprint_request(account, target_request) if key is not None else b"",
-        patience=_read_patience(find_header(headers, DEADLINE_HEADER)),
+        patience=_read_patience(dialect, find_header(headers, dialect.deadline_header)),
     )
 
 
-def build_target_request(request: h11.Request, headers: Headers, body: bytes) -> TargetRequest:
+def read_host(headers: Headers) -> str:
+    """Returns the host that a request names, in lower case and without a port."""
+    value = (find_header(headers, b"host") or b"").decode("latin-1").strip().lower()
+    name, separator, port = value.rpartition(":")
+    return name if separator and port.isdigit() else value
+
+
+def build_target_request(
+    dialect: Dialect, request: h11.Request, headers: Headers, body: bytes
+) -> TargetRequest:
     """Builds the request that is sent to a target."""
-    kept = tuple(pair for pair in strip_hop_headers(headers) if pair[0] not in _REPLACED_HEADERS)
+    replaced = dialect.set_headers
+    kept = tuple(pair for pair in strip_hop_headers(headers) if pair[0] not in replaced)
     return TargetRequest(request.method.decode("ascii"), bytes(request.target), kept, body)
 
 
@@ -75,10 +83,13 @@
     return IdempotencyKey(text)
 
 
-def _read_patience(value: bytes | None) -> timedelta | None:
+def _read_patience(dialect: Dialect, value: bytes | None) -> timedelta | None:
     if value is None:
         return None
     digits = value if value.isdigit() and len(value) <= MAX_PATIENCE_DIGITS else b"0"
     if not 0 < int(digits) <= MAX_PATIENCE_MS:
-        raise HeaderError("X-Request-Deadline-Ms must be a whole number of milliseconds")
+        if not dialect.deadline_is_checked:
+            return None
+        name = dialect.deadline_header.decode().title()
+        raise HeaderError(f"{name} must be a whole number of milliseconds")
     return timedelta(milliseconds=int(value))
--- a/endivedrift/shell/_runtime.py
+++ b/endivedrift/shell/_runtime.py
@@ -34,7 +34,7 @@
     SendPeerMessage,
     SendToTarget,
 )
-from endivedrift.core.events import Event
+from endivedrift.core.events import AttemptFinished, Event
 from endivedrift.reducer import HostState, reduce
 from endivedrift.shell._log import make_logger
 from endivedrift.shell._metrics import Metrics
@@ -46,11 +46,12 @@
 
 @dataclass(slots=True)
 class Mailbox:
-    """Effects for one request, and the task that may be cancelled when its caller is gone."""
+    """Effects for one request, the task that may be cancelled, and the attempts made so far."""
 
     effects: deque[RequestEffect] = field(default_factory=deque)
     ready: curio.Event = field(default_factory=curio.Event)
     task: curio.Task | None = None
+    attempts: list[AttemptFinished] = field(default_factory=list)
 
     async def take(self) -> RequestEffect:
         """Waits for the next effect."""
--- a/endivedrift/shell/_serving.py
+++ b/endivedrift/shell/_serving.py
@@ -1,6 +1,6 @@
 """Serves one request: feeds its events to the reducer and carries out the effects on it."""
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 import curio
 
@@ -23,6 +23,7 @@
     SendToTarget,
 )
 from endivedrift.core.events import (
+    AttemptFinished,
     AttemptLate,
     CallerGone,
     ForwardFinished,
@@ -30,16 +31,16 @@
     QueueWaitExpired,
     RequestArrived,
 )
-from endivedrift.platform import Claim, HttpPlatform, SettledClaim, claim_key
 from endivedrift.shell._codec import ForwardedRequest, Reply
+from endivedrift.shell._dialect import OWN_DIALECT, Dialect
 from endivedrift.shell._peer_calls import PeerCallError, call_peer
 from endivedrift.shell._runtime import Mailbox, Runtime
 from endivedrift.shell._targets import (
     TargetPool,
     TargetRequest,
     cancel_attempt,
-    without_request_id,
 )
+from endivedrift.store import Claim, ClaimTable, SettledClaim
 
 
 @dataclass(frozen=True, slots=True)
@@ -48,14 +49,22 @@
 
     runtime: Runtime
     pool: TargetPool
-    platform: HttpPlatform
-    deployment: str
+    claims: ClaimTable
     secret: bytes = field(repr=False)
+    dialect: Dialect = OWN_DIALECT
+
+
+@dataclass(frozen=True, slots=True)
+class Served:
+    """How a request ended, and the attempts at targets that it took."""
+
+    result: Answer | Refusal
+    attempts: tuple[AttemptFinished, ...] = ()
 
 
 async def serve_request(
     serving: Serving, request_id: RequestId, head: RequestHead, request: TargetRequest
-) -> Answer | Refusal:
+) -> Served:
     """Serves a request to its end.
 
     Args:
@@ -64,7 +73,7 @@
       head: What the decisions need to know.
       request: What is sent to the target.
     Returns:
-      A target's complete answer, or a refusal.
+      A target's complete answer or a refusal, with the attempts made.
     """
     runtime = serving.runtime
     mailbox = Mailbox(task=await curio.current_task())
@@ -76,9 +85,10 @@
             effect = await mailbox.take()
             match effect:
                 case DeliverAnswer():
-                    return without_request_id(effect.answer)
+                    answer = _strip_attempt_id(serving.dialect, effect.answer)
+                    return Served(answer, tuple(mailbox.attempts))
                 case RefuseRequest():
-                    return effect.refusal
+                    return Served(effect.refusal, tuple(mailbox.attempts))
             await _carry_out(serving, mailbox, effect, request, head)
     except curio.CancelledError:
         async with curio.disable_cancellation():
@@ -88,6 +98,14 @@
         del runtime.mailboxes[request_id]
 
 
+def _strip_attempt_id(dialect: Dialect, answer: Answer) -> Answer:
+    """Removes the id of the attempt where it is of no use to the caller."""
+    if dialect.keeps_request_ids:
+        return answer
+    name = dialect.request_id_header
+    return replace(answer, headers=tuple(pair for pair in answer.headers if pair[0] != name))
+
+
 async def _carry_out(
     serving: Serving,
     mailbox: Mailbox,
@@ -120,6 +138,7 @@
 
     finished = await serving.pool.attempt(effect, request, is_given_up)
     runtime.metrics.count_attempt(effect.service, finished.outcome)
+    mailbox.attempts.append(finished)
     await runtime.dispatch(finished)
 
 
@@ -156,7 +175,7 @@
     remaining = (effect.until - runtime.clock.monotonic()).total_seconds()
     settled = SettledClaim(ClaimOutcome.UNKNOWN)
     async with curio.ignore_after(max(0.0, remaining)):
-        settled = await claim_key(serving.platform, serving.deployment, claim)
+        settled = await serving.claims.claim(claim)
     now = runtime.clock.monotonic()
     holder = settled.holder
     if holder is None:
--- a/endivedrift/shell/peer.capnp
+++ b/endivedrift/shell/peer.capnp
@@ -26,6 +26,7 @@
   good @2 :UInt32;
   bad @3 :UInt32;
   leaving @4 :Bool;
+  running @5 :UInt32;
 }
 
 # A UDP datagram.
--- a/endivedrift/shell/targets_test.py
+++ b/endivedrift/shell/targets_test.py
@@ -76,7 +76,7 @@
         answer_limit_bytes=100,
         not_run_header=b"x-not-run",
         draining_header=b"x-draining",
-        reuse=True,
+        reuse_idle=timedelta(seconds=10),
     )
 
 
--- a/endivedrift/platform/_claims.py
+++ b/endivedrift/store/_claims.py
@@ -2,6 +2,7 @@
 
 import hashlib
 from dataclasses import dataclass
+from typing import Protocol
 
 from endivedrift.core import (
     ClaimId,
@@ -11,7 +12,7 @@
     Incarnation,
     Version,
 )
-from endivedrift.platform._interface import PlatformError, TableService, Write
+from endivedrift.store._interface import PlatformError, TableService, Write
 
 
 @dataclass(frozen=True, slots=True)
@@ -32,6 +33,13 @@
     holder: Claim | None = None
 
 
+class ClaimTable(Protocol):
+    """Where hosts claim the keys that callers made."""
+
+    async def claim(self, claim: Claim) -> SettledClaim:
+        """Claims a key; see `claim_key`."""
+
+
 async def claim_key(table: TableService, deployment: str, claim: Claim) -> SettledClaim:
     """Writes a claim row unless there is one.
 
--- a/endivedrift/platform/_http_adapter.py
+++ b/endivedrift/store/_http_adapter.py
@@ -7,8 +7,8 @@
 from urllib.parse import quote
 
 from endivedrift.core import Address, Digest, ListedMachine, Version
-from endivedrift.platform._interface import PlatformError, Row, Write
 from endivedrift.shell.exchange import ExchangeError, HttpReply, exchange
+from endivedrift.store._interface import PlatformError, Row, Write
 
 TIMEOUT = timedelta(seconds=1)
 TRANSFER_TIMEOUT = timedelta(seconds=10)
--- a/endivedrift/platform/_publishing.py
+++ b/endivedrift/store/_publishing.py
@@ -12,7 +12,7 @@
 
 from endivedrift.core import NO_CONFIG, ConfigRef, Digest, Version
 from endivedrift.objects import digest_bytes
-from endivedrift.platform._interface import (
+from endivedrift.store._interface import (
     ObjectStore,
     PlatformError,
     Row,
--- a/tests/config_test.py
+++ b/tests/config_test.py
@@ -27,7 +27,7 @@
     PeerMessageReceived,
 )
 from endivedrift.objects import decode_object_set, digest_bytes, encode_object_set
-from endivedrift.platform import (
+from endivedrift.store import (
     PlatformError,
     PublishOutcome,
     PublishRequest,
