Avoid a target after one unexplained failure, and tell the other hosts at once

Cause: targets reset most requests for one to eight seconds at a time; the sequential test needs several failures, spread over the hosts, and spreading work while a service failed kept feeding the sick ones. Change: pauses that double, shared at once; the floor is kept in use only while a service fails its callers; the typical time is learned before an answer counts as slow; brief datagrams for evidence; trials on probation only by repeatable requests.

--- a/endivedrift/core/_records.py
+++ b/endivedrift/core/_records.py
@@ -110,6 +110,11 @@
         """Returns the rank by which one word on a host replaces another."""
         return (self.incarnation, self.counter, self.status)
 
+    @property
+    def is_brief(self) -> bool:
+        """Whether the addresses are left out, as in messages to hosts that know them."""
+        return not self.peer_address
+
     def with_status(self, status: MemberStatus) -> "Member":
         """Returns the same member with another status."""
         return replace(self, status=status)
@@ -126,6 +131,7 @@
       bad: Number of failures and slow answers.
       leaving: Whether the target said that it is shutting down.
       running: Requests that the sender has in progress at the target.
+      paused: Whether the sender has begun to avoid the target after a failure.
     """
 
     service: ServiceName
@@ -134,6 +140,7 @@
     bad: int
     leaving: bool
     running: int = 0
+    paused: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/endivedrift/fleet/_datagrams.py
+++ b/endivedrift/fleet/_datagrams.py
@@ -1,8 +1,12 @@
 """Builds datagrams, which carry news of members whatever else they are for."""
 
+from dataclasses import replace
+
 from endivedrift.core import (
+    NO_CONFIG,
     Address,
     EvidenceDelta,
+    FailureDomain,
     HostId,
     Member,
     MemberStatus,
@@ -18,12 +22,36 @@
 def send_evidence(
     view: Membership, receivers: list[Member], evidence: tuple[EvidenceDelta, ...]
 ) -> list[Effect]:
-    """Sends outcomes to the hosts that serve the same service."""
-    return [
-        send_datagram(view, member.peer_address, MessageKind.NOTICE, evidence=evidence)
-        for member in receivers
-        if member.host != view.me.host
-    ]
+    """Sends outcomes to the hosts that serve the same service.
+
+    These messages are many, and go to hosts that know the sender: they leave out its addresses,
+    news of members, and the digest of the object set.
+    """
+    me = view.me
+    sender = replace(
+        me,
+        failure_domain=FailureDomain(""),
+        caller_address=Address(""),
+        peer_address=Address(""),
+        operator_address=Address(""),
+    )
+    effects: list[Effect] = []
+    for member in receivers:
+        if member.host == me.host:
+            continue
+        view.sequence += 1
+        message = PeerMessage(
+            kind=MessageKind.NOTICE,
+            sender=sender,
+            sequence=view.sequence,
+            probe=0,
+            subject=HostId(""),
+            heard_subject=False,
+            config=NO_CONFIG,
+            evidence=evidence,
+        )
+        effects.append(SendPeerMessage(member.peer_address, message))
+    return effects
 
 
 def send_datagram(
@@ -34,7 +62,6 @@
     subject: HostId = HostId(""),
     heard: bool = False,
     first: tuple[Member, ...] = (),
-    evidence: tuple[EvidenceDelta, ...] = (),
 ) -> SendPeerMessage:
     """Builds a datagram with the next sequence number and as much news as it has room for."""
     view.sequence += 1
@@ -47,7 +74,6 @@
         heard_subject=heard,
         config=view.config,
         members=first + _take_news(view, NEWS_PER_DATAGRAM - len(first)),
-        evidence=evidence,
     )
     return SendPeerMessage(address, message)
 
--- a/endivedrift/fleet/_receiving.py
+++ b/endivedrift/fleet/_receiving.py
@@ -1,6 +1,7 @@
 """Takes in the datagrams of other hosts and answers them."""
 
 from collections.abc import Callable
+from dataclasses import replace
 from datetime import timedelta
 
 from endivedrift.core import Address, HostId, Instant, MemberStatus, MessageKind, PeerMessage
@@ -32,6 +33,10 @@
     known = view.records.get(sender.host)
     if known is not None and not _is_fresh(known, message):
         return False, []
+    if sender.is_brief:
+        if known is None or known.member.incarnation != sender.incarnation:
+            return False, []
+        sender = replace(known.member, counter=sender.counter, status=sender.status)
     effects: list[Effect] = list(learn_member(view, at, sender))
     record = view.records[sender.host]
     record.heard = at
--- a/endivedrift/objects/_profile.py
+++ b/endivedrift/objects/_profile.py
@@ -42,7 +42,7 @@
     return EjectionLimit(
         floor=1,
         floor_share=bounds.floor_share,
-        pause_ms=1_000,
+        pause_ms=2_000,
         false_ejection_rate=1e-3,
         detectable_failure_rate=0.4,
         base_stay_ms=2_000,
--- a/endivedrift/platform/_surroundings.py
+++ b/endivedrift/platform/_surroundings.py
@@ -34,7 +34,7 @@
 TARGET_TABLE = "servers"
 CONFIGURATION_KEY = "config"
 GATHER_PERIOD = timedelta(milliseconds=500)
-"""Least time between two answers of a feed: a quarter of the bound in which a change is in force, so
+"""Least time between two answers of a feed, a quarter of the bound for a change to be in force, so
 that changes in quick succession cost one call."""
 RETRY_PERIOD = timedelta(milliseconds=500)
 """Time after which a store that does not answer is asked again."""
@@ -58,7 +58,7 @@
         return SettledClaim(ClaimOutcome.UNKNOWN)
 
     async def read_object(self, digest: Digest) -> bytes | None:
-        """Returns nothing: the feed brings object sets, and the store holds them under no digest."""
+        """Returns nothing: the feed brings object sets; the store holds them under no digest."""
         return None
 
     def build_loops(self, runtime: Runtime, install: Install) -> list[Coroutine[Any, Any, None]]:
--- a/endivedrift/policy/_choice.py
+++ b/endivedrift/policy/_choice.py
@@ -4,7 +4,8 @@
 (Mitzenmacher, The power of two choices in randomized load balancing, 2001). The target with the
 fewest requests in progress goes first; among equals, the one that gave a good answer most recently,
 since a target that turned bad shows by its silence what no answer has told yet. Targets that failed
-a moment ago are avoided, but never so many that fewer than the floor are left.
+a moment ago are avoided while another is usable. Where the service as a whole fails its callers,
+avoiding has not helped: then as many targets as the floor are kept in use.
 """
 
 from datetime import timedelta
@@ -19,12 +20,14 @@
 OTHER_DOMAIN_COST = 0.05
 JITTER = 0.01
 NEVER = timedelta(days=1)
-FAILING_SHARE = 0.06
-"""Share of unserved requests above which work is spread over all targets: over half of the tenth at
-which the users hold a service that uses few of its targets to be badly steered."""
-UNUSED_LIMIT = timedelta(seconds=1)
-"""Time without a request after which a failing service tries a target again: half of the two
-seconds over which the users count the targets in use."""
+FAILING_SHARE = 0.08
+"""Share of unserved requests above which a service counts as failing its callers: just below the
+tenth from which the users count the targets in use."""
+MIN_ENDS = 8.0
+"""Recent ends of requests below which their share tells nothing."""
+USED_LIMIT = timedelta(milliseconds=1_500)
+"""Time after its last request at which a target counts as unused: three quarters of the two seconds
+over which the users count the targets in use."""
 JOIN_PATIENCE = timedelta(milliseconds=300)
 """Time after which a new target is given its first request even where others are more proven."""
 
@@ -45,8 +48,8 @@
       state: The service.
       home: Failure domain of this host; targets there cost a little less.
       excluded: Targets that this request already tried.
-      trial_allowed: Whether the request may go to a target on probation, which it may when it
-        can be repeated elsewhere.
+      trial_allowed: Whether the request tries out targets on probation, which it may when it can be
+        repeated elsewhere. Other requests go there only when no other target has room.
       random: Source of randomness.
       at: Present time.
     Returns:
@@ -81,16 +84,12 @@
     )
 
 
-def has_room(state: ServiceState, record: TargetRecord, trial_allowed: bool, at: Instant) -> bool:
+def has_room(state: ServiceState, record: TargetRecord, at: Instant) -> bool:
     """Tells whether a target may be given one more request."""
     if record.state not in _USABLE:
         return False
-    if record.state is TargetState.PROBATION and not trial_allowed:
-        return False
-    running = record.count_running(at)
-    return (
-        running < count_slots(state, record) if record.state is TargetState.HEALTHY else not running
-    )
+    limit = count_slots(state, record) if record.state is TargetState.HEALTHY else 1
+    return record.count_running(at) < limit
 
 
 def count_slots(state: ServiceState, record: TargetRecord) -> int:
@@ -104,19 +103,22 @@
     return record.entry.slots if record.entry is not None else state.group.slots
 
 
-def list_avoided(state: ServiceState, at: Instant) -> frozenset[TargetName]:
-    """Lists the targets that are avoided because they failed a moment ago.
-
-    Where avoiding all of them would leave fewer than the floor, those whose failure is oldest are
-    used all the same.
-    """
+def list_paused(state: ServiceState, at: Instant) -> frozenset[TargetName]:
+    """Lists the targets that are avoided because they failed a moment ago; not all at a time."""
     paused = [name for name, record in state.targets.items() if record.paused_until > at]
-    if not paused:
-        return frozenset()
     usable = sum(1 for record in state.targets.values() if record.state in _USABLE)
-    room = max(0, usable - state.floor)
-    paused.sort(key=lambda name: state.targets[name].paused_until, reverse=True)
-    return frozenset(paused[:room])
+    return frozenset(paused) if len(paused) < usable else frozenset()
+
+
+def is_narrow(state: ServiceState, at: Instant) -> bool:
+    """Tells whether a service fails its callers while fewer targets than its floor get requests."""
+    recent = state.recent
+    if recent.ended < MIN_ENDS or recent.unserved_share <= FAILING_SHARE:
+        return False
+    used = sum(
+        1 for r in state.targets.values() if r.tried is not None and at - r.tried < USED_LIMIT
+    )
+    return used < state.floor
 
 
 def _choose_cheapest(
@@ -128,37 +130,51 @@
     random: Random,
     at: Instant,
 ) -> TargetName | None:
-    avoided = list_avoided(state, at)
-    spread = state.recent.unserved_share > FAILING_SHARE
+    paused = list_paused(state, at)
+    open_names = [n for n in names if n not in excluded and has_room(state, state.targets[n], at)]
+    if not excluded and is_narrow(state, at):
+        unused = _find_unused(state, open_names, paused, at)
+        if unused is not None:
+            return unused
     best: TargetName | None = None
     best_cost = (0.0, 0.0, 0.0)
-    for name in names:
+    for name in open_names:
         record = state.targets[name]
-        if name in excluded or name in avoided or not has_room(state, record, trial_allowed, at):
+        if name in paused:
             continue
-        if record.state is TargetState.PROBATION:
+        if record.state is TargetState.PROBATION and trial_allowed:
             return name
-        cost = _compute_cost(state, record, home, spread, at, random)
+        cost = _compute_cost(state, record, home, at, random)
         if best is None or cost < best_cost:
             best, best_cost = name, cost
     return best
 
 
+def _find_unused(
+    state: ServiceState, names: list[TargetName], paused: frozenset[TargetName], at: Instant
+) -> TargetName | None:
+    """Finds the target that had no request for longest, those not avoided first."""
+
+    def rank(name: TargetName) -> tuple[bool, Instant]:
+        return name in paused, state.targets[name].tried or Instant(0)
+
+    unused = [n for n in names if at - (state.targets[n].tried or Instant(0)) >= USED_LIMIT]
+    return min(unused, key=rank, default=None)
+
+
 def _compute_cost(
-    state: ServiceState,
-    record: TargetRecord,
-    home: FailureDomain,
-    spread: bool,
-    at: Instant,
-    random: Random,
+    state: ServiceState, record: TargetRecord, home: FailureDomain, at: Instant, random: Random
 ) -> tuple[float, float, float]:
-    """Returns the cost by rank: whether the target is due for a request, load, age of success."""
-    idle = at - record.tried if record.tried is not None else at - record.since
-    limit = UNUSED_LIMIT if spread else JOIN_PATIENCE
-    due = (spread or record.tried is None) and idle > limit and at > Instant(0)
+    """Returns the cost by rank: whether it waits for its first request, load, age of success.
+
+    A target on probation comes last.
+    """
+    first = record.tried is None and Instant(0) < at - JOIN_PATIENCE > record.since
     evidence = SICK_WEIGHT if record.score >= state.threshold else 1.0
     load = (record.count_running(at) + 1.0) * evidence
     proven = at - record.succeeded if record.succeeded is not None else NEVER
     distance = 0.0 if domain_of(record) == home else OTHER_DOMAIN_COST
     tie = proven.total_seconds() + distance + random.random() * JITTER
-    return (0.0 if due else 1.0, load, tie)
+    if record.state is TargetState.PROBATION:
+        return (2.0, load, tie)
+    return (0.0 if first else 1.0, load, tie)
--- a/endivedrift/policy/_evidence.py
+++ b/endivedrift/policy/_evidence.py
@@ -16,6 +16,8 @@
 from endivedrift.policy._service import ServiceState, TargetRecord
 
 TYPICAL_STEP = 1.02
+LEARNING_ANSWERS = 10
+"""Answers from which the typical time is learned before any is held to be slow."""
 RATE_WEIGHT = 0.05
 RATE_WINDOW = 20
 MIN_USUAL_RATE = 0.01
@@ -26,6 +28,7 @@
 SERVER_ERROR = 500
 MAX_OVERDUE_COUNT = 2
 OVERDUE_FACTOR = 4
+MAX_PAUSE_DOUBLINGS = 2
 
 _BAD_OUTCOMES = frozenset(
     {
@@ -42,6 +45,8 @@
 
 def is_slow(state: ServiceState, latency: timedelta) -> bool:
     """Tells whether an answer that took `latency` is bad for its time alone."""
+    if state.learned < LEARNING_ANSWERS:
+        return False
     return latency > state.typical * state.ejection.slow_factor
 
 
@@ -69,7 +74,15 @@
 
 
 def learn_latency(state: ServiceState, latency: timedelta) -> None:
-    """Moves the group's typical time one step towards its median and updates the average."""
+    """Moves the group's typical time one step towards its median and updates the average.
+
+    The first answers set the typical time to their average.
+    """
+    if state.learned < LEARNING_ANSWERS:
+        state.learned += 1
+        state.typical += (latency - state.typical) / state.learned
+        state.service_time = state.typical
+        return
     step = TYPICAL_STEP if latency > state.typical else 1.0 / TYPICAL_STEP
     state.typical = max(MIN_TYPICAL, state.typical * step)
     state.service_time += (latency - state.service_time) * TIME_WEIGHT
@@ -93,19 +106,35 @@
     record.shared_score = _bound_score(state, record.shared_score + change)
 
 
-def pause_target(state: ServiceState, record: TargetRecord, at: Instant) -> bool:
+def pause_target(
+    state: ServiceState, record: TargetRecord, at: Instant, answered: bool = False
+) -> bool:
     """Avoids a target for a while after a failure, without waiting for the sequential test.
 
-    Targets that turn bad for a second or two are back before that test could tell. How many may be
-    avoided at a time is bounded where a target is chosen.
+    Targets that turn bad for a second or two are back before that test could tell. One that fails
+    again before it gave a good answer is avoided for twice as long. How many may be avoided at a
+    time is bounded where a target is chosen.
 
+    Args:
+      state: The service.
+      record: The target.
+      at: Present time.
+      answered: Whether the target itself answered with a failure, which a sound one does at times:
+        then the second failure in a row counts.
     Returns:
       Whether the target was not being avoided before.
     """
     pause = timedelta(milliseconds=state.ejection.pause_ms)
-    fresh = record.paused_until <= at
-    record.paused_until = max(record.paused_until, at + pause)
-    return fresh and bool(pause)
+    first = record.succeeded is not None and record.succeeded >= record.failed
+    record.failed = at
+    if answered and first:
+        return False
+    if not pause or record.paused_until > at:
+        return False
+    again = record.succeeded is None or record.succeeded < record.paused_until
+    record.pauses = record.pauses + 1 if again else 1
+    record.paused_until = at + pause * 2 ** min(record.pauses - 1, MAX_PAUSE_DOUBLINGS)
+    return True
 
 
 def is_sick(state: ServiceState, record: TargetRecord) -> bool:
@@ -130,6 +159,8 @@
     One that takes several times too long is counted once more, so that a target that never answers
     is found out although few requests are in progress there.
     """
+    if state.learned < LEARNING_ANSWERS:
+        return
     limit = state.typical * state.ejection.slow_factor
     for record in state.targets.values():
         for attempt in record.attempts.values():
@@ -159,9 +190,11 @@
                 record.unsent_bad,
                 record.unsent_leaving,
                 len(record.attempts),
+                record.unsent_pause,
             )
             deltas.append(delta)
             record.unsent_change = False
+            record.unsent_pause = False
             record.unsent_good = 0
             record.unsent_bad = 0
             record.unsent_leaving = False
--- a/endivedrift/policy/_service.py
+++ b/endivedrift/policy/_service.py
@@ -73,6 +73,9 @@
       succeeded: When its last good answer to any host arrived, or None.
       tried: When a request was last sent to it from any host that tells, or None.
       paused_until: End of the time for which it is avoided after a failure.
+      pauses: Times it was avoided without a good answer between.
+      failed: When it last failed a request.
+      unsent_pause: Whether this host began to avoid it since other hosts were told.
       unsent_change: Whether the number of requests in progress changed since other hosts were told.
       latency: Time that answer took.
       unsent_good, unsent_bad: Outcomes not yet told to other hosts.
@@ -101,7 +104,10 @@
     succeeded: Instant | None = None
     tried: Instant | None = None
     paused_until: Instant = Instant(0)
+    pauses: int = 0
+    failed: Instant = Instant(0)
     unsent_change: bool = False
+    unsent_pause: bool = False
 
     @property
     def score(self) -> float:
@@ -162,6 +168,7 @@
     Attributes:
       threshold: Score at which a target is held to be sick, in nats.
       typical: Estimate of the median time of an answer, over all targets.
+      learned: Answers from which `typical` was learned, up to a few.
       usual_rate: Median over the targets of the recent share of bad answers.
       queues: Waiting requests by importance.
       limit_per_target: Requests this host may have in progress at one target.
@@ -179,6 +186,7 @@
     threshold: float
     retry_budget: TokenBucket
     typical: timedelta = INITIAL_TYPICAL
+    learned: int = 0
     usual_rate: float = 0.0
     queues: dict[Importance, deque[Waiting]] = field(
         default_factory=lambda: {rank: deque() for rank in Importance}
@@ -270,6 +278,7 @@
 
 def _carry_over(state: ServiceState, previous: ServiceState) -> None:
     state.typical = previous.typical
+    state.learned = previous.learned
     state.usual_rate = previous.usual_rate
     state.service_time = previous.service_time
     state.queues = previous.queues
--- a/endivedrift/reducer/_attempts.py
+++ b/endivedrift/reducer/_attempts.py
@@ -329,9 +329,7 @@
 
 
 def _has_candidate(service: ServiceState, held: RequestState) -> bool:
-    states = {TargetState.HEALTHY, TargetState.WARMING}
-    if held.route.route.repeatable:
-        states.add(TargetState.PROBATION)
+    states = {TargetState.HEALTHY, TargetState.WARMING, TargetState.PROBATION}
     return any(
         record.state in states and name not in held.tried
         for name, record in service.targets.items()
@@ -354,8 +352,10 @@
         entries += note_probation(service, record, bad, event.at)
     if bad is False:
         record.succeeded = event.at
-    failed = event.outcome in _PAUSING_OUTCOMES or status >= SERVER_ERROR
-    if failed and pause_target(service, record, event.at):
+    answered = event.outcome is AttemptOutcome.ANSWERED and status >= SERVER_ERROR
+    failed = answered or event.outcome in _PAUSING_OUTCOMES
+    if failed and pause_target(service, record, event.at, answered):
+        record.unsent_pause = True
         cause = f"{event.outcome.value} {status or ''}".strip()
         entries.append(
             AuditEntry(event.at, AuditKind.PAUSED, event.target, cause, service.name, event.request)
--- a/endivedrift/reducer/_reduce.py
+++ b/endivedrift/reducer/_reduce.py
@@ -6,7 +6,7 @@
 
 from functools import singledispatch
 
-from endivedrift.core import AuditEntry, AuditKind, HostPhase
+from endivedrift.core import NO_CONFIG, AuditEntry, AuditKind, HostPhase
 from endivedrift.core.effects import Effect, RecordAudit
 from endivedrift.core.events import (
     AttemptFinished,
@@ -138,7 +138,9 @@
     fresh, effects = receive_message(state.membership, event.at, event.source, event.message)
     if not fresh:
         return effects
-    effects += want_config(state, event.at, event.message.config, event.message.sender.peer_address)
+    config, address = event.message.config, event.message.sender.peer_address
+    if config != NO_CONFIG:
+        effects += want_config(state, event.at, config, address)
     sender = event.message.sender.host
     return effects + take_evidence(state, event.at, sender, event.message.evidence)
 
--- a/endivedrift/reducer/_targets.py
+++ b/endivedrift/reducer/_targets.py
@@ -1,6 +1,14 @@
 """What other sources than requests tell of targets: the list of machines and other hosts."""
 
-from endivedrift.core import AuditEntry, EvidenceDelta, HostId, Instant, LeavingSign, ServiceName
+from endivedrift.core import (
+    AuditEntry,
+    AuditKind,
+    EvidenceDelta,
+    HostId,
+    Instant,
+    LeavingSign,
+    ServiceName,
+)
 from endivedrift.core.effects import Effect, RecordAudit
 from endivedrift.fleet import send_evidence
 from endivedrift.policy import (
@@ -52,7 +60,7 @@
         record = service.targets[delta.target]
         add_shared_evidence(service, record, delta)
         if service.service.share_at_once:
-            _take_running(service, record, sender, at, delta)
+            effects += _take_running(service, record, sender, at, delta)
             services.add(delta.service)
         if delta.leaving:
             cause = "another host says it is draining"
@@ -67,15 +75,18 @@
 
 def _take_running(
     service: ServiceState, record: TargetRecord, sender: HostId, at: Instant, delta: EvidenceDelta
-) -> None:
+) -> list[Effect]:
     before = record.shared_counts.get(sender)
     record.shared_counts[sender] = SharedCount(delta.running, at)
     if before is None or delta.running > before.running:
         record.tried = at
     if delta.good:
         record.succeeded = at
-    if delta.bad:
-        pause_target(service, record, at)
+    if delta.paused and pause_target(service, record, at):
+        cause = f"{sender} saw it fail"
+        entry = AuditEntry(at, AuditKind.PAUSED, delta.target, cause, service.name)
+        return [RecordAudit(entry)]
+    return []
 
 
 def share_urgent(state: HostState) -> list[Effect]:
--- a/endivedrift/shell/_codec.py
+++ b/endivedrift/shell/_codec.py
@@ -224,6 +224,7 @@
         slot.bad = delta.bad
         slot.leaving = delta.leaving
         slot.running = delta.running
+        slot.paused = delta.paused
     return built.to_bytes_packed()
 
 
@@ -245,6 +246,7 @@
                 delta.bad,
                 delta.leaving,
                 delta.running,
+                delta.paused,
             )
             for delta in built.evidence
         ),
--- a/endivedrift/shell/_surroundings.py
+++ b/endivedrift/shell/_surroundings.py
@@ -1,7 +1,7 @@
 """What a host needs of the place it runs in, and the project's own form of it.
 
-The daemon takes one `Surroundings`: it names headers, settles claims on keys, reads object sets, and
-brings loops that tell the decisions what happens outside.
+The daemon takes one `Surroundings`: it names headers, settles claims on keys, reads object sets,
+and brings loops that tell the decisions what happens outside.
 """
 
 from collections.abc import Awaitable, Callable, Coroutine
--- a/endivedrift/shell/peer.capnp
+++ b/endivedrift/shell/peer.capnp
@@ -27,6 +27,7 @@
   bad @3 :UInt32;
   leaving @4 :Bool;
   running @5 :UInt32;
+  paused @6 :Bool;
 }
 
 # A UDP datagram.
