--- a/endivedrift/platform/_node_file.py
+++ b/endivedrift/platform/_node_file.py
@@ -1,5 +1,6 @@
 """The settings file that the platform gives each process."""
 
+import os
 import tomllib
 from dataclasses import dataclass
 from pathlib import Path
@@ -27,8 +28,8 @@
 answers, and the rest is longer than the usual deadline of a request."""
 EXIT_MARGIN_S = 0.3
 """Time before the end of the grace period at which a stopping host is gone at the latest."""
-OPERATORS_PORT = 9464
-"""Port for metrics and state; deploy/system.toml names it too."""
+OPERATORS_PORT_VARIABLE = "ENDIVEDRIFT_METRICS_PORT"
+"""Variable with the port for metrics and state; by default, the last of the internal ports."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -81,7 +82,9 @@
 def _build_settings(document: dict[str, Any], store: str) -> Settings:
     grace = read_duration(read_field(document, "bounds.grace", str), "bounds.grace").total_seconds()
     ip = read_field(document, "ip", str)
-    peer_port = read_field(document, "internalPortRange", list)[0]
+    ports = read_field(document, "internalPortRange", list)
+    peer_port = ports[0]
+    operators_port = os.environ.get(OPERATORS_PORT_VARIABLE, ports[-1])
     seeds = tuple(f"{seed.rpartition(':')[0]}:{peer_port}" for seed in document.get("seeds", ()))
     leave_wait = grace * LEAVE_SHARE
     return Settings(
@@ -93,7 +96,7 @@
         listen=ListenSection(
             callers=read_field(document, "listen.front", str),
             peers=f"{ip}:{peer_port}",
-            operators=f"{ip}:{OPERATORS_PORT}",
+            operators=f"{ip}:{operators_port}",
         ),
         platform=PlatformSection(table=store, objects=store, hosts=store),
         # The platform gives no secret; the key only keeps fleets of two stores apart.
--- /dev/null
+++ b/endivedrift/platform/platform_test.py
@@ -0,0 +1,165 @@
+"""What the platform writes is read once, and what cannot be read is refused with its cause."""
+
+import tempfile
+import unittest
+from datetime import timedelta
+from pathlib import Path
+
+from expression import Result
+
+from endivedrift.core import Address, Instant, Refusal, RefusalReason, RequestId, Verdict
+from endivedrift.fleet import build_routes, find_route
+from endivedrift.objects import ObjectSet, decode_object_set
+from endivedrift.platform._configuration import read_configuration
+from endivedrift.platform._entries import read_entry
+from endivedrift.platform._headers import describe_refusal
+from endivedrift.platform._node_file import read_node_file
+from endivedrift.platform._values import WireError, read_duration
+from tests.platform_builders import (
+    BOUNDS,
+    HOST,
+    SERVICE,
+    build_cluster,
+    build_configuration,
+    build_entry,
+    build_node_file,
+    build_rule,
+)
+
+
+def read_objects(document: object) -> ObjectSet:
+    fetched = read_configuration(document, BOUNDS, Instant(0))
+    match decode_object_set(fetched.canonical):
+        case Result(tag="ok", ok=objects):
+            return objects
+        case Result(tag="error", error=cause):
+            raise AssertionError(cause)
+    raise AssertionError("a result is either ok or an error")
+
+
+class ConfigurationTest(unittest.TestCase):
+    def test_routes_keep_kind_time_and_attempts(self) -> None:
+        table = build_routes(read_objects(build_configuration()))
+        found = find_route(table, "POST", "/book/7", HOST)
+        assert found is not None
+        self.assertFalse(found.route.repeatable)
+        self.assertEqual(found.route.deadline, timedelta(seconds=2))
+        self.assertEqual(found.route.max_attempts, 2)
+
+    def test_the_longest_prefix_of_the_named_host_wins(self) -> None:
+        rules = [build_rule("a", "safe", "/a/"), build_rule("b", "unsafe", "/a/b/")]
+        listeners = [
+            {"host": HOST, "rules": rules},
+            {"host": "other.example", "rules": [build_rule("a", "safe", "/")]},
+        ]
+        table = build_routes(read_objects(build_configuration(listeners=listeners)))
+        found = [find_route(table, "GET", path, HOST) for path in ("/a/b/c", "/a/x", "/a", "/")]
+        names = [route.name if route is not None else None for route in found]
+        self.assertEqual(names, [f"b.{HOST}", f"a.{HOST}", None, None])
+        self.assertIsNotNone(find_route(table, "GET", "/a", "other.example"))
+        self.assertIsNone(find_route(table, "GET", "/a/b/c", "third.example"))
+
+    def test_a_split_names_every_service(self) -> None:
+        parts = [{"service": SERVICE, "weight": 9}, {"service": "second", "weight": 1}]
+        rule = build_rule("read", "safe", "/stays/", trafficSplit=parts)
+        del rule["action"]["service"]
+        document = build_configuration(
+            listeners=[{"host": HOST, "rules": [rule]}],
+            clusters=[build_cluster(SERVICE), build_cluster("second")],
+        )
+        route = read_objects(document).route[f"read.{HOST}"]
+        self.assertEqual(
+            [(s.service, s.weight) for s in route.split], [(SERVICE, 9), ("second", 1)]
+        )
+
+    def test_an_unusable_configuration_is_refused_with_field_and_cause(self) -> None:
+        for document, cause in (
+            ({}, "version: is missing"),
+            (build_configuration(limits={}), "maxBodyBytes: is missing"),
+            (build_configuration(clusters="none"), "clusters: 'none' is of another type"),
+            (
+                build_configuration(
+                    listeners=[{"host": HOST, "rules": [build_rule("r", "odd", "/a/")]}]
+                ),
+                "neither safe nor unsafe",
+            ),
+            (
+                build_configuration(
+                    listeners=[{"host": HOST, "rules": [build_rule("r", "safe", "a/")]}]
+                ),
+                "path",
+            ),
+        ):
+            with self.assertRaisesRegex(WireError, cause):
+                read_configuration(document, BOUNDS, Instant(0))
+
+
+class EntryTest(unittest.TestCase):
+    def test_an_entry_tells_place_slots_and_state(self) -> None:
+        entry = read_entry("i-1", build_entry(state="draining", warmupLeft="2.5s"))
+        self.assertEqual((entry.address, entry.slots), (Address("127.0.0.1:9000"), 2))
+        self.assertTrue(entry.leaving)
+        self.assertEqual(entry.warm_up_left, timedelta(seconds=2))
+
+    def test_entries_of_other_writers_name_no_target(self) -> None:
+        for document in (
+            None,
+            [],
+            {"address": "127.0.0.1:9000"},
+            build_entry(state="resting"),
+            build_entry(sequence="four"),
+            build_entry(address="nowhere"),
+            build_entry(warmupLeft=3),
+            {**build_entry(), "born": "today"},
+        ):
+            with self.assertRaises(WireError):
+                read_entry("i-1", document)
+
+
+class RefusalTest(unittest.TestCase):
+    def status(self, reason: RefusalReason, verdict: Verdict) -> int:
+        refusal = Refusal(reason, verdict, verdict, timedelta(milliseconds=250), "why")
+        return describe_refusal(refusal, RequestId("r")).status
+
+    def test_a_promise_is_given_only_for_what_did_not_run(self) -> None:
+        for reason in RefusalReason:
+            self.assertNotIn(self.status(reason, Verdict.MAY_HAVE_RUN), (429, 503))
+
+    def test_what_did_not_run_may_come_back_in_a_fraction_of_a_second(self) -> None:
+        refusal = Refusal(
+            RefusalReason.QUEUE_WAIT,
+            Verdict.NOT_RUN,
+            Verdict.NOT_RUN,
+            timedelta(milliseconds=250),
+            "full",
+        )
+        answer = describe_refusal(refusal, RequestId("r"))
+        self.assertEqual(answer.status, 503)
+        self.assertIn((b"retry-after", b"0.250"), answer.headers)
+
+
+class NodeFileTest(unittest.TestCase):
+    def read(self, text: str) -> None:
+        with tempfile.NamedTemporaryFile("w", suffix=".toml") as file:
+            file.write(text)
+            file.flush()
+            self.node = read_node_file(Path(file.name))
+
+    def test_settings_follow_from_the_file(self) -> None:
+        self.read(build_node_file("127.0.0.1", "127.0.0.2:80", ["127.0.0.3"], 7000))
+        settings = self.node.settings
+        self.assertEqual(settings.listen.peers, "127.0.0.1:7004")
+        self.assertEqual(settings.fleet.seeds, ("127.0.0.3:7004",))
+        limits = settings.limits
+        self.assertLess(limits.leave_wait_s + limits.drain_s, 6.0)
+
+    def test_a_missing_field_is_named(self) -> None:
+        text = build_node_file("127.0.0.1", "127.0.0.2:80", [], 7000)
+        with self.assertRaisesRegex(WireError, "grace"):
+            self.read(text.replace('grace = "6s"', ""))
+
+    def test_durations_need_a_unit(self) -> None:
+        self.assertEqual(read_duration("2.5s", "f"), timedelta(seconds=2.5))
+        for value in ("2", "s", 3, "-1s", "1m"):
+            with self.assertRaises(WireError):
+                read_duration(value, "f")
--- a/endivedrift/shell/_callers.py
+++ b/endivedrift/shell/_callers.py
@@ -57,7 +57,7 @@
 OVERLOAD_RETRY = timedelta(seconds=1)
 LINGER = timedelta(seconds=1)
 HEAD_SLACK_BYTES = 1_024
-"""Bytes above the limit of a head that the parser takes in, so that a longer head gets an answer."""
+"""Bytes above the limit of a head that the parser takes in, so that a longer head is answered."""
 
 _PLAIN_METHODS = frozenset({"GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"})
 
--- a/endivedrift/shell/_exchange.py
+++ b/endivedrift/shell/_exchange.py
@@ -43,6 +43,7 @@
     body: bytes,
     timeout: timedelta,
     headers: Headers = (),
+    host: str = "",
 ) -> HttpReply:
     """Sends one request and reads its reply.
 
@@ -50,6 +51,7 @@
       address: IP:PORT of the server.
       method, target, headers, body: The request.
       timeout: Time for the whole exchange.
+      host: Host that the request names; by default, the address.
     Returns:
       The reply.
     Raises:
@@ -63,7 +65,7 @@
             sent = True
             http = h11.Connection(h11.CLIENT)
             all_headers = [
-                (b"host", address.encode()),
+                (b"host", (host or address).encode()),
                 (b"connection", b"close"),
                 (b"content-length", str(len(body)).encode()),
                 *headers,
--- a/endivedrift/shell/targets_test.py
+++ b/endivedrift/shell/targets_test.py
@@ -185,6 +185,6 @@
 
     def test_trusting_any_answer_is_noticed(self) -> None:
         answer = write_answer(extra="x-request-id: other\r\n")
-        with broken(_targets, "_is_trustworthy", lambda *arguments: True):
+        with broken(_targets._AnswerReader, "_is_trustworthy", lambda *arguments: True):
             ends, _ = run_attempts(answer)
         self.assertIs(ends[0].outcome, AttemptOutcome.ANSWERED)
--- /dev/null
+++ b/standins/platform_target.py
@@ -0,0 +1,44 @@
+"""Stand-in for a target of the users' platform: proves its answers and checks who is meant."""
+
+from dataclasses import dataclass, field
+
+import curio
+
+from standins._http_server import StandinReply, StandinRequest
+
+
+@dataclass(slots=True)
+class PlatformTargetStandin:
+    """One target.
+
+    Attributes:
+      name: Its id.
+      work_s: Time that a request takes.
+      reset_share_of_ten: Requests of each ten that are dropped without an answer.
+      ran: Ids of the requests that ran, in order.
+    """
+
+    name: str
+    work_s: float = 0.01
+    reset_share_of_ten: int = 0
+    answering: bool = True
+    ran: list[str] = field(default_factory=list)
+    received: int = 0
+
+    async def handle(self, request: StandinRequest) -> StandinReply:
+        """Answers one request."""
+        self.received += 1
+        if request.headers.get("endivedrift-expect-instance") != self.name:
+            return StandinReply(421, {"endivedrift-instance-id": self.name})
+        attempt = request.headers.get("endivedrift-attempt-id", "")
+        if self.received % 10 < self.reset_share_of_ten:
+            return StandinReply(drop=True)
+        self.ran.append(attempt)
+        await curio.sleep(self.work_s)
+        headers = {
+            "endivedrift-attempt-id": attempt,
+            "endivedrift-server-signature": f"signed.{self.name}.{attempt}",
+            "endivedrift-server-load": "1,0,2",
+        }
+        body = f"{self.name} {request.method} {request.path} {len(request.body)}"
+        return StandinReply(200, headers, body.encode())
--- a/tests/config_test.py
+++ b/tests/config_test.py
@@ -27,6 +27,7 @@
     PeerMessageReceived,
 )
 from endivedrift.objects import decode_object_set, digest_bytes, encode_object_set
+from endivedrift.reducer import _config, _reduce
 from endivedrift.store import (
     PlatformError,
     PublishOutcome,
@@ -38,7 +39,6 @@
     publish_set,
     read_head,
 )
-from endivedrift.reducer import _config, _reduce
 from standins.tasks import run_together
 from tests.builders import HostBench, build_identity, build_object_set
 from tests.fuzzing import broken, fuzz_machine, notices_fault
--- a/tests/host_test.py
+++ b/tests/host_test.py
@@ -131,6 +131,7 @@
             AttemptOutcome.SHED,
             AttemptOutcome.DRAINING,
             AttemptOutcome.NOT_CONNECTED,
+            AttemptOutcome.MISDIRECTED,
         ):
             self.may_have_run.add(request)
         event = AttemptFinished(
--- /dev/null
+++ b/tests/platform_builders.py
@@ -0,0 +1,104 @@
+"""Builders of what the users' platform hands to a host: settings, configurations and entries."""
+
+from typing import Any
+
+from endivedrift.objects import FleetBounds
+
+HOST = "rooms.example"
+SERVICE = "rooms1a"
+
+BOUNDS = FleetBounds(retry_ratio=0.2, retry_slack=56, floor_share=0.7, entry_hosts=3)
+
+
+def build_configuration(version: int = 3, **changes: Any) -> dict[str, Any]:
+    """Builds a configuration with one safe and one unsafe route to one service.
+
+    Args:
+      version: Its version.
+      changes: Fields to replace.
+    """
+    safe = build_rule("read", "safe", "/stays/")
+    unsafe = build_rule("book", "unsafe", "/book/")
+    document = {
+        "version": version,
+        "limits": {
+            "maxHeaderBytes": 16384,
+            "maxBodyBytes": 67108864,
+            "headerTimeout": "3000ms",
+            "idleTimeout": "15000ms",
+        },
+        "listeners": [{"host": HOST, "rules": [safe, unsafe]}],
+        "clusters": [build_cluster(SERVICE)],
+    }
+    return {**document, **changes}
+
+
+def build_cluster(name: str) -> dict[str, Any]:
+    """Builds a service."""
+    return {
+        "name": name,
+        "healthPath": "/health",
+        "maxConns": 330,
+        "protocol": "h1",
+        "tls": False,
+    }
+
+
+def build_rule(name: str, kind: str, prefix: str, **action: Any) -> dict[str, Any]:
+    """Builds a route; `action` replaces fields of where it leads."""
+    return {
+        "name": name,
+        "kind": kind,
+        "targetLatency": "600ms",
+        "priority": 1,
+        "match": {"prefix": prefix},
+        "action": {"service": SERVICE, "timeout": "2000ms", "maxAttempts": 2, **action},
+    }
+
+
+def build_entry(address: str = "127.0.0.1:9000", **changes: Any) -> dict[str, Any]:
+    """Builds what a target registers; `changes` replaces members of its status."""
+    return {
+        "address": address,
+        "info": {"service": SERVICE, "version": "v1", "zone": "rabat-a", "slots": 2},
+        "status": {"state": "ready", "sequence": 4, "warmupLeft": "0ms", **changes},
+        "born": 1779015080011,
+    }
+
+
+def build_node_file(ip: str, store: str, seeds: list[str], first_port: int) -> str:
+    """Builds the settings file of a host; its ports follow on one another."""
+    quoted = ", ".join(f'"{seed}:{first_port + 2}"' for seed in seeds)
+    return f"""
+node = "front-{ip}"
+role = "host"
+machineClass = "front"
+serves = ["front", "directory", "control"]
+ip = "{ip}"
+zone = "rabat-a"
+region = "maroc-nord"
+internalPortRange = [{first_port + 4}, {first_port + 9}]
+seeds = [{quoted}]
+bootstrap = true
+heartbeat = "1500ms"
+later = "a field that nobody knows"
+
+[zones]
+rabat-a = "maroc-nord"
+
+[listen]
+front = "{ip}:{first_port}"
+ready = "{ip}:{first_port + 1}"
+control = "{ip}:{first_port + 2}"
+directory = "{ip}:{first_port + 3}"
+
+[bounds]
+grace = "6s"
+retryBudgetRatio = 0.2
+budgetSlack = 56
+floorShare = 0.7
+
+[platform]
+address = "{store}"
+form = "table"
+"""
