Take SIGHUP and changed settings without a stop

Cause: SIGHUP was not handled and ended the process. Change: SIGHUP and a changed settings file make the host read its seeds again.

--- a/endivedrift/core/events.py
+++ b/endivedrift/core/events.py
@@ -138,6 +138,14 @@
     complete: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class SeedsRead:
+    """The settings name these peer addresses to ask for other hosts."""
+
+    at: Instant
+    addresses: tuple[Address, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class StoreLost:
     """The store in which targets register stopped answering this host."""
@@ -190,6 +198,7 @@
     | ConfigFetchFailed
     | HostListRead
     | TargetsObserved
+    | SeedsRead
     | StoreLost
     | StoreRegained
     | PeerMessageReceived
--- a/endivedrift/platform/_surroundings.py
+++ b/endivedrift/platform/_surroundings.py
@@ -10,8 +10,16 @@
 import curio
 import h11
 
-from endivedrift.core import ClaimOutcome, Digest, FailureDomain, HostPhase, TargetEntry, TargetName
-from endivedrift.core.events import StoreLost, StoreRegained, TargetsObserved
+from endivedrift.core import (
+    Address,
+    ClaimOutcome,
+    Digest,
+    FailureDomain,
+    HostPhase,
+    TargetEntry,
+    TargetName,
+)
+from endivedrift.core.events import SeedsRead, StoreLost, StoreRegained, TargetsObserved
 from endivedrift.platform._configuration import read_configuration
 from endivedrift.platform._entries import read_entry
 from endivedrift.platform._headers import DIALECT
@@ -38,6 +46,9 @@
 that changes in quick succession cost one call."""
 RETRY_PERIOD = timedelta(milliseconds=500)
 """Time after which a store that does not answer is asked again."""
+FILE_PERIOD = timedelta(seconds=2)
+"""Time between two looks at the settings file; only seeds are taken from it, which hosts that know
+others do not need."""
 MAX_QUESTIONS = 256
 
 _log = make_logger("platform")
@@ -46,8 +57,10 @@
 class PlatformSurroundings:
     """The platform as a host sees it."""
 
-    def __init__(self, node: NodeFile) -> None:
-        """Takes the settings file as read."""
+    def __init__(self, path: Path, node: NodeFile) -> None:
+        """Takes the settings file and what was read of it."""
+        self._path = path
+        self._changed = _date_file(path)
         self.dialect = DIALECT
         self.claims: ClaimTable = self
         self.entry_at_callers = False
@@ -61,12 +74,33 @@
         """Returns nothing: the feed brings object sets; the store holds them under no digest."""
         return None
 
+    async def reload(self, runtime: Runtime) -> None:
+        """Reads the settings file again and takes the seeds from it."""
+        try:
+            node = read_node_file(self._path)
+        except WireError as error:
+            _log.error("Settings refused; the earlier ones stay.", cause=str(error))
+            return
+        _log.info("Settings read again.", seeds=node.settings.fleet.seeds)
+        seeds = tuple(Address(seed) for seed in node.settings.fleet.seeds)
+        await runtime.dispatch(SeedsRead(runtime.clock.monotonic(), seeds))
+
+    async def _watch_file(self, runtime: Runtime) -> None:
+        """Reads the settings file again when it changed, which may come without a signal."""
+        while True:
+            await curio.sleep(FILE_PERIOD.total_seconds())
+            changed = _date_file(self._path)
+            if changed != self._changed:
+                self._changed = changed
+                await self.reload(runtime)
+
     def build_loops(self, runtime: Runtime, install: Install) -> list[Coroutine[Any, Any, None]]:
         """Builds the loops that follow the store and answer the platform's questions."""
         node = self._node
         feeds = _Feeds(node, runtime, install)
         questions = _Questions(runtime)
         return [
+            self._watch_file(runtime),
             feeds.follow(OPERATOR_TABLE, feeds.take_configuration),
             feeds.follow(TARGET_TABLE, feeds.take_entries),
             PlainServer(node.readiness, questions.answer_readiness, MAX_QUESTIONS).accept(),
@@ -193,4 +227,12 @@
       WireError: If the file cannot be used.
     """
     node = read_node_file(path)
-    return node, PlatformSurroundings(node)
+    return node, PlatformSurroundings(path, node)
+
+
+def _date_file(path: Path) -> int:
+    """Returns the time of a file's last change in nanoseconds, or 0 where there is no file."""
+    try:
+        return path.stat().st_mtime_ns
+    except OSError:
+        return 0
--- a/endivedrift/reducer/_reduce.py
+++ b/endivedrift/reducer/_reduce.py
@@ -22,6 +22,7 @@
     PeerMessageReceived,
     QueueWaitExpired,
     RequestArrived,
+    SeedsRead,
     StopRequested,
     StoreLost,
     StoreRegained,
@@ -123,6 +124,12 @@
     return observe_targets(state, event)
 
 
+@_reduce.register
+def _(event: SeedsRead, state: HostState) -> list[Effect]:
+    learn_seeds(state.membership, event.addresses)
+    return []
+
+
 @_reduce.register
 def _(event: StoreLost, state: HostState) -> list[Effect]:
     return lose_store(state, event)
--- a/endivedrift/shell/_daemon.py
+++ b/endivedrift/shell/_daemon.py
@@ -59,7 +59,9 @@
 
 
 async def _run(settings: Settings, surroundings: Surroundings) -> None:
-    await _run_host(settings, surroundings, SignalInbox(signal.SIGTERM, signal.SIGINT))
+    await _run_host(
+        settings, surroundings, SignalInbox(signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+    )
 
 
 async def _run_host(settings: Settings, surroundings: Surroundings, signals: SignalInbox) -> None:
@@ -89,7 +91,8 @@
     gc.collect()
     gc.freeze()
     _log.info("Started.", host=identity.host, callers=identity.caller_address)
-    await signals.wait()
+    while await signals.wait() is signal.SIGHUP:
+        await surroundings.reload(runtime)
     await _stop(runtime, callers, accepting, signals, settings)
     for task in tasks:
         await task.cancel()
@@ -126,7 +129,8 @@
     _log.info("Leaving.", host=runtime.state.identity.host)
     await runtime.dispatch(StopRequested(runtime.clock.monotonic()))
     async with curio.ignore_after(settings.limits.leave_wait.total_seconds()):
-        await signals.wait()
+        while await signals.wait() is signal.SIGHUP:
+            _log.info("Settings are not read again while leaving.")
     await accepting.cancel()
     await callers.stop_listening()
     deadline = runtime.clock.monotonic() + timedelta(seconds=settings.limits.drain_s)
--- a/endivedrift/shell/_signals.py
+++ b/endivedrift/shell/_signals.py
@@ -7,7 +7,7 @@
 
 
 class SignalInbox:
-    """Signals that arrived, one byte each on a socket pair."""
+    """Signals that arrived, one byte with the number of each on a socket pair."""
 
     def __init__(self, *signals: signal.Signals) -> None:
         """Takes over the given signals; must be called on the main thread."""
@@ -16,9 +16,9 @@
         for number in signals:
             signal.signal(number, _ignore)
 
-    async def wait(self) -> None:
+    async def wait(self) -> signal.Signals:
         """Waits for the next signal."""
-        await self._reader.recv(1)
+        return signal.Signals((await self._reader.recv(1))[0])
 
 
 def _ignore(number: int, frame: FrameType | None) -> None:
--- a/endivedrift/shell/_surroundings.py
+++ b/endivedrift/shell/_surroundings.py
@@ -14,6 +14,7 @@
 from endivedrift.core.events import ConfigFetched, HeadObserved, HostListRead
 from endivedrift.settings import Settings
 from endivedrift.shell._dialect import OWN_DIALECT, Dialect
+from endivedrift.shell._log import make_logger
 from endivedrift.shell._peers import draw_period
 from endivedrift.shell._runtime import Runtime
 from endivedrift.store import (
@@ -26,6 +27,8 @@
     read_head,
 )
 
+_log = make_logger("daemon")
+
 HEAD_PERIOD = timedelta(seconds=2)
 MACHINES_PERIOD = timedelta(seconds=2)
 
@@ -49,6 +52,9 @@
     async def read_object(self, digest: Digest) -> bytes | None:
         """Reads the bytes of an object set, or None where the store does not give them."""
 
+    async def reload(self, runtime: Runtime) -> None:
+        """Reads again what of the settings may change while the host runs."""
+
     def build_loops(self, runtime: Runtime, install: Install) -> list[Coroutine[Any, Any, None]]:
         """Builds the loops that run until the host stops.
 
@@ -91,6 +97,10 @@
                 self._runtime.metrics.platform_failures.labels("objects").inc()
             return None
 
+    async def reload(self, runtime: Runtime) -> None:
+        """Keeps the settings: all of them need a restart."""
+        _log.info("Settings stay as they are until the next start.")
+
     def build_loops(self, runtime: Runtime, install: Install) -> list[Coroutine[Any, Any, None]]:
         """Builds the loops that poll the head row and the list of machines."""
         self._runtime = runtime
--- a/tests/platform_path_test.py
+++ b/tests/platform_path_test.py
@@ -131,8 +131,10 @@
             self.assertIn(b" POST /book/7 5", booked.body)
             ran = [attempt for target in path.targets.values() for attempt in target.ran]
             self.assertEqual(sorted(ran), ["a1", "a2"])
+            path.hosts[host].send_signal(signal.SIGHUP)
             unknown = await path.call(host, "GET", "/nowhere/", "a3")
             self.assertEqual(unknown.status, 404)
+            self.assertIsNone(path.hosts[host].poll())
 
         self.run_path(scenario)
 
