Keep a feed alive when the store takes no connection

Ruled out: a feed stuck on a silent connection; the log shows the task's crash. Change: a connection that times out is an ordinary connection error. Test: DarkStoreTest failed before (UncaughtTimeoutError), passes now.

--- a/endivedrift/platform/_store.py
+++ b/endivedrift/platform/_store.py
@@ -164,6 +164,10 @@
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEP_ALIVE_PROBES)
             async with curio.timeout_after(CONNECT_TIMEOUT.total_seconds()):
                 await sock.connect(parse_endpoint(self._address).pair())
+        except curio.TaskTimeout:
+            await sock.close()
+            # A timeout must not pass through that of the whole call, which stands around it.
+            raise ConnectionError("no connection in time") from None
         except BaseException:
             await sock.close()
             raise
