Bound the harm of failing targets and of standing queues

Lost datagrams left counts of requests that no longer ran. Under a standing queue every answer was late and none more was served. Ruled out: spreading by the floor rule as the cause (it forces under 3 requests a second). Change: left alone 2 s, then shunned (used only where a request would wait); trials spaced while all failed; sheds hold 0.2 s; path failures are not told; counts told again each half second; second attempts wait for a proven target; ejection needs four failures; a standing queue takes only what can be answered within its aim; retry budget by request.

--- a/endivedrift/core/__init__.py
+++ b/endivedrift/core/__init__.py
@@ -49,6 +49,7 @@
     LeavingSign,
     MemberStatus,
     MessageKind,
+    PauseCause,
     RefusalReason,
     TargetState,
 )
@@ -90,6 +91,7 @@
     "MessageKind",
     "NOT_RUN_OUTCOMES",
     "NO_CONFIG",
+    "PauseCause",
     "PeerMessage",
     "Refusal",
     "RefusalReason",
--- a/endivedrift/core/_states.py
+++ b/endivedrift/core/_states.py
@@ -62,6 +62,14 @@
     CANCELLED = "cancelled"
 
 
+class PauseCause(Enum):
+    """Why a target is avoided for a while."""
+
+    BROKEN = "broken"
+    ANSWERED = "answered"
+    REFUSED = "refused"
+
+
 class KeyPhase(Enum):
     """What the owner of an idempotency key knows of the request that the key names."""
 
--- a/endivedrift/objects/_profile.py
+++ b/endivedrift/objects/_profile.py
@@ -43,7 +43,7 @@
         floor=1,
         floor_share=bounds.floor_share,
         pause_ms=2_000,
-        false_ejection_rate=1e-3,
+        false_ejection_rate=1e-6,
         detectable_failure_rate=0.4,
         base_stay_ms=2_000,
         max_stay_ms=10_000,
--- a/endivedrift/objects/_schema.py
+++ b/endivedrift/objects/_schema.py
@@ -130,7 +130,7 @@
 
     Attributes:
       max_attempts: Attempts for one request, the first included.
-      budget_ratio: Retries allowed for each successful answer.
+      budget_ratio: Retries allowed for each request.
       budget_cap: Retries that may be saved up.
     """
 
@@ -183,6 +183,8 @@
       key_required: Whether a request must carry an idempotency key.
       deadline_ms: Longest time from arrival to answer.
       queue_wait_ms: Longest time in the queue.
+      aim_ms: Time within which an answer is of full use, or 0 for the deadline. Where many requests
+        wait for long, only those are queued that can still be answered within it.
       importance: Order in the queue: critical, normal or deferrable.
       request_limit_bytes, answer_limit_bytes: Largest bodies.
       known_callers_only: Whether a request must name a published caller account.
@@ -201,6 +203,7 @@
     key_required: bool = False
     deadline_ms: Milliseconds
     queue_wait_ms: Milliseconds
+    aim_ms: Annotated[int, Field(ge=0, le=MAX_DEADLINE_MS)] = 0
     importance: Annotated[str, Field(pattern=r"^(critical|normal|deferrable)$")] = "normal"
     request_limit_bytes: Annotated[int, Field(ge=0, le=MAX_BODY_BYTES)] = 65_536
     answer_limit_bytes: Annotated[int, Field(ge=0, le=MAX_BODY_BYTES)] = 1_048_576
@@ -211,6 +214,11 @@
         """Longest time from arrival to answer."""
         return timedelta(milliseconds=self.deadline_ms)
 
+    @property
+    def aim(self) -> timedelta:
+        """Time within which an answer is of full use."""
+        return timedelta(milliseconds=self.aim_ms or self.deadline_ms)
+
     @property
     def queue_wait(self) -> timedelta:
         """Longest time in the queue."""
--- a/endivedrift/platform/_configuration.py
+++ b/endivedrift/platform/_configuration.py
@@ -105,6 +105,7 @@
         Share(service=read_field(part, "service", str), weight=read_field(part, "weight", int))
         for part in action.get("trafficSplit", ())
     )
+    aim = read_duration(read_field(rule, "targetLatency", str), "targetLatency")
     # `priority` ranks from 0, the most urgent.
     rank = Importance(min(read_field(rule, "priority", int), max(Importance)))
     return Route(
@@ -118,6 +119,7 @@
         methods=("*",),
         repeatable=_KINDS[kind],
         deadline_ms=timeout_ms,
+        aim_ms=round(aim.total_seconds() * 1000.0),
         queue_wait_ms=max(1, timeout_ms - 1),
         importance=rank.name.lower(),
         request_limit_bytes=max_body,
--- a/endivedrift/policy/__init__.py
+++ b/endivedrift/policy/__init__.py
@@ -47,6 +47,9 @@
 )
 from endivedrift.policy._waiting import (
     estimate_wait,
+    is_standing,
+    note_queue,
+    note_turn,
     pop_waiting,
     push_back,
     push_waiting,
@@ -78,6 +81,7 @@
     "estimate_wait",
     "has_room",
     "is_sick",
+    "is_standing",
     "judge_evidence",
     "learn_latency",
     "learn_usual_rate",
@@ -85,6 +89,8 @@
     "mint_key",
     "note_listed_live",
     "note_probation",
+    "note_queue",
+    "note_turn",
     "others_answer",
     "parse_minted",
     "pause_target",
--- a/endivedrift/policy/_choice.py
+++ b/endivedrift/policy/_choice.py
@@ -28,6 +28,16 @@
 USED_LIMIT = timedelta(milliseconds=1_500)
 """Time after its last request at which a target counts as unused: three quarters of the two seconds
 over which the users count the targets in use."""
+SHUN_PATIENCE = timedelta(milliseconds=100)
+"""Time that a request which must not be repeated waits for a proven target: half the usual time of
+an answer, in which some target most likely frees a slot."""
+RETRY_PATIENCE = timedelta(milliseconds=300)
+"""Time that a second attempt waits for a proven target before it takes any."""
+REPEATABLE_TRIAL = timedelta(milliseconds=700)
+"""Time after a failure in which not even a request that can be repeated tries the target again."""
+TRIAL_SPACING = timedelta(milliseconds=250)
+"""Time between two trials of a target while all targets of a service failed a moment ago."""
+LAST_RESORT = 2.0
 JOIN_PATIENCE = timedelta(milliseconds=300)
 """Time after which a new target is given its first request even where others are more proven."""
 
@@ -41,6 +51,7 @@
     trial_allowed: bool,
     random: Random,
     at: Instant = Instant(0),
+    waited: timedelta = timedelta(0),
 ) -> TargetName | None:
     """Chooses a target that has room for one more request.
 
@@ -52,16 +63,37 @@
         repeated elsewhere. Other requests go there only when no other target has room.
       random: Source of randomness.
       at: Present time.
+      waited: Time since the request came.
     Returns:
       The target, or None where none has room.
     """
     names = list(state.targets)
     if len(names) > SCAN_LIMIT:
-        sample = random.sample(names, SAMPLE_SIZE)
-        chosen = _choose_cheapest(state, sample, home, excluded, trial_allowed, random, at)
-        if chosen is not None:
-            return chosen
-    return _choose_cheapest(state, names, home, excluded, trial_allowed, random, at)
+        names = random.sample(names, SAMPLE_SIZE)
+    open_names = [n for n in names if n not in excluded and has_room(state, state.targets[n], at)]
+    if not excluded and is_narrow(state, at):
+        unused = _find_unused(state, open_names, at)
+        if unused is not None:
+            return unused
+    if _all_paused(state, at):
+        return _find_trial(state, open_names, at)
+    # A second attempt has no third behind it, so it waits longer for a proven target.
+    first_of_several = trial_allowed and not excluded
+    late = waited >= (SHUN_PATIENCE if not excluded else RETRY_PATIENCE)
+    best: TargetName | None = None
+    best_cost = (0.0, 0.0, 0.0)
+    for name in open_names:
+        record = state.targets[name]
+        if record.paused_until > at and not (first_of_several and _is_due_trial(record, at)):
+            continue
+        if record.state is TargetState.PROBATION and first_of_several:
+            return name
+        cost = _compute_cost(state, record, home, at, random)
+        if cost[0] >= LAST_RESORT and not late and not first_of_several:
+            continue
+        if best is None or cost < best_cost:
+            best, best_cost = name, cost
+    return best
 
 
 def others_answer(state: ServiceState, name: TargetName, started: Instant, at: Instant) -> bool:
@@ -103,13 +135,6 @@
     return record.entry.slots if record.entry is not None else state.group.slots
 
 
-def list_paused(state: ServiceState, at: Instant) -> frozenset[TargetName]:
-    """Lists the targets that are avoided because they failed a moment ago; not all at a time."""
-    paused = [name for name, record in state.targets.items() if record.paused_until > at]
-    usable = sum(1 for record in state.targets.values() if record.state in _USABLE)
-    return frozenset(paused) if len(paused) < usable else frozenset()
-
-
 def is_narrow(state: ServiceState, at: Instant) -> bool:
     """Tells whether a service fails its callers while fewer targets than its floor get requests."""
     recent = state.recent
@@ -121,53 +146,48 @@
     return used < state.floor
 
 
-def _choose_cheapest(
-    state: ServiceState,
-    names: list[TargetName],
-    home: FailureDomain,
-    excluded: frozenset[TargetName],
-    trial_allowed: bool,
-    random: Random,
-    at: Instant,
-) -> TargetName | None:
-    paused = list_paused(state, at)
-    open_names = [n for n in names if n not in excluded and has_room(state, state.targets[n], at)]
-    if not excluded and is_narrow(state, at):
-        unused = _find_unused(state, open_names, paused, at)
-        if unused is not None:
-            return unused
-    best: TargetName | None = None
-    best_cost = (0.0, 0.0, 0.0)
-    for name in open_names:
-        record = state.targets[name]
-        if name in paused:
-            continue
-        if record.state is TargetState.PROBATION and trial_allowed:
-            return name
-        cost = _compute_cost(state, record, home, at, random)
-        if best is None or cost < best_cost:
-            best, best_cost = name, cost
-    return best
-
-
-def _find_unused(
-    state: ServiceState, names: list[TargetName], paused: frozenset[TargetName], at: Instant
-) -> TargetName | None:
-    """Finds the target that had no request for longest, those not avoided first."""
+def _find_unused(state: ServiceState, names: list[TargetName], at: Instant) -> TargetName | None:
+    """Finds the target that had no request for longest, those not left alone first."""
 
     def rank(name: TargetName) -> tuple[bool, Instant]:
-        return name in paused, state.targets[name].tried or Instant(0)
+        return state.targets[name].paused_until > at, state.targets[name].tried or Instant(0)
 
     unused = [n for n in names if at - (state.targets[n].tried or Instant(0)) >= USED_LIMIT]
     return min(unused, key=rank, default=None)
 
 
+def _all_paused(state: ServiceState, at: Instant) -> bool:
+    """Tells whether every usable target failed a moment ago."""
+    usable = [record for record in state.targets.values() if record.state in _USABLE]
+    return bool(usable) and all(record.paused_until > at for record in usable)
+
+
+def _is_due_trial(record: TargetRecord, at: Instant) -> bool:
+    """Tells whether a request that can be repeated elsewhere may try a target left alone."""
+    return at - record.failed >= REPEATABLE_TRIAL and not record.count_running(at)
+
+
+def _find_trial(state: ServiceState, names: list[TargetName], at: Instant) -> TargetName | None:
+    """Finds a target to try although all failed a moment ago: the one whose failure is oldest.
+
+    Targets that fail fast are always free. Without a time between two trials they would take every
+    request.
+    """
+    idle = [
+        name
+        for name in names
+        if not state.targets[name].count_running(at)
+        and at - state.targets[name].failed >= TRIAL_SPACING
+    ]
+    return min(idle, key=lambda name: state.targets[name].failed, default=None)
+
+
 def _compute_cost(
     state: ServiceState, record: TargetRecord, home: FailureDomain, at: Instant, random: Random
 ) -> tuple[float, float, float]:
     """Returns the cost by rank: whether it waits for its first request, load, age of success.
 
-    A target on probation comes last.
+    A target on probation, or that is shunned after a failure, comes last.
     """
     first = record.tried is None and Instant(0) < at - JOIN_PATIENCE > record.since
     evidence = SICK_WEIGHT if record.score >= state.threshold else 1.0
@@ -175,6 +195,6 @@
     proven = at - record.succeeded if record.succeeded is not None else NEVER
     distance = 0.0 if domain_of(record) == home else OTHER_DOMAIN_COST
     tie = proven.total_seconds() + distance + random.random() * JITTER
-    if record.state is TargetState.PROBATION:
-        return (2.0, load, tie)
+    if record.state is TargetState.PROBATION or record.shunned_until > at:
+        return (LAST_RESORT, load, tie)
     return (0.0 if first else 1.0, load, tie)
--- a/endivedrift/policy/_evidence.py
+++ b/endivedrift/policy/_evidence.py
@@ -12,7 +12,7 @@
 import statistics
 from datetime import timedelta
 
-from endivedrift.core import AttemptOutcome, EvidenceDelta, Instant
+from endivedrift.core import AttemptOutcome, EvidenceDelta, Instant, PauseCause
 from endivedrift.policy._service import ServiceState, TargetRecord
 
 TYPICAL_STEP = 1.02
@@ -29,6 +29,9 @@
 MAX_OVERDUE_COUNT = 2
 OVERDUE_FACTOR = 4
 MAX_PAUSE_DOUBLINGS = 2
+REFUSED_PAUSE = timedelta(milliseconds=200)
+"""Time for which a target is left alone that refused a request as full: about the time in which one
+of the users' targets frees a slot."""
 
 _BAD_OUTCOMES = frozenset(
     {
@@ -106,34 +109,35 @@
     record.shared_score = _bound_score(state, record.shared_score + change)
 
 
-def pause_target(
-    state: ServiceState, record: TargetRecord, at: Instant, answered: bool = False
-) -> bool:
+def pause_target(state: ServiceState, record: TargetRecord, at: Instant, cause: PauseCause) -> bool:
     """Avoids a target for a while after a failure, without waiting for the sequential test.
 
-    Targets that turn bad for a second or two are back before that test could tell. One that fails
-    again before it gave a good answer is avoided for twice as long. How many may be avoided at a
-    time is bounded where a target is chosen.
+    Targets that turn bad for a few seconds are back before that test could tell. A target is first
+    left alone, then used only where a request would wait otherwise; that second time doubles each
+    time it fails again before it gave a good answer.
 
     Args:
       state: The service.
       record: The target.
       at: Present time.
-      answered: Whether the target itself answered with a failure, which a sound one does at times:
-        then the second failure in a row counts.
+      cause: What failed. One failure that the target itself answered with says nothing, since a
+        sound one does so at times: the second in a row counts. One that it refused to run tells
+        that it is full, and holds for a moment only.
     Returns:
-      Whether the target was not being avoided before.
+      Whether the target was not left alone before.
     """
     pause = timedelta(milliseconds=state.ejection.pause_ms)
     first = record.succeeded is not None and record.succeeded >= record.failed
     record.failed = at
-    if answered and first:
-        return False
-    if not pause or record.paused_until > at:
+    if not pause or record.paused_until > at or (cause is PauseCause.ANSWERED and first):
         return False
+    if cause is PauseCause.REFUSED:
+        record.paused_until = at + min(pause, REFUSED_PAUSE)
+        return True
     again = record.succeeded is None or record.succeeded < record.paused_until
-    record.pauses = record.pauses + 1 if again else 1
-    record.paused_until = at + pause * 2 ** min(record.pauses - 1, MAX_PAUSE_DOUBLINGS)
+    record.pauses = record.pauses + 1 if again else 0
+    record.paused_until = at + pause
+    record.shunned_until = at + pause * 2 ** min(record.pauses, MAX_PAUSE_DOUBLINGS)
     return True
 
 
@@ -177,12 +181,22 @@
     state.usual_rate = statistics.median(rates) if rates else 0.0
 
 
-def take_deltas(state: ServiceState) -> tuple[EvidenceDelta, ...]:
-    """Removes and returns the outcomes that other hosts have not been told."""
+def take_deltas(state: ServiceState, refresh: bool = False) -> tuple[EvidenceDelta, ...]:
+    """Removes and returns the outcomes that other hosts have not been told.
+
+    Args:
+      state: The service.
+      refresh: Whether to tell the requests in progress again, since a message may have been lost.
+    Returns:
+      What to tell, for each target with news.
+    """
     deltas = []
     for name, record in state.targets.items():
         unsent = record.unsent_good or record.unsent_bad or record.unsent_leaving
-        if unsent or record.unsent_change:
+        again = refresh and (record.attempts or record.told_running)
+        if unsent or record.unsent_change or again:
+            # The count is told once more after it fell to zero.
+            record.told_running = len(record.attempts)
             delta = EvidenceDelta(
                 state.name,
                 name,
--- a/endivedrift/policy/_service.py
+++ b/endivedrift/policy/_service.py
@@ -29,9 +29,9 @@
 from endivedrift.policy._bucket import TokenBucket
 
 INITIAL_TYPICAL = timedelta(milliseconds=25)
-SHARED_COUNT_LIFE = timedelta(seconds=3)
-"""Time for which another host's count of requests in progress is believed: several times the
-usual time of an answer, after which a lost datagram or host no longer blocks a slot."""
+SHARED_COUNT_LIFE = timedelta(milliseconds=1_300)
+"""Time for which another host's count of requests in progress is believed: hosts tell it again each
+half a second, so two messages in a row have to be lost before a count is forgotten."""
 
 
 @dataclass(slots=True)
@@ -72,9 +72,11 @@
       shared_counts: Requests in progress from other hosts.
       succeeded: When its last good answer to any host arrived, or None.
       tried: When a request was last sent to it from any host that tells, or None.
-      paused_until: End of the time for which it is avoided after a failure.
+      paused_until: End of the time for which it is left alone after a failure.
+      shunned_until: End of the time for which it is used only where a request would wait otherwise.
       pauses: Times it was avoided without a good answer between.
       failed: When it last failed a request.
+      told_running: Requests in progress as other hosts were last told.
       unsent_pause: Whether this host began to avoid it since other hosts were told.
       unsent_change: Whether the number of requests in progress changed since other hosts were told.
       latency: Time that answer took.
@@ -104,10 +106,12 @@
     succeeded: Instant | None = None
     tried: Instant | None = None
     paused_until: Instant = Instant(0)
+    shunned_until: Instant = Instant(0)
     pauses: int = 0
     failed: Instant = Instant(0)
     unsent_change: bool = False
     unsent_pause: bool = False
+    told_running: int = 0
 
     @property
     def score(self) -> float:
@@ -173,6 +177,9 @@
       queues: Waiting requests by importance.
       limit_per_target: Requests this host may have in progress at one target.
       service_time: Moving average of the time of an answer.
+      queued_since: Since when requests have been waiting without a break, or None.
+      turn_time: Moving average of the time between two turns of waiting requests.
+      turned: When a waiting request last got its turn.
       recent: Ends of requests of late, which tell whether the service is failing.
     """
 
@@ -193,6 +200,9 @@
     )
     limit_per_target: int = 1
     service_time: timedelta = INITIAL_TYPICAL
+    queued_since: Instant | None = None
+    turn_time: timedelta | None = None
+    turned: Instant = Instant(0)
     recent: RecentEnds = field(default_factory=RecentEnds)
 
     @property
@@ -282,6 +292,9 @@
     state.usual_rate = previous.usual_rate
     state.service_time = previous.service_time
     state.queues = previous.queues
+    state.queued_since = previous.queued_since
+    state.turn_time = previous.turn_time
+    state.turned = previous.turned
     state.limit_per_target = previous.limit_per_target
     state.recent = previous.recent
     if state.group.discovered:
--- a/endivedrift/policy/_waiting.py
+++ b/endivedrift/policy/_waiting.py
@@ -3,19 +3,39 @@
 from collections.abc import Iterator
 from datetime import timedelta
 
-from endivedrift.core import Importance, RequestId
+from endivedrift.core import Importance, Instant, RequestId
 from endivedrift.policy._service import ServiceState, Waiting
 
+STANDING_TIME = timedelta(milliseconds=500)
+"""Time for which a burst of arrivals may keep a queue: about two answers of the users' targets."""
+TURN_WEIGHT = 0.1
+
 
 def estimate_wait(state: ServiceState, rank: Importance) -> timedelta:
     """Estimates how long a new request of this importance would wait for its turn."""
     ahead = sum(len(queue) for importance, queue in state.queues.items() if importance <= rank)
+    if state.queued and state.turn_time is not None:
+        return state.turn_time * (ahead + 1)
     lanes = max(1, state.healthy * state.limit_per_target)
     return state.service_time * ((ahead + 1) / lanes)
 
 
+def is_standing(state: ServiceState, at: Instant) -> bool:
+    """Tells whether requests have been waiting for so long that the load is no mere burst."""
+    return state.queued_since is not None and at - state.queued_since > STANDING_TIME
+
+
+def note_turn(state: ServiceState, at: Instant) -> None:
+    """Learns how often a waiting request gets its turn, from the turn that one just got."""
+    if state.queued_since is not None:
+        took = at - max(state.turned, state.queued_since)
+        known = state.turn_time if state.turn_time is not None else took
+        state.turn_time = known + (took - known) * TURN_WEIGHT
+    state.turned = at
+
+
 def push_waiting(
-    state: ServiceState, rank: Importance, waiting: Waiting
+    state: ServiceState, rank: Importance, waiting: Waiting, at: Instant
 ) -> tuple[bool, RequestId | None]:
     """Queues a request, displacing a less important one where the queue is full.
 
@@ -23,6 +43,7 @@
       state: The service.
       rank: Importance of the request.
       waiting: The request.
+      at: Present time.
     Returns:
       Whether it was queued, and the request that lost its place to it, if any.
     """
@@ -32,9 +53,17 @@
         if displaced is None:
             return False, None
     state.queues[rank].append(waiting)
+    if state.queued_since is None:
+        state.queued_since = at
     return True, displaced
 
 
+def note_queue(state: ServiceState) -> None:
+    """Notes that no request waits any more."""
+    if not state.queued:
+        state.queued_since = None
+
+
 def pop_waiting(state: ServiceState) -> Waiting | None:
     """Removes the longest waiting request of the highest importance."""
     for queue in _iterate_queues(state):
--- a/endivedrift/reducer/_attempts.py
+++ b/endivedrift/reducer/_attempts.py
@@ -11,6 +11,7 @@
     Instant,
     KeyPhase,
     LeavingSign,
+    PauseCause,
     RefusalReason,
     RequestId,
     TargetState,
@@ -34,10 +35,13 @@
     add_own_evidence,
     choose_target,
     estimate_wait,
+    is_standing,
     judge_evidence,
     learn_latency,
     mark_leaving,
     note_probation,
+    note_queue,
+    note_turn,
     others_answer,
     pause_target,
     pop_waiting,
@@ -60,15 +64,17 @@
     AttemptOutcome.TOO_LARGE: RefusalReason.TARGET_TOO_LARGE,
 }
 _FINAL_OUTCOMES = frozenset({AttemptOutcome.CANCELLED, AttemptOutcome.TOO_LARGE})
-_PAUSING_OUTCOMES = frozenset(
-    {
-        AttemptOutcome.CUT,
-        AttemptOutcome.MALFORMED,
-        AttemptOutcome.NOT_CONNECTED,
-        AttemptOutcome.SHED,
-        AttemptOutcome.TIMED_OUT,
-    }
+_PAUSE_CAUSES = {
+    AttemptOutcome.CUT: PauseCause.BROKEN,
+    AttemptOutcome.MALFORMED: PauseCause.BROKEN,
+    AttemptOutcome.NOT_CONNECTED: PauseCause.BROKEN,
+    AttemptOutcome.TIMED_OUT: PauseCause.BROKEN,
+    AttemptOutcome.SHED: PauseCause.REFUSED,
+}
+_PATH_OUTCOMES = frozenset(
+    {AttemptOutcome.NOT_CONNECTED, AttemptOutcome.TIMED_OUT, AttemptOutcome.SHED}
 )
+"""Failures that other hosts are not told of: the path may be at fault, or the moment."""
 SERVER_ERROR = 500
 MAX_REUSE_IDLE = timedelta(seconds=10)
 """Idle time after which a connection is not used again: the shortest idle timeout of the users'
@@ -95,6 +101,8 @@
         return end_refused(state, at, request, RefusalReason.NO_TARGET, detail, timedelta(0))
     if at >= held.deadline:
         return end_refused(state, at, request, RefusalReason.DEADLINE, "no time is left")
+    if not held.attempts:
+        service.retry_budget.add(service.retry.budget_ratio)
     service.limit_per_target = share_slots(state, held.service)
     state.active.add(held.service)
     rank = held.route.route.rank
@@ -120,7 +128,9 @@
         if not sent:
             push_back(service, held.route.route.rank, waiting)
             return effects
+        note_turn(service, at)
         effects += sent
+    note_queue(service)
     return effects
 
 
@@ -238,8 +248,6 @@
     if service is None:
         return
     service.recent.add(served, at)
-    if served:
-        service.retry_budget.add(service.retry.budget_ratio)
 
 
 def _limit_attempts(service: ServiceState, held: RequestState) -> int:
@@ -252,7 +260,8 @@
     held = state.requests[request]
     route = held.route.route
     home = state.identity.failure_domain
-    name = choose_target(service, home, held.tried, route.repeatable, state.random, at)
+    waited = at - held.arrived
+    name = choose_target(service, home, held.tried, route.repeatable, state.random, at, waited)
     if name is None:
         return []
     record = service.targets[name]
@@ -312,12 +321,15 @@
         retry = timedelta(seconds=1)
         return end_refused(state, at, request, RefusalReason.NO_TARGET, detail, retry)
     allowed = min(held.route.route.queue_wait, held.deadline - at - service.service_time)
+    if is_standing(service, at):
+        # Longer waits would make every answer late and serve no request more.
+        allowed = min(allowed, held.arrived + held.route.route.aim - at - service.service_time)
     expected = estimate_wait(service, rank)
     if expected > allowed:
         detail = f"a wait of {expected.total_seconds():.2f} s is expected"
         return end_refused(state, at, request, RefusalReason.QUEUE_WAIT, detail, expected)
     waiting = Waiting(request, at + allowed, held.deadline)
-    queued, displaced = push_waiting(service, rank, waiting)
+    queued, displaced = push_waiting(service, rank, waiting, at)
     if not queued:
         detail = "the queue is full"
         return end_refused(state, at, request, RefusalReason.QUEUE_FULL, detail, expected)
@@ -352,10 +364,9 @@
         entries += note_probation(service, record, bad, event.at)
     if bad is False:
         record.succeeded = event.at
-    answered = event.outcome is AttemptOutcome.ANSWERED and status >= SERVER_ERROR
-    failed = answered or event.outcome in _PAUSING_OUTCOMES
-    if failed and pause_target(service, record, event.at, answered):
-        record.unsent_pause = True
+    failure = PauseCause.ANSWERED if status >= SERVER_ERROR else _PAUSE_CAUSES.get(event.outcome)
+    if failure is not None and pause_target(service, record, event.at, failure):
+        record.unsent_pause = event.outcome not in _PATH_OUTCOMES
         cause = f"{event.outcome.value} {status or ''}".strip()
         entries.append(
             AuditEntry(event.at, AuditKind.PAUSED, event.target, cause, service.name, event.request)
--- a/endivedrift/reducer/_requests.py
+++ b/endivedrift/reducer/_requests.py
@@ -48,7 +48,9 @@
     patience = found.route.deadline
     if head.patience is not None:
         patience = min(patience, head.patience)
-    held = RequestState(head, found, event.at + patience, share=_deal_request(state, found))
+    held = RequestState(
+        head, found, event.at, event.at + patience, share=_deal_request(state, found)
+    )
     state.requests[event.request] = held
     if head.key is not None and not found.route.repeatable:
         return start_keyed(state, event.at, event.request, head.key)
--- a/endivedrift/reducer/_state.py
+++ b/endivedrift/reducer/_state.py
@@ -44,6 +44,7 @@
     Attributes:
       head: The request.
       route: Its route.
+      arrived: When it came.
       deadline: Time at which it is given up.
       attempts: Attempts made at targets.
       tried: Targets of these attempts.
@@ -57,6 +58,7 @@
 
     head: RequestHead
     route: NamedRoute
+    arrived: Instant
     deadline: Instant
     attempts: int = 0
     tried: frozenset[TargetName] = frozenset()
--- a/endivedrift/reducer/_targets.py
+++ b/endivedrift/reducer/_targets.py
@@ -7,6 +7,7 @@
     HostId,
     Instant,
     LeavingSign,
+    PauseCause,
     ServiceName,
 )
 from endivedrift.core.effects import Effect, RecordAudit
@@ -82,7 +83,7 @@
         record.tried = at
     if delta.good:
         record.succeeded = at
-    if delta.paused and pause_target(service, record, at):
+    if delta.paused and pause_target(service, record, at, PauseCause.BROKEN):
         cause = f"{sender} saw it fail"
         entry = AuditEntry(at, AuditKind.PAUSED, delta.target, cause, service.name)
         return [RecordAudit(entry)]
@@ -92,19 +93,19 @@
 def share_urgent(state: HostState) -> list[Effect]:
     """Tells the other hosts of a service at once of attempts that began or ended."""
     names, state.urgent = state.urgent, set()
-    return _share(state, names)
+    return _share(state, names, refresh=False)
 
 
 def share_evidence(state: HostState) -> list[Effect]:
     """Tells the hosts that serve the same services what this host saw of their targets."""
-    return _share(state, state.active)
+    return _share(state, state.active, refresh=True)
 
 
-def _share(state: HostState, names: set[ServiceName]) -> list[Effect]:
+def _share(state: HostState, names: set[ServiceName], refresh: bool) -> list[Effect]:
     effects: list[Effect] = []
     for name in sorted(names & set(state.services)):
         service: ServiceState = state.services[name]
-        deltas = take_deltas(service)
+        deltas = take_deltas(service, refresh and service.service.share_at_once)
         if deltas:
             receivers = list(list_primaries(state, name))
             effects += send_evidence(state.membership, receivers, deltas)
