--- a/endivedrift/policy/_choice.py
+++ b/endivedrift/policy/_choice.py
@@ -17,7 +17,9 @@
 SCAN_LIMIT = 128
 SAMPLE_SIZE = 16
 SICK_WEIGHT = 4.0
-OTHER_DOMAIN_COST = 0.05
+OTHER_DOMAIN_AGE = timedelta(milliseconds=500)
+"""Age added to the last success of a target in another failure domain: traffic between domains is
+dear, but a target in this one that nobody used for longer than this is less proven."""
 JITTER = 0.01
 NEVER = timedelta(days=1)
 FAILING_SHARE = 0.08
@@ -193,8 +195,9 @@
     evidence = SICK_WEIGHT if record.score >= state.threshold else 1.0
     load = (record.count_running(at) + 1.0) * evidence
     proven = at - record.succeeded if record.succeeded is not None else NEVER
-    distance = 0.0 if domain_of(record) == home else OTHER_DOMAIN_COST
-    tie = proven.total_seconds() + distance + random.random() * JITTER
+    if domain_of(record) != home:
+        proven += OTHER_DOMAIN_AGE
+    tie = proven.total_seconds() + random.random() * JITTER
     if record.state is TargetState.PROBATION or record.shunned_until > at:
         return (LAST_RESORT, load, tie)
     return (0.0 if first else 1.0, load, tie)
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -1,5 +1,6 @@
 """Builders of test data."""
 
+from dataclasses import replace
 from datetime import timedelta
 from random import Random
 
@@ -16,21 +17,30 @@
     ManualClock,
     RequestHead,
     RequestId,
+    ServiceName,
+    TargetEntry,
     TargetName,
     Version,
 )
 from endivedrift.core.effects import Effect
 from endivedrift.core.events import ConfigFetched, RequestArrived, Ticked
 from endivedrift.objects import (
+    RULE_NAME,
     Caller,
     DrainRule,
     EjectionLimit,
+    FleetBounds,
     ObjectSet,
     RetryRule,
     Route,
     Service,
     Target,
     UpstreamGroup,
+    build_discovered_group,
+    build_discovered_service,
+    build_drain_rule,
+    build_ejection_limit,
+    build_retry_rule,
     digest_bytes,
     encode_object_set,
 )
@@ -190,3 +200,43 @@
 def name_target(number: int) -> TargetName:
     """Names a target of `build_object_set`."""
     return TargetName(f"t{number}")
+
+
+def build_discovered_set(
+    floor_share: float = 0.7, max_attempts: int = 2, aim_ms: int = 600
+) -> ObjectSet:
+    """Builds a set with one service whose targets register themselves, and two routes to it."""
+    bounds = FleetBounds(retry_ratio=0.2, retry_slack=56, floor_share=floor_share, entry_hosts=2)
+    read = Route(
+        service=SERVICE,
+        path=READ_PATH,
+        methods=("*",),
+        repeatable=True,
+        max_attempts=max_attempts,
+        deadline_ms=2000,
+        aim_ms=aim_ms,
+        queue_wait_ms=1999,
+    )
+    write = replace(read, path=WRITE_PATH, repeatable=False, deadline_ms=2500, queue_wait_ms=2499)
+    return ObjectSet(
+        service={SERVICE: build_discovered_service(SERVICE, bounds)},
+        upstream_group={SERVICE: build_discovered_group(330, "x-not-run")},
+        ejection_limit={RULE_NAME: build_ejection_limit(bounds)},
+        drain_rule={RULE_NAME: build_drain_rule()},
+        retry_rule={RULE_NAME: build_retry_rule(bounds)},
+        route={"read": read, "write": write},
+    )
+
+
+def build_target_entry(number: int, leaving: bool = False, born: int = 1) -> TargetEntry:
+    """Builds what a target with two slots registers."""
+    return TargetEntry(
+        name=name_target(number),
+        service=ServiceName(SERVICE),
+        address=Address(f"127.0.0.1:{9000 + number}"),
+        failure_domain=FailureDomain("abc"[number % 3]),
+        slots=2,
+        leaving=leaving,
+        warm_up_left=timedelta(0),
+        born=born,
+    )
