Give each attempt of a repeatable request the time that a long one takes

Successes older than two seconds also decided between targets at hosts that see few requests, which sent nine tenths of those requests to another failure domain. Change: patience of four times the typical time; old successes count alike, so that the failure domain decides.

--- a/endivedrift/policy/_choice.py
+++ b/endivedrift/policy/_choice.py
@@ -21,7 +21,8 @@
 """Age added to the last success of a target in another failure domain: traffic between domains is
 dear, but a target in this one that nobody used for longer than this is less proven."""
 JITTER = 0.01
-NEVER = timedelta(days=1)
+OLD_SUCCESS = timedelta(seconds=2)
+"""Age from which successes prove equally little: targets turn bad for seconds at a time."""
 FAILING_SHARE = 0.08
 """Share of unserved requests above which a service counts as failing its callers: just below the
 tenth from which the users count the targets in use."""
@@ -194,7 +195,7 @@
     first = record.tried is None and Instant(0) < at - JOIN_PATIENCE > record.since
     evidence = SICK_WEIGHT if record.score >= state.threshold else 1.0
     load = (record.count_running(at) + 1.0) * evidence
-    proven = at - record.succeeded if record.succeeded is not None else NEVER
+    proven = min(at - record.succeeded, OLD_SUCCESS) if record.succeeded else OLD_SUCCESS
     if domain_of(record) != home:
         proven += OTHER_DOMAIN_AGE
     tie = proven.total_seconds() + random.random() * JITTER
--- a/endivedrift/reducer/_attempts.py
+++ b/endivedrift/reducer/_attempts.py
@@ -79,6 +79,9 @@
 MAX_REUSE_IDLE = timedelta(seconds=10)
 """Idle time after which a connection is not used again: the shortest idle timeout of the users'
 targets."""
+LONG_FACTOR = 4
+"""How many times the typical time a long request takes: about one in a hundred of the users' takes
+longer by the spread of their work."""
 MAX_UNCONNECTED = 4
 """Targets that may fail to open a connection before a request is refused: each costs at most the
 connection timeout and nothing at the target."""
@@ -183,7 +186,8 @@
 def judge_late(state: HostState, event: AttemptLate) -> list[Effect]:
     """Gives up a late attempt where another target is able to answer.
 
-    While no other target answers faster, the whole service is slow, and waiting is best.
+    While no other target answers faster, the whole service is slow, and waiting is best. So it is
+    where the target answered another request meanwhile: then the request itself takes long.
     """
     held = state.requests.get(event.request)
     service = state.services.get(held.service) if held is not None else None
@@ -192,7 +196,9 @@
     record = service.targets.get(event.target)
     attempt = record.attempts.get(event.request) if record is not None else None
     may_repeat = held.route.route.repeatable and held.attempts < _limit_attempts(service, held)
-    if attempt is None or not may_repeat or service.retry_budget.tokens < 1.0:
+    if record is None or attempt is None or not may_repeat or service.retry_budget.tokens < 1.0:
+        return []
+    if record.succeeded is not None and record.succeeded > attempt.started:
         return []
     if not others_answer(service, event.target, attempt.started, event.at):
         return []
@@ -304,11 +310,13 @@
 def _share_time(service: ServiceState, held: RequestState, at: Instant) -> timedelta:
     """Returns the time after which the attempt just counted is late.
 
-    A repeatable request divides its remaining time among its remaining attempts.
+    A repeatable request divides its remaining time among its remaining attempts, but gives each the
+    time that a long request of the service takes: a second attempt would take as long.
     """
     left = _limit_attempts(service, held) - held.attempts + 1
-    shares = max(1, left) if held.route.route.repeatable else 1
-    return (held.deadline - at) / shares
+    if not held.route.route.repeatable or left <= 1:
+        return held.deadline - at
+    return max((held.deadline - at) / left, service.typical * LONG_FACTOR)
 
 
 def _enqueue(
--- a/tests/patterns_test.py
+++ b/tests/patterns_test.py
@@ -22,12 +22,14 @@
 from endivedrift.core.effects import (
     DeliverAnswer,
     Effect,
+    GiveUpAttempt,
     RefuseRequest,
     SendPeerMessage,
     SendToTarget,
 )
 from endivedrift.core.events import (
     AttemptFinished,
+    AttemptLate,
     PeerMessageReceived,
     StoreLost,
     StoreRegained,
@@ -214,6 +216,38 @@
         self.assertGreater(len(self.sent), 10)
 
 
+class LongRequestTest(PatternTest):
+    def send_one(self, typical_s: float = WORK_S) -> SendToTarget:
+        self.run_load(2.0, 20.0, write=False)
+        self.bench.advance(0.5)
+        service = self.bench.state.services[ServiceName(SERVICE)]
+        service.typical = timedelta(seconds=typical_s)
+        effects = self.bench.arrive("GET", READ_PATH)[1]
+        return next(effect for effect in effects if isinstance(effect, SendToTarget))
+
+    def is_late(self, sent: SendToTarget, seconds: float) -> bool:
+        self.run_load(seconds, 20.0, write=False)
+        now = self.bench.clock.monotonic()
+        effects = self.bench.apply(AttemptLate(now, sent.request, sent.target))
+        return [type(effect) for effect in effects] == [GiveUpAttempt]
+
+    def test_a_request_has_the_time_that_a_long_one_takes(self) -> None:
+        self.assertEqual(self.send_one().patience, timedelta(seconds=1))
+        self.assertEqual(self.send_one(typical_s=0.4).patience, timedelta(seconds=1.6))
+
+    def test_it_goes_on_at_a_target_that_answers_others_meanwhile(self) -> None:
+        sent = self.send_one()
+        record = self.bench.state.services[ServiceName(SERVICE)].targets[sent.target]
+        record.succeeded = self.bench.clock.monotonic() + timedelta(seconds=0.5)
+        self.assertFalse(self.is_late(sent, 1.0))
+
+    def test_it_is_given_up_at_a_target_that_answers_nobody(self) -> None:
+        sent = self.send_one()
+        record = self.bench.state.services[ServiceName(SERVICE)].targets[sent.target]
+        record.paused_until = timedelta(hours=1)
+        self.assertTrue(self.is_late(sent, 1.0))
+
+
 class SheddingTargetsTest(PatternTest):
     def test_a_third_of_the_targets_shed_and_are_back_at_once(self) -> None:
         self.run_load(2.0, 35.0)
