--- /dev/null
+++ b/endivedrift/shell/log_test.py
@@ -0,0 +1,63 @@
+"""Logs never wait for their reader, and their volume is bounded."""
+
+import contextlib
+import io
+import json
+import os
+import unittest
+from unittest import mock
+
+import structlog
+
+from endivedrift.settings import LogSection
+from endivedrift.shell import _log
+from endivedrift.shell._log import LineWriter, RateLimit, configure_logs, make_logger
+
+
+class StoppedReaderTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.reader, self.writer_end = os.pipe()
+        self.addCleanup(os.close, self.reader)
+        self.addCleanup(os.close, self.writer_end)
+        self.addCleanup(structlog.reset_defaults)
+        self.writer = LineWriter(self.writer_end)
+
+    def test_a_reader_that_stops_does_not_hold_up_the_writer(self) -> None:
+        line = "x" * 1_000
+        for _ in range(1_000):  # Far more than a pipe holds.
+            self.writer.write_line(line)
+        self.assertGreater(self.writer.dropped, 500)
+
+    def test_what_was_left_out_is_said_when_the_reader_goes_on(self) -> None:
+        while not self.writer.dropped:
+            self.writer.write_line("x" * 1_000)
+        left_out = self.writer.dropped
+        os.read(self.reader, 65_536)
+        self.writer.write_line("again")
+        text = os.read(self.reader, 65_536).decode()
+        self.assertIn(f'"count": {left_out}', text)
+        self.assertEqual(self.writer.dropped, 0)
+
+    def test_lines_beyond_a_number_a_second_are_counted_by_kind(self) -> None:
+        limit = RateLimit(self.writer, lines_per_second=10)
+        passed = []
+        with mock.patch.object(_log.time, "monotonic", return_value=7.5):
+            for number in range(15):
+                with contextlib.suppress(structlog.DropEvent):
+                    limit(None, "info", {"event": "Answered."})
+                    passed.append(number)
+            limit(None, "info", {"event": "Another kind."})
+        self.assertEqual(passed, list(range(10)))
+        self.assertEqual(self.writer.dropped, 5)
+
+    def test_a_line_is_one_json_object(self) -> None:
+        configure_logs(LogSection(), self.writer)
+        make_logger("request").info("Answered.", request="h1-1", status=200)
+        line = io.BytesIO(os.read(self.reader, 65_536)).readline()
+        document = json.loads(line)
+        self.assertEqual(document["event"], "request: Answered.")
+        self.assertEqual(document["status"], 200)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/patterns_test.py
+++ b/tests/patterns_test.py
@@ -36,6 +36,8 @@
     TargetsObserved,
 )
 from endivedrift.fleet import build_membership
+from endivedrift.policy import _choice, _service
+from endivedrift.reducer import _attempts, _discovery
 from tests.builders import (
     READ_PATH,
     SERVICE,
@@ -47,6 +49,7 @@
     build_target_entry,
     name_target,
 )
+from tests.fuzzing import broken
 
 WORK_S = 0.15
 
@@ -338,5 +341,40 @@
         self.assertFalse(entry.leaving)
 
 
+class PowerTest(unittest.TestCase):
+    """Each pattern's check notices when the mechanism that answers it is switched off."""
+
+    def fails(self, case: type[PatternTest], method: str) -> bool:
+        result = unittest.TestResult()
+        case(method).run(result)
+        self.assertEqual(result.errors, [])
+        return bool(result.failures)
+
+    def test_without_pauses_resetting_targets_are_noticed(self) -> None:
+        with broken(_attempts, "pause_target", lambda *arguments: False):
+            method = "test_a_third_of_the_targets_reset_all_requests_for_some_seconds"
+            self.assertTrue(self.fails(ResettingTargetsTest, method))
+
+    def test_without_spaced_trials_the_black_hole_is_noticed(self) -> None:
+        with broken(_choice, "TRIAL_SPACING", timedelta(0)):
+            method = "test_all_targets_failed_a_moment_ago_and_fail_fast"
+            self.assertTrue(self.fails(ResettingTargetsTest, method))
+
+    def test_without_the_bound_of_the_aim_the_overload_is_noticed(self) -> None:
+        with broken(_attempts, "is_standing", lambda *arguments: False):
+            method = "test_bookings_arrive_half_again_as_fast_as_they_can_be_served"
+            self.assertTrue(self.fails(OverloadTest, method))
+
+    def test_counts_believed_for_ever_are_noticed(self) -> None:
+        with broken(_service, "SHARED_COUNT_LIFE", timedelta(hours=1)):
+            method = "test_a_lost_end_of_an_attempt_blocks_a_slot_for_a_moment_only"
+            self.assertTrue(self.fails(ResettingTargetsTest, method))
+
+    def test_entries_removed_at_once_after_an_outage_are_noticed(self) -> None:
+        with broken(_discovery, "RETURN_PERIOD", timedelta(0)):
+            method = "test_entries_that_lapse_with_the_store_have_two_seconds_to_come_back"
+            self.assertTrue(self.fails(StoreTest, method))
+
+
 if __name__ == "__main__":
     unittest.main()
