Notice a silent entry host within a second, and start without the store

Cause: callers were sent to a frozen or cut-off entry host until SWIM's random probes and gossip had gone round (about four seconds); a host that started while the store was away had no targets. Ruled out: shorter periods for all probes (cost a host grows for all), entry answers with several hosts (each gets traffic). Change: hosts watch the entry hosts of their own failure domain, less often the more they are, and tell their domain at once; a host that the store has named no targets asks other hosts until the store does. Test: tests/recovery_test.py, 36 hosts on a fake network; without the watch it fails; without asking there were none.

--- a/endivedrift/__init__.py
+++ b/endivedrift/__init__.py
@@ -1,3 +1,3 @@
 """A proxy fleet for targets that fail partially: slow, incomplete, or sick for some observers."""
 
-__version__ = "0.1.0"
+__version__ = "0.2.0"
--- a/endivedrift/core/effects.py
+++ b/endivedrift/core/effects.py
@@ -118,6 +118,13 @@
     peers: tuple[Address, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class FetchTargets:
+    """Ask the given peers, one after the other, for the targets that registered themselves."""
+
+    peers: tuple[Address, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class RecordAudit:
     """Append an entry to the audit trail and the log."""
@@ -136,6 +143,7 @@
     | AbandonRequest
     | SendPeerMessage
     | FetchConfig
+    | FetchTargets
     | RecordAudit
 )
 RequestEffect: TypeAlias = (
--- a/endivedrift/core/events.py
+++ b/endivedrift/core/events.py
@@ -138,6 +138,14 @@
     complete: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class TargetsTold:
+    """Another host told which targets it knows; the store's word goes before it."""
+
+    at: Instant
+    entries: tuple[TargetEntry, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class SeedsRead:
     """The settings name these peer addresses to ask for other hosts."""
@@ -198,6 +206,7 @@
     | ConfigFetchFailed
     | HostListRead
     | TargetsObserved
+    | TargetsTold
     | SeedsRead
     | StoreLost
     | StoreRegained
--- a/endivedrift/fleet/__init__.py
+++ b/endivedrift/fleet/__init__.py
@@ -1,8 +1,13 @@
 """How hosts act together: membership, routes and the spread of services over hosts."""
 
-from endivedrift.fleet._datagrams import send_evidence
+from endivedrift.fleet._datagrams import sample_alive, send_evidence
 from endivedrift.fleet._entry import rank_hosts
-from endivedrift.fleet._probing import advance_membership, announce_leaving, announce_serving
+from endivedrift.fleet._probing import (
+    advance_membership,
+    announce_leaving,
+    announce_serving,
+    watch_members,
+)
 from endivedrift.fleet._receiving import HEARD_WINDOW, receive_message
 from endivedrift.fleet._routes import NamedRoute, RouteTable, build_routes, find_route
 from endivedrift.fleet._view import (
@@ -31,5 +36,7 @@
     "list_usable",
     "rank_hosts",
     "receive_message",
+    "sample_alive",
     "send_evidence",
+    "watch_members",
 ]
--- a/endivedrift/fleet/_probing.py
+++ b/endivedrift/fleet/_probing.py
@@ -8,10 +8,11 @@
 """
 
 import math
+from collections.abc import Iterable
 from dataclasses import replace
 from datetime import timedelta
 
-from endivedrift.core import HostId, Instant, MemberStatus, MessageKind
+from endivedrift.core import HostId, Instant, Member, MemberStatus, MessageKind
 from endivedrift.core.effects import Effect
 from endivedrift.fleet._datagrams import ping_member, sample_alive, send_datagram
 from endivedrift.fleet._rumours import INDIRECT_HELPERS, learn_member
@@ -23,6 +24,15 @@
 DIRECT_TIMEOUT = timedelta(milliseconds=300)
 
 
+WATCH_PERIOD = timedelta(milliseconds=300)
+WATCH_PERIOD_PER_MEMBER = timedelta(milliseconds=60)
+WATCH_TIMEOUT = timedelta(milliseconds=600)
+"""Time without an answer, direct or through helpers, after which a watched host is suspected: twice
+the time after which helpers are asked."""
+MAX_TOLD = 200
+"""Hosts of the domain that are told at once; the others hear by gossip."""
+
+
 SUSPICION_BASE = timedelta(seconds=2)
 
 
@@ -71,6 +81,48 @@
     return effects
 
 
+def watch_members(view: Membership, at: Instant, hosts: Iterable[HostId]) -> list[Effect]:
+    """Probes hosts that callers of this failure domain are told, more often than the others.
+
+    Is due at `view.next_watch`. Each host of the domain does so, the less often the more there are,
+    so that the watched host answers about as many probes in a domain of any size.
+
+    Args:
+      view: The view.
+      at: Present time.
+      hosts: The hosts to watch; this one is left out.
+    Returns:
+      Datagrams to send.
+    """
+    near = sum(1 for r in view.records.values() if _is_near(view, r.member))
+    period = max(WATCH_PERIOD, WATCH_PERIOD_PER_MEMBER * near)
+    view.next_watch = at + period * view.random.uniform(0.75, 1.25)
+    effects: list[Effect] = []
+    for host in hosts:
+        record = view.records.get(host)
+        if record is None or record.member.status not in _UNDER_PROBE:
+            continue
+        view.probe_count += 1
+        view.probes[view.probe_count] = Probe(host, at, watched=True)
+        effects.append(ping_member(view, record.member, view.probe_count, host))
+    return effects
+
+
+def _tell_near(view: Membership, member: Member) -> list[Effect]:
+    """Tells the hosts of this failure domain at once that a watched host does not answer."""
+    near = [r.member for r in view.records.values() if _is_near(view, r.member)]
+    return [
+        send_datagram(view, other.peer_address, MessageKind.NOTICE, first=(member,))
+        for other in near[:MAX_TOLD]
+        if other.host != member.host
+    ]
+
+
+def _is_near(view: Membership, member: Member) -> bool:
+    near = member.failure_domain == view.me.failure_domain
+    return near and member.status is MemberStatus.ALIVE
+
+
 def announce_serving(view: Membership) -> None:
     """Lets this host be told to callers from now on."""
     if view.me.status is MemberStatus.STARTING:
@@ -93,11 +145,12 @@
         record = view.records.get(probe.host)
         if record is None:
             del view.probes[number]
-        elif at - probe.sent >= PROBE_PERIOD:
+        elif at - probe.sent >= (WATCH_TIMEOUT if probe.watched else PROBE_PERIOD):
             del view.probes[number]
             if record.member.status in _UNDER_PROBE:
                 suspect = record.member.with_status(MemberStatus.SUSPECT)
                 effects += learn_member(view, at, suspect)
+                effects += _tell_near(view, suspect) if probe.watched else []
             elif record.member.status is MemberStatus.LEAVING:
                 effects += learn_member(view, at, record.member.with_status(MemberStatus.DEAD))
         elif at - probe.sent >= DIRECT_TIMEOUT and not probe.indirect:
--- a/endivedrift/fleet/_view.py
+++ b/endivedrift/fleet/_view.py
@@ -39,11 +39,12 @@
 
 @dataclass(slots=True)
 class Probe:
-    """A PING without an answer so far."""
+    """A PING without an answer so far; a watched host is suspected sooner without one."""
 
     host: HostId
     sent: Instant
     indirect: bool = False
+    watched: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -83,6 +84,7 @@
     sequence: int = 0
     probe_count: int = 0
     next_probe: Instant = Instant(0)
+    next_watch: Instant = Instant(0)
     next_sync: Instant = Instant(0)
     next_revival: Instant = Instant(0)
 
--- a/endivedrift/reducer/_discovery.py
+++ b/endivedrift/reducer/_discovery.py
@@ -5,14 +5,16 @@
 from endivedrift.core import (
     AuditEntry,
     AuditKind,
+    HostId,
     Instant,
     LeavingSign,
     ServiceName,
     TargetEntry,
     TargetName,
 )
-from endivedrift.core.effects import Effect, RecordAudit
-from endivedrift.core.events import StoreLost, StoreRegained, TargetsObserved
+from endivedrift.core.effects import Effect, FetchTargets, RecordAudit
+from endivedrift.core.events import StoreLost, StoreRegained, TargetsObserved, TargetsTold
+from endivedrift.fleet import sample_alive
 from endivedrift.policy import mark_leaving, place_entry, return_target
 from endivedrift.reducer._attempts import serve_waiting
 from endivedrift.reducer._state import HostState
@@ -20,6 +22,9 @@
 RETURN_PERIOD = timedelta(seconds=2)
 """Time after the store's return in which entries that lapsed meanwhile come back; the users state
 it for their platform."""
+ASKED_PEERS = 3
+ASK_PERIOD = timedelta(seconds=1)
+"""Time between two questions to other hosts: several times the time of an answer."""
 MASS_LOSS_PERIOD = timedelta(milliseconds=1_200)
 """Time for which targets are kept whose loss at one moment would break the floor of their service:
 over half of the two seconds in which the users want a vanished target to get no more requests."""
@@ -33,6 +38,24 @@
     return [_record_store(event.at, f"lost: {event.cause}")]
 
 
+def ask_for_targets(state: HostState, at: Instant) -> list[Effect]:
+    """Asks other hosts for targets while the store has not named any since the start."""
+    if state.targets_seen or not state.store_lost or at < state.next_ask:
+        return []
+    peers = [m.peer_address for m in sample_alive(state.membership, ASKED_PEERS, HostId(""))]
+    if not peers:
+        return []
+    state.next_ask = at + ASK_PERIOD
+    return [FetchTargets(tuple(peers))]
+
+
+def take_told_targets(state: HostState, event: TargetsTold) -> list[Effect]:
+    """Takes in targets that another host knows, as long as the store has named none."""
+    if state.targets_seen:
+        return []
+    return _take_entries(state, event.at, event.entries)
+
+
 def regain_store(state: HostState, event: StoreRegained) -> list[Effect]:
     """Gives entries that lapsed meanwhile the time to come back."""
     if not state.store_lost:
@@ -54,23 +77,30 @@
     entries: list[AuditEntry] = []
     gone = set(event.gone) & set(state.discovered)
     if event.complete:
+        state.targets_seen = True
         gone |= set(state.discovered) - {entry.name for entry in event.entries}
     entries += _lose_entries(state, gone, event.at)
+    lost: list[Effect] = [RecordAudit(entry) for entry in entries]
+    return lost + _take_entries(state, event.at, event.entries)
+
+
+def _take_entries(state: HostState, at: Instant, observed: tuple[TargetEntry, ...]) -> list[Effect]:
+    entries: list[AuditEntry] = []
     touched = set()
-    for entry in event.entries:
+    for entry in observed:
         state.missing.pop(entry.name, None)
         known = state.discovered.get(entry.name)
         if known == entry or (known is not None and known.born > entry.born):
             continue
         if known is not None and known.service != entry.service:
-            entries += _remove(state, entry.name, event.at)
+            entries += _remove(state, entry.name, at)
         state.discovered[entry.name] = entry
-        entries += place_discovered(state, entry, event.at)
+        entries += place_discovered(state, entry, at)
         touched.add(entry.service)
     effects: list[Effect] = [RecordAudit(entry) for entry in entries]
     for service in sorted(touched & set(state.services)):
         state.active.add(service)
-        effects += serve_waiting(state, state.services[service], event.at)
+        effects += serve_waiting(state, state.services[service], at)
     return effects
 
 
--- a/endivedrift/reducer/_periodic.py
+++ b/endivedrift/reducer/_periodic.py
@@ -5,7 +5,7 @@
 from endivedrift.core import Instant, ServiceName, TargetState
 from endivedrift.core.effects import Effect, RecordAudit
 from endivedrift.core.events import Ticked
-from endivedrift.fleet import advance_membership
+from endivedrift.fleet import advance_membership, watch_members
 from endivedrift.policy import (
     advance_date,
     count_overdue,
@@ -15,8 +15,8 @@
 )
 from endivedrift.reducer._attempts import serve_waiting
 from endivedrift.reducer._config import retry_fetch
-from endivedrift.reducer._discovery import remove_missing
-from endivedrift.reducer._state import HostState
+from endivedrift.reducer._discovery import ask_for_targets, remove_missing
+from endivedrift.reducer._state import HostState, list_watched
 from endivedrift.reducer._targets import share_evidence
 
 EVIDENCE_PERIOD = timedelta(milliseconds=500)
@@ -30,6 +30,7 @@
         state.started = event.at
     effects: list[Effect] = list(retry_fetch(state, event.at))
     effects += remove_missing(state, event.at)
+    effects += ask_for_targets(state, event.at)
     for name in sorted(state.active):
         effects += _advance_service(state, name, event.at)
     if event.at >= state.next_evidence:
@@ -40,6 +41,8 @@
         state.next_cleaning = event.at + CLEANING_PERIOD
         drop_expired(state.keys)
     effects += advance_membership(state.membership, event.at)
+    if event.at >= state.membership.next_watch:
+        effects += watch_members(state.membership, event.at, list_watched(state))
     return effects
 
 
--- a/endivedrift/reducer/_reduce.py
+++ b/endivedrift/reducer/_reduce.py
@@ -27,12 +27,18 @@
     StoreLost,
     StoreRegained,
     TargetsObserved,
+    TargetsTold,
     Ticked,
 )
 from endivedrift.fleet import announce_leaving, learn_seeds, receive_message
 from endivedrift.reducer._attempts import finish_attempt, judge_late
 from endivedrift.reducer._config import apply_config, fail_fetch, want_config
-from endivedrift.reducer._discovery import lose_store, observe_targets, regain_store
+from endivedrift.reducer._discovery import (
+    lose_store,
+    observe_targets,
+    regain_store,
+    take_told_targets,
+)
 from endivedrift.reducer._keyed import finish_forward, settle_claim
 from endivedrift.reducer._periodic import advance_time
 from endivedrift.reducer._requests import drop_caller, expire_wait, start_request
@@ -124,6 +130,11 @@
     return observe_targets(state, event)
 
 
+@_reduce.register
+def _(event: TargetsTold, state: HostState) -> list[Effect]:
+    return take_told_targets(state, event)
+
+
 @_reduce.register
 def _(event: SeedsRead, state: HostState) -> list[Effect]:
     learn_seeds(state.membership, event.addresses)
--- a/endivedrift/reducer/_state.py
+++ b/endivedrift/reducer/_state.py
@@ -10,6 +10,7 @@
     CallerName,
     ConfigRef,
     FailureDomain,
+    HostId,
     HostIdentity,
     HostPhase,
     IdempotencyKey,
@@ -105,6 +106,8 @@
       discovered: Targets that registered themselves, by name.
       missing: When targets whose entries vanished count as gone, by name.
       store_lost: Whether the store in which targets register does not answer.
+      targets_seen: Whether the store has named the targets at least once.
+      next_ask: When other hosts are next asked for targets.
       store_regained: When it answered again after it had been lost, or None.
       urgent: Services with news of attempts that other hosts are told at once.
       dealt: Requests dealt to each service of each split route.
@@ -132,6 +135,8 @@
     discovered: dict[TargetName, TargetEntry] = field(default_factory=dict)
     missing: dict[TargetName, Instant] = field(default_factory=dict)
     store_lost: bool = False
+    targets_seen: bool = False
+    next_ask: Instant = Instant(0)
     store_regained: Instant | None = None
     urgent: set[ServiceName] = field(default_factory=set)
     dealt: dict[RouteName, dict[ServiceName, float]] = field(default_factory=dict)
@@ -183,6 +188,19 @@
     return list_entry_hosts(state, service, domain) if service is not None else ()
 
 
+def list_watched(state: HostState) -> list[HostId]:
+    """Returns the other hosts that this one names to callers of its own failure domain."""
+    domain = state.identity.failure_domain
+    named = {
+        member.host
+        for name in state.services
+        if state.services[name].service.share_at_once
+        for member in list_entry_hosts(state, name, domain)
+        if member.failure_domain == domain
+    }
+    return sorted(named - {state.identity.host})
+
+
 def share_slots(state: HostState, name: ServiceName) -> int:
     """Returns the requests that this host may have in progress at one target of a service."""
     return _rank(state, name).share
--- a/endivedrift/shell/_codec.py
+++ b/endivedrift/shell/_codec.py
@@ -32,6 +32,7 @@
     Refusal,
     RefusalReason,
     ServiceName,
+    TargetEntry,
     TargetName,
     Verdict,
     Version,
@@ -75,13 +76,25 @@
     canonical: bytes
 
 
+@dataclass(frozen=True, slots=True)
+class TargetsQuery:
+    """A question for the targets that registered themselves."""
+
+
+@dataclass(frozen=True, slots=True)
+class KnownTargets:
+    """The targets that registered themselves, as far as a host knows."""
+
+    entries: tuple[TargetEntry, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class Nothing:
     """The peer does not have what was asked for."""
 
 
-Call: TypeAlias = ForwardedRequest | ConfigQuery
-Reply: TypeAlias = Answer | Refusal | ConfigBytes | Nothing
+Call: TypeAlias = ForwardedRequest | ConfigQuery | TargetsQuery
+Reply: TypeAlias = Answer | Refusal | ConfigBytes | KnownTargets | Nothing
 
 
 def compute_mac(secret: bytes, *parts: bytes) -> bytes:
@@ -128,6 +141,9 @@
     if isinstance(call, ConfigQuery):
         message.fetchConfig = call.digest
         return message.to_bytes()
+    if isinstance(call, TargetsQuery):
+        message.fetchTargets = None
+        return message.to_bytes()
     forward = message.init("forward")
     forward.owner = call.owner
     forward.incarnation = call.incarnation
@@ -147,6 +163,8 @@
         with _schema.Call.from_bytes(body) as call:
             if call.which() == "fetchConfig":
                 return ConfigQuery(Digest(call.fetchConfig))
+            if call.which() == "fetchTargets":
+                return TargetsQuery()
             forward = call.forward
             return ForwardedRequest(
                 owner=HostId(forward.owner),
@@ -181,6 +199,10 @@
         refusal.detail = reply.detail
     elif isinstance(reply, ConfigBytes):
         message.config = reply.canonical
+    elif isinstance(reply, KnownTargets):
+        slots = message.init("targets", len(reply.entries))
+        for slot, entry in zip(slots, reply.entries, strict=True):
+            _set_target(slot, entry)
     else:
         message.nothing = None
     return message.to_bytes()
@@ -198,6 +220,8 @@
                     return _decode_refusal(reply.refusal)
                 case "config":
                     return ConfigBytes(bytes(reply.config))
+                case "targets":
+                    return KnownTargets(tuple(_get_target(slot) for slot in reply.targets))
             return Nothing()
     except (capnp.KjException, ValueError):
         return None
@@ -277,6 +301,30 @@
     )
 
 
+def _set_target(slot: Any, entry: TargetEntry) -> None:
+    slot.name = entry.name
+    slot.service = entry.service
+    slot.address = entry.address
+    slot.failureDomain = entry.failure_domain
+    slot.slots = entry.slots
+    slot.leaving = entry.leaving
+    slot.warmUpLeftMicros = entry.warm_up_left // MICROSECOND
+    slot.born = entry.born
+
+
+def _get_target(slot: Any) -> TargetEntry:
+    return TargetEntry(
+        name=TargetName(slot.name),
+        service=ServiceName(slot.service),
+        address=Address(slot.address),
+        failure_domain=FailureDomain(slot.failureDomain),
+        slots=slot.slots,
+        leaving=slot.leaving,
+        warm_up_left=slot.warmUpLeftMicros * MICROSECOND,
+        born=slot.born,
+    )
+
+
 def _set_headers(slot: Any, headers: Headers) -> None:
     entries = slot.init("headers", len(headers))
     for entry, (name, value) in zip(entries, headers, strict=True):
--- a/endivedrift/shell/_peers.py
+++ b/endivedrift/shell/_peers.py
@@ -9,8 +9,13 @@
 from curio import socket
 
 from endivedrift.core import Address, Answer, Digest, PeerMessage, Refusal, RequestHead
-from endivedrift.core.effects import FetchConfig
-from endivedrift.core.events import ConfigFetched, ConfigFetchFailed, PeerMessageReceived
+from endivedrift.core.effects import FetchConfig, FetchTargets
+from endivedrift.core.events import (
+    ConfigFetched,
+    ConfigFetchFailed,
+    PeerMessageReceived,
+    TargetsTold,
+)
 from endivedrift.objects import digest_bytes
 from endivedrift.shell._codec import (
     MAX_DATAGRAM_BYTES,
@@ -18,12 +23,15 @@
     ConfigBytes,
     ConfigQuery,
     ForwardedRequest,
+    KnownTargets,
     Nothing,
     Reply,
+    TargetsQuery,
     open_datagram,
     seal_datagram,
 )
 from endivedrift.shell._http import parse_endpoint
+from endivedrift.shell._log import make_logger
 from endivedrift.shell._peer_calls import PeerCallError, answer_peer, call_peer
 from endivedrift.shell._requests import fingerprint_request
 from endivedrift.shell._serving import Serving, serve_request
@@ -32,6 +40,8 @@
 FETCH_TIMEOUT = timedelta(seconds=2)
 MAX_PEER_CONNECTIONS = 256
 
+_log = make_logger("peers")
+
 
 class Peers:
     """Sockets towards the other hosts."""
@@ -65,6 +75,7 @@
         self._open_calls = 0
         self._runtime.send_datagram = self.send
         self._runtime.fetch_config = self.fetch
+        self._runtime.fetch_targets = self.fetch_targets
 
     def send(self, address: Address, message: PeerMessage) -> None:
         """Sends a datagram, which is dropped where the socket has no room."""
@@ -113,6 +124,21 @@
             return
         await self.install(ConfigFetched(now, config, canonical))
 
+    async def fetch_targets(self, effect: FetchTargets) -> None:
+        """Asks peers for the targets they know, until one knows any."""
+        for address in effect.peers:
+            try:
+                reply = await call_peer(
+                    self._serving.secret, address, TargetsQuery(), FETCH_TIMEOUT
+                )
+            except PeerCallError as error:
+                _log.info("Targets not told.", peer=address, cause=str(error))
+                continue
+            if isinstance(reply, KnownTargets) and reply.entries:
+                now = self._runtime.clock.monotonic()
+                await self._runtime.dispatch(TargetsTold(now, reply.entries))
+                return
+
     async def install(self, fetched: ConfigFetched) -> None:
         """Keeps an object set for other hosts to fetch, and gives it to the decisions."""
         self._canonical = {fetched.config.digest: fetched.canonical}
@@ -145,6 +171,8 @@
         if isinstance(call, ConfigQuery):
             canonical = self._canonical.get(call.digest)
             return ConfigBytes(canonical) if canonical is not None else Nothing()
+        if isinstance(call, TargetsQuery):
+            return KnownTargets(tuple(self._runtime.state.discovered.values()))
         return await self._serve_forwarded(call)
 
     async def _serve_forwarded(self, call: ForwardedRequest) -> Answer | Refusal:
--- a/endivedrift/shell/_runtime.py
+++ b/endivedrift/shell/_runtime.py
@@ -26,6 +26,7 @@
     DeliverAnswer,
     Effect,
     FetchConfig,
+    FetchTargets,
     ForwardToOwner,
     GiveUpAttempt,
     RecordAudit,
@@ -73,6 +74,7 @@
         self.mailboxes: dict[RequestId, Mailbox] = {}
         self.send_datagram: Callable[[Address, PeerMessage], None] = _drop_datagram
         self.fetch_config: Callable[[FetchConfig], Awaitable[None]] = _fetch_nothing
+        self.fetch_targets: Callable[[FetchTargets], Awaitable[None]] = _fetch_nothing
         self._requests = 0
 
     def new_request_id(self) -> RequestId:
@@ -130,6 +132,11 @@
     await curio.spawn(runtime.fetch_config(effect), daemon=True)
 
 
+@_perform.register
+async def _(effect: FetchTargets, runtime: Runtime) -> None:
+    await curio.spawn(runtime.fetch_targets(effect), daemon=True)
+
+
 @_perform.register
 async def _(effect: RecordAudit, runtime: Runtime) -> None:
     entry = effect.entry
@@ -149,5 +156,5 @@
     """Stands in until the peer socket is open."""
 
 
-async def _fetch_nothing(effect: FetchConfig) -> None:
+async def _fetch_nothing(effect: FetchConfig | FetchTargets) -> None:
     """Stands in until the peer socket is open."""
--- a/endivedrift/shell/peer.capnp
+++ b/endivedrift/shell/peer.capnp
@@ -66,9 +66,21 @@
   union {
     forward @0 :Forward;
     fetchConfig @1 :Text;
+    fetchTargets @2 :Void;
   }
 }
 
+struct Target {
+  name @0 :Text;
+  service @1 :Text;
+  address @2 :Text;
+  failureDomain @3 :Text;
+  slots @4 :UInt32;
+  leaving @5 :Bool;
+  warmUpLeftMicros @6 :Int64;
+  born @7 :Int64;
+}
+
 struct Answer {
   status @0 :UInt16;
   headers @1 :List(Header);
@@ -90,5 +102,6 @@
     refusal @1 :Refusal;
     config @2 :Data;
     nothing @3 :Void;
+    targets @4 :List(Target);
   }
 }
--- a/tests/network.py
+++ b/tests/network.py
@@ -13,8 +13,15 @@
     MemberStatus,
     PeerMessage,
 )
-from endivedrift.core.effects import Effect, FetchConfig, RecordAudit, SendPeerMessage
-from endivedrift.core.events import ConfigFetched, PeerMessageReceived
+from endivedrift.core.effects import (
+    Effect,
+    FetchConfig,
+    FetchTargets,
+    RecordAudit,
+    SendPeerMessage,
+)
+from endivedrift.core.events import ConfigFetched, PeerMessageReceived, TargetsTold
+from endivedrift.objects import ObjectSet
 from tests.builders import HostBench, build_identity, build_object_set
 
 STEP = 0.1
@@ -23,8 +30,9 @@
 class Network:
     """Hosts by name, and a rule that says which datagrams arrive."""
 
-    def __init__(self, count: int, domains: int = 3) -> None:
+    def __init__(self, count: int, domains: int = 3, objects: ObjectSet | None = None) -> None:
         """Starts hosts that know up to three earlier ones each."""
+        self.objects = objects or build_object_set()
         self.clock = ManualClock()
         self.benches: dict[str, HostBench] = {}
         self.source = random.Random(5)
@@ -52,7 +60,7 @@
             plain.operator_address,
             seeds,
         )
-        self.benches[name] = HostBench(build_object_set(), identity, self.clock, seed=self.started)
+        self.benches[name] = HostBench(self.objects, identity, self.clock, seed=self.started)
 
     def run(self, seconds: float) -> None:
         """Lets time pass, with a tick of every host at each step."""
@@ -72,9 +80,22 @@
                 now = self.clock.monotonic()
                 fetched = ConfigFetched(now, effect.config, self.canonical)
                 self.take(sender, self.benches[sender].apply(fetched))
+            elif isinstance(effect, FetchTargets):
+                self.tell_targets(sender, effect)
             elif isinstance(effect, RecordAudit):
                 self.audit.append((sender, effect))
 
+    def tell_targets(self, asker: str, effect: FetchTargets) -> None:
+        """Answers a question for targets by the first peer that runs and knows any."""
+        for address in effect.peers:
+            peer = address.partition(":")[0]
+            reachable = peer not in self.stopped and self.passes(asker, peer)
+            known = tuple(self.benches[peer].state.discovered.values()) if reachable else ()
+            if known:
+                told = TargetsTold(self.clock.monotonic(), known)
+                self.take(asker, self.benches[asker].apply(told))
+                return
+
     def deliver(self, sender: str, receiver: str, message: PeerMessage) -> None:
         """Delivers a datagram unless a cut stops it."""
         unreachable = receiver not in self.benches or receiver in self.stopped
--- /dev/null
+++ b/tests/recovery_test.py
@@ -0,0 +1,109 @@
+"""Entry hosts that fall silent, and hosts that start while the store is away, on a fake network."""
+
+import unittest
+
+from endivedrift.core import HostId, MemberStatus, ServiceName
+from endivedrift.core.events import StoreLost, TargetsObserved
+from endivedrift.fleet import _probing
+from endivedrift.reducer import list_named_hosts
+from tests.builders import SERVICE, build_discovered_set, build_target_entry
+from tests.fuzzing import broken
+from tests.network import Network
+
+HOSTS = 36
+DOMAINS = 3
+
+
+class SilentEntryHostTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.network = Network(HOSTS, DOMAINS, build_discovered_set())
+        self.network.run(20.0)
+
+    def name_for(self, observer: str) -> list[str]:
+        state = self.network.benches[observer].state
+        named = list_named_hosts(state, "", state.identity.failure_domain)
+        return [member.host for member in named]
+
+    def list_near(self, host: str) -> list[str]:
+        domain = self.network.benches[host].state.identity.failure_domain
+        return [
+            name
+            for name, bench in self.network.benches.items()
+            if bench.state.identity.failure_domain == domain and name != host
+        ]
+
+    def silence_entry_host(self, seconds: float) -> list[str]:
+        """Freezes an entry host; returns the hosts of its domain that still name it."""
+        frozen = self.name_for("h0")[0]
+        self.network.stopped.add(frozen)
+        self.network.run(seconds)
+        return [near for near in self.list_near(frozen) if frozen in self.name_for(near)]
+
+    def test_its_domain_names_another_host_within_a_second(self) -> None:
+        # The users' clients give a new connection a second; the clock here moves by tenths.
+        self.assertEqual(self.silence_entry_host(1.1), [])
+
+    def test_without_the_watch_it_is_named_on(self) -> None:
+        with broken(_probing, "WATCH_TIMEOUT", _probing.PROBE_PERIOD * 100):
+            self.assertNotEqual(self.silence_entry_host(1.1), [])
+
+    def test_it_is_named_again_when_it_wakes(self) -> None:
+        frozen = self.name_for("h0")[0]
+        self.network.stopped.add(frozen)
+        self.network.run(1.1)
+        self.network.stopped.discard(frozen)
+        self.network.run(8.0)
+        self.assertEqual(self.network.statuses(frozen), {MemberStatus.ALIVE})
+
+    def test_no_sound_host_is_declared_dead_while_one_datagram_in_ten_is_lost(self) -> None:
+        source = self.network.source
+        self.network.passes = lambda sender, receiver: source.random() > 0.1
+        before = self.network.count_declared_dead()
+        self.network.run(20.0)
+        self.assertEqual(self.network.count_declared_dead(), before)
+
+    def test_a_watched_host_answers_no_more_probes_in_a_larger_domain(self) -> None:
+        def count_pings(count: int) -> float:
+            network = Network(count, 1, build_discovered_set())
+            network.run(15.0)
+            host = list_named_hosts(network.benches["h0"].state, "", "d0")[0].host  # type: ignore[arg-type]
+            received = 0
+
+            def passes(sender: str, receiver: str) -> bool:
+                nonlocal received
+                received += receiver == host
+                return True
+
+            network.passes = passes
+            network.run(10.0)
+            return received / 10.0
+
+        small, large = count_pings(12), count_pings(48)
+        self.assertLess(large, 2.0 * small)
+
+
+class DarkStartTest(unittest.TestCase):
+    def test_a_host_that_starts_while_the_store_is_away_asks_others_for_targets(self) -> None:
+        network = Network(4, 2, build_discovered_set())
+        entries = tuple(build_target_entry(number) for number in range(3))
+        for name in ("h0", "h1", "h2"):
+            observed = TargetsObserved(network.clock.monotonic(), entries, (), True)
+            network.take(name, network.benches[name].apply(observed))
+        lost = StoreLost(network.clock.monotonic(), "silent")
+        network.take("h3", network.benches["h3"].apply(lost))
+        network.run(6.0)
+        state = network.benches["h3"].state
+        self.assertEqual(
+            set(state.services[ServiceName(SERVICE)].targets), {e.name for e in entries}
+        )
+
+        # From the store's first word on, only the store counts.
+        observed = TargetsObserved(network.clock.monotonic(), entries[:2], (), True)
+        network.take("h3", network.benches["h3"].apply(observed))
+        network.run(6.0)
+        self.assertEqual(set(state.discovered), {e.name for e in entries[:2]})
+        self.assertIn(HostId("h0"), state.membership.records)
+
+
+if __name__ == "__main__":
+    unittest.main()
