End the process when one of its loops fails; read the store without a generator

Change: the feed is a plain loop; a failed loop is logged and ends the process, which is started again; the log's limit takes the clock; the line of a request tells the load that targets state.

--- a/endivedrift/platform/_store.py
+++ b/endivedrift/platform/_store.py
@@ -2,7 +2,6 @@
 
 import contextlib
 import json
-from collections.abc import AsyncIterator
 from dataclasses import dataclass
 from datetime import timedelta
 from typing import Any
@@ -174,26 +173,6 @@
         self._sock, self._http = sock, h11.Connection(h11.CLIENT)
 
 
-async def follow_table(client: StoreClient, table: str) -> AsyncIterator[tuple[TableRead, bool]]:
-    """Yields the whole table with True, then its changes with False.
-
-    Raises:
-      StoreError: If the store does not answer; the caller starts anew after a pause.
-    """
-    whole = await client.read_table(table)
-    yield whole, True
-    version = whole.version
-    while True:
-        try:
-            changes = await client.read_changes(table, version)
-        except HistoryGoneError:
-            changes = await client.read_table(table)
-            yield changes, True
-        else:
-            yield changes, False
-        version = changes.version
-
-
 def _read_rows(document: dict[str, Any]) -> TableRead:
     try:
         rows = tuple(
--- a/endivedrift/platform/_surroundings.py
+++ b/endivedrift/platform/_surroundings.py
@@ -25,11 +25,11 @@
 from endivedrift.platform._headers import DIALECT
 from endivedrift.platform._node_file import ENTRY_MAX_AGE_S, NodeFile, read_node_file
 from endivedrift.platform._store import (
+    HistoryGoneError,
     StoreClient,
     StoreError,
     StoreRow,
     TableRead,
-    follow_table,
 )
 from endivedrift.platform._values import WireError, read_row_value
 from endivedrift.reducer import list_named_hosts
@@ -122,23 +122,27 @@
     ) -> None:
         """Gives each state and change of a table to `take`, until cancelled."""
         client = StoreClient(self._node.store)
+        version: int | None = None
         lost = False
         while True:
             try:
-                async for read, complete in follow_table(client, table):
-                    if lost:
-                        lost = False
-                        _log.info("Store regained.", table=table)
-                        await self._runtime.dispatch(StoreRegained(self._now()))
-                    await take(read, complete)
-                    await curio.sleep(GATHER_PERIOD.total_seconds())
+                read, complete = await _read_on(client, table, version)
             except StoreError as error:
                 self._runtime.metrics.platform_failures.labels(table).inc()
+                version = None
                 if not lost:
                     lost = True
                     _log.warning("Store lost.", table=table, cause=str(error))
                     await self._runtime.dispatch(StoreLost(self._now(), str(error)))
                 await curio.sleep(draw_period(RETRY_PERIOD))
+                continue
+            version = read.version
+            if lost:
+                lost = False
+                _log.info("Store regained.", table=table)
+                await self._runtime.dispatch(StoreRegained(self._now()))
+            await take(read, complete)
+            await curio.sleep(GATHER_PERIOD.total_seconds())
 
     async def take_configuration(self, read: TableRead, complete: bool) -> None:
         """Installs the configuration where its row is new."""
@@ -176,6 +180,22 @@
         return self._runtime.clock.monotonic()
 
 
+async def _read_on(client: StoreClient, table: str, version: int | None) -> tuple[TableRead, bool]:
+    """Reads the changes of a table after a version, or all of it where they cannot be had.
+
+    Returns:
+      The rows, and whether they are the whole table.
+    Raises:
+      StoreError: If the store does not answer.
+    """
+    if version is not None:
+        try:
+            return await client.read_changes(table, version), False
+        except HistoryGoneError:
+            _log.info("History is gone; the table is read whole.", table=table, version=version)
+    return await client.read_table(table), True
+
+
 def _read_target(row: StoreRow) -> TargetEntry | None:
     """Reads a target's row, or None where it is deleted or names no target."""
     if row.deleted:
--- a/endivedrift/shell/_codec.py
+++ b/endivedrift/shell/_codec.py
@@ -308,7 +308,7 @@
     slot.failureDomain = entry.failure_domain
     slot.slots = entry.slots
     slot.leaving = entry.leaving
-    slot.warmUpLeftMicros = entry.warm_up_left // MICROSECOND
+    slot.warmUpMicros = entry.warm_up_left // MICROSECOND
     slot.born = entry.born
 
 
@@ -320,7 +320,7 @@
         failure_domain=FailureDomain(slot.failureDomain),
         slots=slot.slots,
         leaving=slot.leaving,
-        warm_up_left=slot.warmUpLeftMicros * MICROSECOND,
+        warm_up_left=slot.warmUpMicros * MICROSECOND,
         born=slot.born,
     )
 
--- a/endivedrift/shell/_daemon.py
+++ b/endivedrift/shell/_daemon.py
@@ -1,9 +1,12 @@
 """Runs one host from start to graceful stop."""
 
 import gc
+import os
 import secrets
 import signal
+from collections.abc import Coroutine
 from datetime import timedelta
+from typing import Any
 
 import curio
 
@@ -34,6 +37,7 @@
 POOL_CLEANING_PERIOD = timedelta(seconds=5)
 DRAIN_POLL = timedelta(milliseconds=50)
 INCARNATION_RANDOM_BITS = 20
+EXIT_FAILED = 1
 
 _log = make_logger("daemon")
 
@@ -86,7 +90,7 @@
         operators.accept(),
         *surroundings.build_loops(runtime, peers.install),
     ]
-    tasks = [await curio.spawn(loop, daemon=True) for loop in loops]
+    tasks = [await curio.spawn(_guard(loop), daemon=True) for loop in loops]
     accepting = await curio.spawn(callers.accept(), daemon=True)
     gc.collect()
     gc.freeze()
@@ -102,6 +106,18 @@
     _log.info("Stopped.", host=identity.host)
 
 
+async def _guard(loop: Coroutine[Any, Any, None]) -> None:
+    """Runs a loop; one that fails ends the process, which would miss what the loop brings.
+
+    Whoever started the process starts it again, and it learns everything anew.
+    """
+    try:
+        await loop
+    except Exception:
+        _log.exception("A loop failed; the process ends.")
+        os._exit(EXIT_FAILED)
+
+
 def _identify(settings: Settings, clock: Clock) -> HostIdentity:
     return HostIdentity(
         host=HostId(settings.host.id),
--- a/endivedrift/shell/_log.py
+++ b/endivedrift/shell/_log.py
@@ -7,10 +7,10 @@
 import logging
 import os
 import sys
-import time
 
 import structlog
 
+from endivedrift.core import Clock, SystemClock
 from endivedrift.settings import LogSection
 
 PREFIX_KEY = "part"
@@ -46,9 +46,12 @@
 class RateLimit:
     """Leaves out lines of one kind beyond a number a second."""
 
-    def __init__(self, writer: LineWriter, lines_per_second: int = LINES_PER_SECOND) -> None:
+    def __init__(
+        self, writer: LineWriter, clock: Clock, lines_per_second: int = LINES_PER_SECOND
+    ) -> None:
         """Counts what is left out at `writer`."""
         self._writer = writer
+        self._clock = clock
         self._limit = lines_per_second
         self._second = 0
         self._counts: dict[object, int] = {}
@@ -57,7 +60,7 @@
         self, logger: object, method: str, event: structlog.types.EventDict
     ) -> structlog.types.EventDict:
         """Passes an event on or drops it."""
-        second = int(time.monotonic())
+        second = int(self._clock.monotonic().total_seconds())
         if second != self._second:
             self._second = second
             self._counts.clear()
@@ -69,8 +72,10 @@
         return event
 
 
-def configure_logs(settings: LogSection, writer: LineWriter | None = None) -> None:
-    """Sets up structlog to write to standard output."""
+def configure_logs(
+    settings: LogSection, writer: LineWriter | None = None, clock: Clock | None = None
+) -> None:
+    """Sets up structlog to write to standard output, or to another writer."""
     writer = writer or LineWriter(sys.stdout.fileno())
     renderer: structlog.types.Processor = (
         structlog.processors.JSONRenderer()
@@ -79,7 +84,7 @@
     )
     structlog.configure(
         processors=[
-            RateLimit(writer),
+            RateLimit(writer, clock or SystemClock()),
             structlog.processors.add_log_level,
             structlog.processors.TimeStamper(fmt="iso", utc=True),
             structlog.processors.format_exc_info,
--- a/endivedrift/shell/_request_log.py
+++ b/endivedrift/shell/_request_log.py
@@ -3,6 +3,7 @@
 from datetime import timedelta
 
 from endivedrift.core import Answer, RequestHead, RequestId
+from endivedrift.core.events import AttemptFinished
 from endivedrift.shell._log import make_logger
 from endivedrift.shell._serving import Served
 
@@ -34,10 +35,7 @@
         "path": f"{head.method} {head.host}{head.path}",
         "service": service,
         "took_ms": round(took.total_seconds() * 1000.0, 1),
-        "attempts": [
-            f"{end.target} {end.outcome.value} {end.latency.total_seconds() * 1000.0:.1f} ms"
-            for end in served.attempts
-        ],
+        "attempts": [_describe_attempt(end) for end in served.attempts],
     }
     if isinstance(result, Answer):
         _log.info("Answered.", status=result.status, **fields)
@@ -49,3 +47,11 @@
         detail=result.detail,
         **fields,
     )
+
+
+def _describe_attempt(end: AttemptFinished) -> str:
+    """Tells target, outcome and time of an attempt, and the load that the target stated."""
+    text = f"{end.target} {end.outcome.value} {end.latency.total_seconds() * 1000.0:.1f} ms"
+    if end.load is None:
+        return text
+    return f"{text}, load {end.load.running}+{end.load.waiting}/{end.load.slots}"
--- a/endivedrift/shell/log_test.py
+++ b/endivedrift/shell/log_test.py
@@ -5,12 +5,12 @@
 import json
 import os
 import unittest
-from unittest import mock
+from datetime import timedelta
 
 import structlog
 
+from endivedrift.core import ManualClock
 from endivedrift.settings import LogSection
-from endivedrift.shell import _log
 from endivedrift.shell._log import LineWriter, RateLimit, configure_logs, make_logger
 
 
@@ -39,16 +39,18 @@
         self.assertEqual(self.writer.dropped, 0)
 
     def test_lines_beyond_a_number_a_second_are_counted_by_kind(self) -> None:
-        limit = RateLimit(self.writer, lines_per_second=10)
+        clock = ManualClock()
+        limit = RateLimit(self.writer, clock, lines_per_second=10)
         passed = []
-        with mock.patch.object(_log.time, "monotonic", return_value=7.5):
-            for number in range(15):
-                with contextlib.suppress(structlog.DropEvent):
-                    limit(None, "info", {"event": "Answered."})
-                    passed.append(number)
-            limit(None, "info", {"event": "Another kind."})
+        for number in range(15):
+            with contextlib.suppress(structlog.DropEvent):
+                limit(None, "info", {"event": "Answered."})
+                passed.append(number)
+        limit(None, "info", {"event": "Another kind."})
         self.assertEqual(passed, list(range(10)))
         self.assertEqual(self.writer.dropped, 5)
+        clock.advance(timedelta(seconds=1))
+        limit(None, "info", {"event": "Answered."})
 
     def test_a_line_is_one_json_object(self) -> None:
         configure_logs(LogSection(), self.writer)
--- a/endivedrift/shell/peer.capnp
+++ b/endivedrift/shell/peer.capnp
@@ -77,7 +77,7 @@
   failureDomain @3 :Text;
   slots @4 :UInt32;
   leaving @5 :Bool;
-  warmUpLeftMicros @6 :Int64;
+  warmUpMicros @6 :Int64;
   born @7 :Int64;
 }
 
