Find the last free target of a group too large to scan

Cause: seen while reading the diff: above the size that is scanned, only the sample was looked at, and a request was queued although a target outside the sample was free. Ruled out: the users' sites, today's and grown: their largest group has 82 targets, below the 128 that are scanned. Test: LargeGroupTest, failed before, passes now.

--- a/endivedrift/policy/_choice.py
+++ b/endivedrift/policy/_choice.py
@@ -72,7 +72,23 @@
     """
     names = list(state.targets)
     if len(names) > SCAN_LIMIT:
-        names = random.sample(names, SAMPLE_SIZE)
+        sample = random.sample(names, SAMPLE_SIZE)
+        chosen = _choose_among(state, sample, home, excluded, trial_allowed, random, at, waited)
+        if chosen is not None:
+            return chosen
+    return _choose_among(state, names, home, excluded, trial_allowed, random, at, waited)
+
+
+def _choose_among(
+    state: ServiceState,
+    names: list[TargetName],
+    home: FailureDomain,
+    excluded: frozenset[TargetName],
+    trial_allowed: bool,
+    random: Random,
+    at: Instant,
+    waited: timedelta,
+) -> TargetName | None:
     open_names = [n for n in names if n not in excluded and has_room(state, state.targets[n], at)]
     if not excluded and is_narrow(state, at):
         unused = _find_unused(state, open_names, at)
--- a/tests/patterns_test.py
+++ b/tests/patterns_test.py
@@ -36,7 +36,7 @@
     TargetsObserved,
 )
 from endivedrift.fleet import build_membership
-from endivedrift.policy import _choice, _service
+from endivedrift.policy import SharedCount, _choice, _service
 from endivedrift.reducer import _attempts, _discovery
 from tests.builders import (
     READ_PATH,
@@ -284,6 +284,22 @@
         self.assertEqual(set(self.ends), {"answered"})
 
 
+class LargeGroupTest(unittest.TestCase):
+    def test_the_last_free_target_of_a_very_large_group_is_found(self) -> None:
+        bench = HostBench(build_discovered_set())
+        entries = tuple(build_target_entry(number) for number in range(200))
+        now = bench.clock.monotonic()
+        bench.apply(TargetsObserved(now, entries, (), True))
+        service = bench.state.services[ServiceName(SERVICE)]
+        for name, record in service.targets.items():
+            if name != name_target(150):
+                full = SharedCount(2, now)
+                record.shared_counts[HostId("h2")] = full
+        effects = bench.arrive("POST", WRITE_PATH)[1]
+        sent = [effect.target for effect in effects if isinstance(effect, SendToTarget)]
+        self.assertEqual(sent, [name_target(150)])
+
+
 class FloorTest(PatternTest):
     def test_a_service_that_fails_a_sixth_of_its_requests_uses_its_floor(self) -> None:
         self.run_load(2.0, 20.0)
