Look up what a request needs once

The default limits of a connection were built and checked anew several times a request on the own interface; the route was looked up twice while a request was read; whether this host is an entry host was worked out a second time beside the cached ranking. Ruled out: a change of behaviour; no test, bound or constant is touched. Change: default limits built once, one lookup while reading, RankedHosts keeps whether the host is named.

--- a/endivedrift/reducer/_attempts.py
+++ b/endivedrift/reducer/_attempts.py
@@ -50,7 +50,7 @@
     store_answer,
 )
 from endivedrift.reducer._refusals import refuse
-from endivedrift.reducer._state import HostState, RequestState, list_primaries, share_slots
+from endivedrift.reducer._state import HostState, RequestState, is_named, share_slots
 
 _REASONS = {
     AttemptOutcome.SHED: RefusalReason.TARGET_REFUSED,
@@ -253,9 +253,8 @@
 
 def _count_end(state: HostState, held: RequestState, served: bool, at: Instant) -> None:
     service = state.services.get(held.service)
-    if service is None:
-        return
-    service.recent.add(served, at)
+    if service is not None:
+        service.recent.add(served, at)
 
 
 def _fund_retries(state: HostState, service: ServiceState) -> None:
@@ -265,10 +264,8 @@
     multiple of what the fleet may spend.
     """
     bucket = service.retry_budget
-    primaries = list_primaries(state, service.name)
-    named = any(member.host == state.identity.host for member in primaries)
-    shared = service.service.share_at_once and not named
-    bucket.cap = OUTSIDER_BUDGET_CAP if shared else float(service.retry.budget_cap)
+    outsider = service.service.share_at_once and not is_named(state, service.name)
+    bucket.cap = OUTSIDER_BUDGET_CAP if outsider else float(service.retry.budget_cap)
     bucket.add(service.retry.budget_ratio)
 
 
--- a/endivedrift/reducer/_state.py
+++ b/endivedrift/reducer/_state.py
@@ -80,11 +80,13 @@
 class RankedHosts:
     """Hosts of a service, valid for one version of the membership and of the object set.
 
-    `share` is the number of requests this host may have in progress at one target.
+    `share` is the number of requests this host may have in progress at one target, `named` whether
+    this host is one that callers are sent to.
     """
 
     members: tuple[Member, ...]
     share: int
+    named: bool
     membership: int
     config: ConfigRef
 
@@ -206,6 +208,11 @@
     return _rank(state, name).share
 
 
+def is_named(state: HostState, name: ServiceName) -> bool:
+    """Tells whether callers of a service are sent to this host in normal operation."""
+    return _rank(state, name).named
+
+
 def _rank(state: HostState, name: ServiceName) -> RankedHosts:
     cached = state.ranked.get(name)
     version = state.membership.version
@@ -215,9 +222,8 @@
     group = state.routes.groups.get(name, name)
     members = rank_hosts(group, list_usable(state.membership), service.service.entry_hosts)
     primaries = members[: service.service.entry_hosts]
-    share = 1
-    if any(member.host == state.identity.host for member in primaries):
-        share = max(1, service.group.slots // len(primaries))
-    ranked = RankedHosts(tuple(members), share, version, state.config)
+    named = any(member.host == state.identity.host for member in primaries)
+    share = max(1, service.group.slots // len(primaries)) if named else 1
+    ranked = RankedHosts(tuple(members), share, named, version, state.config)
     state.ranked[name] = ranked
     return ranked
--- a/endivedrift/shell/_callers.py
+++ b/endivedrift/shell/_callers.py
@@ -26,7 +26,7 @@
     RequestId,
 )
 from endivedrift.core.events import CallerGone
-from endivedrift.fleet import find_route
+from endivedrift.fleet import NamedRoute, find_route
 from endivedrift.objects import ConnectionLimit
 from endivedrift.settings import LimitsSection
 from endivedrift.shell._answers import HttpAnswer, make_refusal
@@ -138,6 +138,9 @@
         self._serving = serving
         self._runtime = serving.runtime
         self._limits = limits
+        self._default_limit = ConnectionLimit(
+            head_ms=round(limits.head_s * 1000.0), idle_ms=round(limits.idle_s * 1000.0)
+        )
         self._entry = entry
         self._open: dict[int, _Connection] = {}
         self._closing = False
@@ -185,11 +188,8 @@
 
     def _find_limit(self) -> ConnectionLimit:
         """Returns the limits of the object set, or those of the settings where it has none."""
-        for limit in self._runtime.state.objects.connection_limit.values():
-            return limit
-        return ConnectionLimit(
-            head_ms=round(self._limits.head_s * 1000.0), idle_ms=round(self._limits.idle_s * 1000.0)
-        )
+        limits = self._runtime.state.objects.connection_limit.values()
+        return next(iter(limits), self._default_limit)
 
     async def _run(self, connection: _Connection, over: bool) -> None:
         with contextlib.suppress(OSError):
@@ -261,7 +261,9 @@
         headers = copy_headers(request.headers)
         method = request.method.decode("ascii", "replace")
         self._check_head(request, headers, method)
-        body = await self._read_body(connection, request, headers, method)
+        path = request.target.decode("ascii").partition("?")[0]
+        found = find_route(self._runtime.state.routes, method, path, read_host(headers))
+        body = await self._read_body(connection, headers, found)
         http = connection.http
         caller_id = find_header(headers, self._serving.dialect.request_id_header)
         exchange = _Exchange(http, request_id, caller_id, method)
@@ -272,8 +274,6 @@
         await curio.spawn(self._serve(connection, exchange, request, headers, body), daemon=True)
         if final:
             return False
-        path = request.target.decode("ascii").partition("?")[0]
-        found = find_route(self._runtime.state.routes, method, path, read_host(headers))
         depth = MAX_PIPELINED if found is not None and found.route.repeatable else 1
         while len(connection.exchanges) >= depth and not connection.ended:
             connection.arrived.clear()
@@ -329,10 +329,8 @@
             raise _ConnectionEndedError
 
     async def _read_body(
-        self, connection: _Connection, request: h11.Request, headers: Headers, method: str
+        self, connection: _Connection, headers: Headers, found: NamedRoute | None
     ) -> bytes:
-        path = request.target.decode("ascii").partition("?")[0]
-        found = find_route(self._runtime.state.routes, method, path, read_host(headers))
         limit = self._limits.body_bytes if found is None else found.route.request_limit_bytes
         declared = find_header(headers, b"content-length")
         if declared is not None and int(declared) > limit:
