Let only the targets' feed tell that entries may lapse

Where only one fails, its return started the two seconds in which lapsed entries may come back, though the targets' feed might still be away. Ruled out: one connection for both feeds, since a held question blocks the connection that carries it. Change: the events come from the targets' feed only; the other one logs its loss and return. Before and after: endivedrift/platform/feeds_test.py: 1 of 2 tests failed with the events of both, 2 passed now.

--- a/endivedrift/platform/_surroundings.py
+++ b/endivedrift/platform/_surroundings.py
@@ -97,30 +97,44 @@
     def build_loops(self, runtime: Runtime, install: Install) -> list[Coroutine[Any, Any, None]]:
         """Builds the loops that follow the store and answer the platform's questions."""
         node = self._node
-        feeds = _Feeds(node, runtime, install)
+        feeds = Feeds(node, runtime, install)
         questions = _Questions(runtime)
         return [
             self._watch_file(runtime),
-            feeds.follow(OPERATOR_TABLE, feeds.take_configuration),
-            feeds.follow(TARGET_TABLE, feeds.take_entries),
+            *feeds.build_loops().values(),
             PlainServer(node.readiness, questions.answer_readiness, MAX_QUESTIONS).accept(),
             PlainServer(node.entry, questions.answer_entry, MAX_QUESTIONS).accept(),
             PlainServer(node.internal, questions.answer_internal, MAX_QUESTIONS).accept(),
         ]
 
 
-class _Feeds:
+class Feeds:
     """Follows tables of the store and turns their rows into events."""
 
     def __init__(self, node: NodeFile, runtime: Runtime, install: Install) -> None:
+        """Takes the settings, where events go, and what puts a configuration in force."""
         self._node = node
         self._runtime = runtime
         self._install = install
 
-    async def follow(
-        self, table: str, take: Callable[[TableRead, bool], Coroutine[Any, Any, None]]
+    def build_loops(self) -> dict[str, Coroutine[Any, Any, None]]:
+        """Builds the loops that follow the tables, by table."""
+        return {
+            OPERATOR_TABLE: self._follow(OPERATOR_TABLE, self._take_configuration, False),
+            TARGET_TABLE: self._follow(TARGET_TABLE, self._take_entries, True),
+        }
+
+    async def _follow(
+        self,
+        table: str,
+        take: Callable[[TableRead, bool], Coroutine[Any, Any, None]],
+        holds_targets: bool,
     ) -> None:
-        """Gives each state and change of a table to `take`, until cancelled."""
+        """Gives each state and change of a table to `take`, until cancelled.
+
+        Only the feed of the targets' table tells the decisions that the store was away, since the
+        other one may lose it alone.
+        """
         client = StoreClient(self._node.store)
         version: int | None = None
         lost = False
@@ -133,18 +147,20 @@
                 if not lost:
                     lost = True
                     _log.warning("Store lost.", table=table, cause=str(error))
-                    await self._runtime.dispatch(StoreLost(self._now(), str(error)))
+                    if holds_targets:
+                        await self._runtime.dispatch(StoreLost(self._now(), str(error)))
                 await curio.sleep(draw_period(RETRY_PERIOD))
                 continue
             version = read.version
             if lost:
                 lost = False
                 _log.info("Store regained.", table=table)
-                await self._runtime.dispatch(StoreRegained(self._now()))
+                if holds_targets:
+                    await self._runtime.dispatch(StoreRegained(self._now()))
             await take(read, complete)
             await curio.sleep(GATHER_PERIOD.total_seconds())
 
-    async def take_configuration(self, read: TableRead, complete: bool) -> None:
+    async def _take_configuration(self, read: TableRead, complete: bool) -> None:
         """Installs the configuration where its row is new."""
         for row in read.rows:
             if row.key != CONFIGURATION_KEY or row.deleted:
@@ -157,7 +173,7 @@
                 continue
             await self._install(fetched)
 
-    async def take_entries(self, read: TableRead, complete: bool) -> None:
+    async def _take_entries(self, read: TableRead, complete: bool) -> None:
         """Tells the decisions of targets that registered, changed or vanished."""
         entries: dict[TargetName, TargetEntry] = {}
         gone: set[TargetName] = set()
--- /dev/null
+++ b/endivedrift/platform/feeds_test.py
@@ -0,0 +1,73 @@
+"""Feeds of two tables of one store: which of them tells that entries of targets may lapse."""
+
+import unittest
+from pathlib import Path
+from tempfile import TemporaryDirectory
+from typing import Any
+from unittest import mock
+
+import curio
+
+from endivedrift.core import ManualClock
+from endivedrift.core.events import StoreLost, StoreRegained
+from endivedrift.platform import _surroundings
+from endivedrift.platform._node_file import read_node_file
+from endivedrift.platform._store import StoreError, TableRead
+from endivedrift.platform._surroundings import OPERATOR_TABLE, TARGET_TABLE, Feeds
+from endivedrift.shell.running import Runtime
+from tests.platform_builders import build_node_file
+
+
+class FeedTest(unittest.TestCase):
+    def follow(self, table: str, answers: list[StoreError | TableRead]) -> list[type]:
+        """Follows a table through the given answers; returns the kinds of events they cause."""
+        with TemporaryDirectory() as directory:
+            path = Path(directory) / "local.toml"
+            path.write_text(build_node_file("127.0.0.1", "127.0.0.1:1", [], 7000), "utf-8")
+            node = read_node_file(path)
+        events: list[object] = []
+
+        async def dispatch(event: object) -> None:
+            events.append(event)
+
+        async def answer(*arguments: Any) -> tuple[TableRead, bool]:
+            if not answers:
+                raise curio.TaskCancelled
+            given = answers.pop(0)
+            if isinstance(given, StoreError):
+                raise given
+            return given, True
+
+        runtime = mock.Mock(spec=Runtime, clock=ManualClock(), metrics=mock.Mock())
+        runtime.dispatch = dispatch
+        feeds = Feeds(node, runtime, dispatch)
+
+        async def run() -> None:
+            loops = feeds.build_loops()
+            loop = loops.pop(table)
+            for other in loops.values():
+                other.close()
+            with self.assertRaises(curio.TaskCancelled):
+                await loop
+
+        quick = mock.patch.multiple(
+            _surroundings,
+            _read_on=answer,
+            GATHER_PERIOD=_surroundings.RETRY_PERIOD * 0,
+            RETRY_PERIOD=_surroundings.RETRY_PERIOD * 0,
+        )
+        with quick:
+            curio.run(run)
+        return [type(event) for event in events if isinstance(event, StoreLost | StoreRegained)]
+
+    def test_the_feed_of_targets_tells_that_the_store_was_away(self) -> None:
+        answers = [StoreError("silent"), StoreError("silent"), TableRead((), 3)]
+        self.assertEqual(self.follow(TARGET_TABLE, list(answers)), [StoreLost, StoreRegained])
+
+    def test_the_feed_of_configurations_says_nothing_of_targets(self) -> None:
+        answers = [StoreError("silent"), TableRead((), 3)]
+        self.assertEqual(self.follow(OPERATOR_TABLE, list(answers)), [])
+
+
+if __name__ == "__main__":
+    unittest.main()
