Send callers to strong hosts first, and to as many as the slots of the targets need

Ruled out: weighted rendezvous hashing, which names a weak host three times in four where strong ones are few. Change: hosts tell their power; strong ones go first; each domain names hosts until their power suffices for the slots of the registered targets; hosts that share a service share its retry budget.

--- a/endivedrift/core/_records.py
+++ b/endivedrift/core/_records.py
@@ -94,7 +94,7 @@
     """One host of the fleet as told in messages.
 
     `incarnation` names one process with its memory. `counter` grows each time that process
-    denies a rumour of its failure.
+    denies a rumour of its failure. `power` is the processor power it serves with, in cores.
     """
 
     host: HostId
@@ -105,6 +105,7 @@
     caller_address: Address
     peer_address: Address
     operator_address: Address
+    power: float = 1.0
 
     def precedence(self) -> tuple[int, int, int]:
         """Returns the rank by which one word on a host replaces another."""
@@ -232,7 +233,7 @@
 
 @dataclass(frozen=True, slots=True)
 class HostIdentity:
-    """Who this host is and where it listens."""
+    """Who this host is, where it listens, and the processor power it serves with, in cores."""
 
     host: HostId
     incarnation: Incarnation
@@ -241,3 +242,4 @@
     peer_address: Address
     operator_address: Address
     seeds: tuple[Address, ...] = field(default=())
+    power: float = 1.0
--- a/endivedrift/fleet/__init__.py
+++ b/endivedrift/fleet/__init__.py
@@ -1,7 +1,7 @@
 """How hosts act together: membership, routes and the spread of services over hosts."""
 
 from endivedrift.fleet._datagrams import sample_alive, send_evidence
-from endivedrift.fleet._entry import rank_hosts
+from endivedrift.fleet._entry import Ranking, rank_hosts
 from endivedrift.fleet._probing import (
     advance_membership,
     announce_leaving,
@@ -34,6 +34,7 @@
     "find_route",
     "learn_seeds",
     "list_usable",
+    "Ranking",
     "rank_hosts",
     "receive_message",
     "sample_alive",
--- a/endivedrift/fleet/_entry.py
+++ b/endivedrift/fleet/_entry.py
@@ -7,31 +7,71 @@
 
 import hashlib
 from collections.abc import Iterable
+from dataclasses import dataclass
 
 from endivedrift.core import FailureDomain, HostId, Member, MemberStatus
 
 FALLBACKS_PER_DOMAIN = 2
+WEAK_SHARE = 0.5
+"""Part of the greatest power of any host below which a host is named only where stronger ones do
+not suffice."""
 
 
-def rank_hosts(group: str, members: Iterable[Member], primaries: int) -> list[Member]:
+@dataclass(frozen=True, slots=True)
+class Ranking:
+    """Hosts of a service, best first; the first `primaries` share it in normal operation."""
+
+    hosts: list[Member]
+    primaries: int
+
+
+def rank_hosts(
+    group: str, members: Iterable[Member], primaries: int, power: float = 0.0
+) -> Ranking:
     """Ranks the hosts that callers of a service are told.
 
+    Few strong hosts know more of the targets than many weak ones, so strong ones go first.
+
     Args:
       group: Name under which services are dealt to hosts together.
       members: Usable hosts.
-      primaries: Number of hosts that share the service in normal operation.
+      primaries: Least number of hosts that share the service in normal operation.
+      power: Processor power in cores that these hosts have together at the least, each failure
+        domain its part, as far as there are hosts.
     Returns:
       The primaries, spread over failure domains, then fallbacks of every domain, suspected hosts
       last.
     """
+    members = list(members)
+    strong = WEAK_SHARE * max((m.power for m in members), default=0.0)
     ordered = sorted(
         members,
-        key=lambda m: (m.status is not MemberStatus.ALIVE, -_weigh(group, m.host), m.host),
+        key=lambda m: (
+            m.status is not MemberStatus.ALIVE,
+            m.power < strong,
+            -_weigh(group, m.host),
+            m.host,
+        ),
     )
-    first = _spread_domains(ordered)[:primaries]
+    spread = _spread_domains(ordered)
+    first = spread[:primaries] + _add_power(spread, primaries, power)
     chosen = {member.host for member in first}
     rest = [member for member in ordered if member.host not in chosen]
-    return first + _limit_domains(rest)
+    return Ranking(first + _limit_domains(rest), len(first))
+
+
+def _add_power(spread: list[Member], primaries: int, power: float) -> list[Member]:
+    """Finds the hosts that each failure domain needs besides the first ones."""
+    domains = {member.failure_domain for member in spread}
+    missing = dict.fromkeys(domains, power / len(domains)) if domains else {}
+    for member in spread[:primaries]:
+        missing[member.failure_domain] -= member.power
+    added = []
+    for member in spread[primaries:]:
+        if missing[member.failure_domain] > 0.0:
+            missing[member.failure_domain] -= member.power
+            added.append(member)
+    return added
 
 
 def _weigh(group: str, host: HostId) -> int:
--- a/endivedrift/fleet/_view.py
+++ b/endivedrift/fleet/_view.py
@@ -100,6 +100,7 @@
         caller_address=identity.caller_address,
         peer_address=identity.peer_address,
         operator_address=identity.operator_address,
+        power=identity.power,
     )
     return Membership(me, {identity.incarnation}, identity.seeds, random)
 
--- a/endivedrift/objects/_profile.py
+++ b/endivedrift/objects/_profile.py
@@ -15,6 +15,9 @@
 )
 
 RULE_NAME = "bounds"
+SLOTS_PER_CORE = 100
+"""Slots of targets that keep one core of the hosts busy: a slot of the users' targets answers up to
+seven requests a second, each of which takes a host 1.5 ms of processor time."""
 BUDGET_SHARE = 0.7
 """Part of a fleet-wide budget that the entry hosts use: the rest covers hosts that get requests
 although they are not named to callers."""
@@ -72,6 +75,7 @@
         drain_rule=RULE_NAME,
         retry_rule=RULE_NAME,
         entry_hosts=bounds.entry_hosts,
+        slots_per_core=SLOTS_PER_CORE,
         share_at_once=True,
     )
 
--- a/endivedrift/objects/_schema.py
+++ b/endivedrift/objects/_schema.py
@@ -145,7 +145,9 @@
 
     Attributes:
       upstream_group, ejection_limit, drain_rule, retry_rule: Names of other objects.
-      entry_hosts: Hosts that the entry answer names first for this service.
+      entry_hosts: Hosts that the entry answer names first for this service, at the least.
+      slots_per_core: Slots of targets for which a core of processor power is needed at the hosts;
+        where they have less, more hosts are named. 0 where the number of hosts is fixed.
       queue_length: Requests that may wait at one host.
       share_at_once: Whether the entry hosts tell one another of each attempt as it begins and ends.
     """
@@ -155,6 +157,7 @@
     drain_rule: Name
     retry_rule: Name
     entry_hosts: Annotated[int, Field(ge=1, le=1_000)] = 2
+    slots_per_core: Annotated[int, Field(ge=0, le=1_000_000)] = 0
     queue_length: Annotated[int, Field(ge=0, le=100_000)] = 256
     share_at_once: bool = False
 
--- a/endivedrift/platform/_node_file.py
+++ b/endivedrift/platform/_node_file.py
@@ -28,6 +28,8 @@
 answers, and the rest is longer than the usual deadline of a request."""
 EXIT_MARGIN_S = 0.3
 """Time before the end of the grace period at which a stopping host is gone at the latest."""
+MBPS_PER_CORE = 10.0
+"""Bandwidth that one core of requests fills: 700 a second of the users' usual 1.5 KB."""
 OPERATORS_PORT_VARIABLE = "ENDIVEDRIFT_METRICS_PORT"
 """Variable with the port for metrics and state; by default, the last of the internal ports."""
 
@@ -79,6 +81,16 @@
     )
 
 
+def _read_power(document: dict[str, Any]) -> float:
+    """Reads the processor power of the machine in cores, or what its link can carry of it."""
+    number = (int, float)
+    # `cores` tells how many times as fast as one core the processor is.
+    speed: float = read_field(document, "limits.cores", number)
+    power: float = read_field(document, "limits.cpuShare", number) * speed
+    link: float = read_field(document, "limits.linkMbps", number)
+    return min(power, link / MBPS_PER_CORE)
+
+
 def _build_settings(document: dict[str, Any], store: str) -> Settings:
     grace = read_duration(read_field(document, "bounds.grace", str), "bounds.grace").total_seconds()
     ip = read_field(document, "ip", str)
@@ -92,6 +104,7 @@
             id=read_field(document, "node", str),
             failure_domain=read_field(document, "zone", str),
             region=read_field(document, "region", str),
+            power=_read_power(document),
         ),
         listen=ListenSection(
             callers=read_field(document, "listen.front", str),
--- a/endivedrift/policy/_service.py
+++ b/endivedrift/policy/_service.py
@@ -219,6 +219,14 @@
         able = sum(1 for r in self.targets.values() if r.state is not TargetState.LEAVING)
         return max(self.ejection.floor, math.ceil(share * able))
 
+    def count_slots(self) -> int:
+        """Returns the slots of all targets that are not leaving."""
+        return sum(
+            r.entry.slots if r.entry is not None else self.group.slots
+            for r in self.targets.values()
+            if r.state is not TargetState.LEAVING
+        )
+
     @property
     def healthy(self) -> int:
         """Number of targets that count as capacity."""
--- a/endivedrift/reducer/_attempts.py
+++ b/endivedrift/reducer/_attempts.py
@@ -50,7 +50,13 @@
     store_answer,
 )
 from endivedrift.reducer._refusals import refuse
-from endivedrift.reducer._state import HostState, RequestState, is_named, share_slots
+from endivedrift.reducer._state import (
+    HostState,
+    RequestState,
+    is_named,
+    list_primaries,
+    share_slots,
+)
 
 _REASONS = {
     AttemptOutcome.SHED: RefusalReason.TARGET_REFUSED,
@@ -264,8 +270,13 @@
     multiple of what the fleet may spend.
     """
     bucket = service.retry_budget
-    outsider = service.service.share_at_once and not is_named(state, service.name)
-    bucket.cap = OUTSIDER_BUDGET_CAP if outsider else float(service.retry.budget_cap)
+    if not service.service.share_at_once:
+        bucket.cap = float(service.retry.budget_cap)
+    elif is_named(state, service.name):
+        least, named = service.service.entry_hosts, len(list_primaries(state, service.name))
+        bucket.cap = service.retry.budget_cap * min(1.0, least / named)
+    else:
+        bucket.cap = OUTSIDER_BUDGET_CAP
     bucket.add(service.retry.budget_ratio)
 
 
--- a/endivedrift/reducer/_periodic.py
+++ b/endivedrift/reducer/_periodic.py
@@ -16,7 +16,7 @@
 from endivedrift.reducer._attempts import serve_waiting
 from endivedrift.reducer._config import retry_fetch
 from endivedrift.reducer._discovery import ask_for_targets, remove_missing
-from endivedrift.reducer._state import HostState, list_watched
+from endivedrift.reducer._state import HostState, list_watched, measure_power
 from endivedrift.reducer._targets import share_evidence
 
 EVIDENCE_PERIOD = timedelta(milliseconds=500)
@@ -35,6 +35,7 @@
         effects += _advance_service(state, name, event.at)
     if event.at >= state.next_evidence:
         state.next_evidence = event.at + EVIDENCE_PERIOD
+        measure_power(state)
         effects += share_evidence(state)
         state.active = {name for name in state.active if _needs_timer(state, name)}
     if event.at >= state.next_cleaning:
--- a/endivedrift/reducer/_state.py
+++ b/endivedrift/reducer/_state.py
@@ -1,5 +1,6 @@
 """The whole state of one host's decisions."""
 
+import math
 from collections import OrderedDict
 from dataclasses import dataclass, field
 from random import Random
@@ -36,6 +37,9 @@
 from endivedrift.policy import KeyTable, ServiceState, TokenBucket
 
 MAX_CALLER_BUCKETS = 4_096
+POWER_STEP = 0.25
+"""Step in cores in which the power that a group of services needs is counted, so that a few targets
+that come or go change no host's part."""
 
 
 @dataclass(slots=True)
@@ -80,11 +84,13 @@
 class RankedHosts:
     """Hosts of a service, valid for one version of the membership and of the object set.
 
-    `share` is the number of requests this host may have in progress at one target, `named` whether
-    this host is one that callers are sent to.
+    `primaries` of them, the first ones, share the service in normal operation; `share` is the
+    number of requests this host may have in progress at one target, `named` whether this host is
+    one that callers are sent to.
     """
 
     members: tuple[Member, ...]
+    primaries: int
     share: int
     named: bool
     membership: int
@@ -105,6 +111,7 @@
       active: Services whose targets or queues need the periodic timer.
       machines: The platform's latest list of machines by target address.
       ranked: Cache of the ranked hosts of each service.
+      power: Processor power in cores that the hosts of each group of services need.
       discovered: Targets that registered themselves, by name.
       missing: When targets whose entries vanished count as gone, by name.
       store_lost: Whether the store in which targets register does not answer.
@@ -134,6 +141,7 @@
     callers: OrderedDict[CallerName, TokenBucket] = field(default_factory=OrderedDict)
     machines: tuple[ListedMachine, ...] = ()
     ranked: dict[ServiceName, RankedHosts] = field(default_factory=dict)
+    power: dict[str, float] = field(default_factory=dict)
     discovered: dict[TargetName, TargetEntry] = field(default_factory=dict)
     missing: dict[TargetName, Instant] = field(default_factory=dict)
     store_lost: bool = False
@@ -167,7 +175,8 @@
 
 def list_primaries(state: HostState, name: ServiceName) -> tuple[Member, ...]:
     """Returns the hosts that share a service in normal operation."""
-    return _rank(state, name).members[: state.services[name].service.entry_hosts]
+    ranked = _rank(state, name)
+    return ranked.members[: ranked.primaries]
 
 
 def list_entry_hosts(
@@ -220,10 +229,31 @@
         return cached
     service = state.services[name]
     group = state.routes.groups.get(name, name)
-    members = rank_hosts(group, list_usable(state.membership), service.service.entry_hosts)
-    primaries = members[: service.service.entry_hosts]
+    usable = list_usable(state.membership)
+    power = state.power.get(group, 0.0)
+    ranking = rank_hosts(group, usable, service.service.entry_hosts, power)
+    primaries = ranking.hosts[: ranking.primaries]
     named = any(member.host == state.identity.host for member in primaries)
     share = max(1, service.group.slots // len(primaries)) if named else 1
-    ranked = RankedHosts(tuple(members), share, named, version, state.config)
+    ranked = RankedHosts(
+        tuple(ranking.hosts), ranking.primaries, share, named, version, state.config
+    )
     state.ranked[name] = ranked
     return ranked
+
+
+def measure_power(state: HostState) -> None:
+    """Works out the power that the hosts of each group of services need for its targets' slots.
+
+    Must be called now and then; the ranked hosts follow where the power changed.
+    """
+    needed: dict[str, float] = {}
+    for name, service in state.services.items():
+        if service.service.slots_per_core:
+            group = state.routes.groups.get(name, name)
+            cores = service.count_slots() / service.service.slots_per_core
+            needed[group] = needed.get(group, 0.0) + cores
+    stepped = {group: math.ceil(c / POWER_STEP) * POWER_STEP for group, c in needed.items()}
+    if stepped != state.power:
+        state.power = stepped
+        state.ranked.clear()
--- a/endivedrift/settings.py
+++ b/endivedrift/settings.py
@@ -43,11 +43,13 @@
       id: Name of the host, unique in the fleet.
       failure_domain: Failure domain it stands in.
       region: Region of the failure domain.
+      power: Processor power that the host serves with, in cores.
     """
 
     id: Name
     failure_domain: Name
     region: Name
+    power: Annotated[float, Field(gt=0, le=1_000, strict=False)] = 1.0
 
 
 class ListenSection(_Section):
--- a/endivedrift/shell/_codec.py
+++ b/endivedrift/shell/_codec.py
@@ -286,6 +286,7 @@
     slot.callerAddress = member.caller_address
     slot.peerAddress = member.peer_address
     slot.operatorAddress = member.operator_address
+    slot.power = member.power
 
 
 def _get_member(slot: Any) -> Member:
@@ -298,6 +299,7 @@
         caller_address=Address(slot.callerAddress),
         peer_address=Address(slot.peerAddress),
         operator_address=Address(slot.operatorAddress),
+        power=slot.power,
     )
 
 
--- a/endivedrift/shell/_daemon.py
+++ b/endivedrift/shell/_daemon.py
@@ -127,6 +127,7 @@
         peer_address=Address(settings.listen.peers),
         operator_address=Address(settings.listen.operators),
         seeds=tuple(Address(seed) for seed in settings.fleet.seeds),
+        power=settings.host.power,
     )
 
 
--- a/endivedrift/shell/_entry.py
+++ b/endivedrift/shell/_entry.py
@@ -7,7 +7,7 @@
 
 from endivedrift.core import NO_CONFIG, Member, ServiceName
 from endivedrift.policy import mint_key
-from endivedrift.reducer import HostState, rank_service_hosts
+from endivedrift.reducer import HostState, list_primaries, rank_service_hosts
 from endivedrift.shell._answers import HttpAnswer
 
 ENTRY_PATH = "/.well-known/endivedrift/entry"
@@ -46,7 +46,7 @@
 
 
 def _rotate(state: HostState, service: ServiceName, members: list[Member]) -> list[Member]:
-    primaries = min(len(members), state.services[service].service.entry_hosts)
+    primaries = len(list_primaries(state, service))
     if primaries < 2:
         return members
     shift = secrets.randbelow(primaries)
--- a/endivedrift/shell/peer.capnp
+++ b/endivedrift/shell/peer.capnp
@@ -18,6 +18,7 @@
   callerAddress @5 :Text;
   peerAddress @6 :Text;
   operatorAddress @7 :Text;
+  power @8 :Float32;
 }
 
 struct Evidence {
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -15,6 +15,9 @@
     IdempotencyKey,
     Incarnation,
     ManualClock,
+    Member,
+    MessageKind,
+    PeerMessage,
     RequestHead,
     RequestId,
     ServiceName,
@@ -23,7 +26,12 @@
     Version,
 )
 from endivedrift.core.effects import Effect
-from endivedrift.core.events import ConfigFetched, RequestArrived, Ticked
+from endivedrift.core.events import (
+    ConfigFetched,
+    PeerMessageReceived,
+    RequestArrived,
+    Ticked,
+)
 from endivedrift.objects import (
     RULE_NAME,
     Caller,
@@ -112,7 +120,9 @@
     )
 
 
-def build_identity(name: str = "h1", incarnation: int = 7, domain: str = "a") -> HostIdentity:
+def build_identity(
+    name: str = "h1", incarnation: int = 7, domain: str = "a", power: float = 1.0
+) -> HostIdentity:
     """Builds the identity of a host."""
     return HostIdentity(
         HostId(name),
@@ -121,6 +131,7 @@
         Address(f"{name}:1"),
         Address(f"{name}:2"),
         Address(f"{name}:3"),
+        power=power,
     )
 
 
@@ -161,6 +172,13 @@
             effects += self.apply(Ticked(self.clock.monotonic(), self.clock.wall()))
         return effects
 
+    def meet(self, member: Member) -> None:
+        """Lets another host say that it is there."""
+        message = PeerMessage(
+            MessageKind.NOTICE, member, 1, 0, HostId(""), False, self.state.config
+        )
+        self.apply(PeerMessageReceived(self.clock.monotonic(), member.peer_address, message))
+
     def arrive(
         self,
         method: str = "GET",
--- a/tests/platform_builders.py
+++ b/tests/platform_builders.py
@@ -92,6 +92,11 @@
 control = "{ip}:{first_port + 2}"
 directory = "{ip}:{first_port + 3}"
 
+[limits]
+cpuShare = 0.86
+cores = 1
+linkMbps = 1000.0
+
 [bounds]
 grace = "6s"
 retryBudgetRatio = 0.2
