Let two hosts a failure domain read the store and tell the others

Ruled out: polling less often, which spends the bound of two seconds; a role of its own for reading, since no host is set aside; one reader for all, whose loss at the moment of a change would be missed. Change: the membership names two readers a failure domain. They tell their domain, and one another, each change by datagram, and twice a second how far they have read and which object set is in force. Whoever missed a change asks the reader; a host that hears of no reader for 1.2 s reads the store itself. Object sets travel compressed. A set that came from the store is no longer fetched again from the peer that names it. Test mended: tests/keys_test.py held a request that another target had refused as misdirected to be one that may have run. The users' interface says that such a target runs nothing, so the oracle now agrees with it; the search had not drawn the case before.

--- a/endivedrift/core/__init__.py
+++ b/endivedrift/core/__init__.py
@@ -35,6 +35,7 @@
     Refusal,
     RequestHead,
     StampedEntry,
+    StoreWord,
     TargetEntry,
     TargetLoad,
 )
@@ -100,6 +101,7 @@
     "RouteName",
     "ServiceName",
     "StampedEntry",
+    "StoreWord",
     "SystemClock",
     "TargetEntry",
     "TargetLoad",
--- a/endivedrift/core/_records.py
+++ b/endivedrift/core/_records.py
@@ -144,6 +144,48 @@
     paused: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class TargetEntry:
+    """One target as it registered itself.
+
+    Attributes:
+      name: Unique id of the target; another process at the same address has another.
+      slots: Requests it works on at a time.
+      leaving: Whether it announced that it is shutting down.
+      warm_up_left: How much longer it stays slow after its start.
+      born: Start of its process in Unix milliseconds; grows when it restarts under the same name.
+    """
+
+    name: TargetName
+    service: ServiceName
+    address: Address
+    failure_domain: FailureDomain
+    slots: int
+    leaving: bool
+    warm_up_left: timedelta
+    born: int
+
+
+@dataclass(frozen=True, slots=True)
+class StoreWord:
+    """What a host that reads the store tells the others of it.
+
+    Attributes:
+      version: Version of the store up to which the sender knows the targets.
+      since: Version after which `entries` and `gone` hold all changes; equal to `version` where
+        there are none to tell, or too many.
+      regained: Time since the store answered the sender again after it had been away, or None.
+      entries: Targets that are new or changed.
+      gone: Targets whose entries vanished.
+    """
+
+    version: int
+    since: int
+    regained: timedelta | None = None
+    entries: tuple[TargetEntry, ...] = ()
+    gone: tuple[TargetName, ...] = ()
+
+
 @dataclass(frozen=True, slots=True)
 class PeerMessage:
     """One datagram between two hosts.
@@ -158,6 +200,7 @@
       config: Object set in force at the sender.
       members: News of other members.
       evidence: Outcomes seen by the sender.
+      word: News of the store, from a host that reads it.
     """
 
     kind: MessageKind
@@ -169,6 +212,7 @@
     config: ConfigRef
     members: tuple[Member, ...] = ()
     evidence: tuple[EvidenceDelta, ...] = ()
+    word: StoreWord | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -180,28 +224,6 @@
     peer_address: Address = Address("")
 
 
-@dataclass(frozen=True, slots=True)
-class TargetEntry:
-    """One target as it registered itself.
-
-    Attributes:
-      name: Unique id of the target; another process at the same address has another.
-      slots: Requests it works on at a time.
-      leaving: Whether it announced that it is shutting down.
-      warm_up_left: How much longer it stays slow after its start.
-      born: Start of its process in Unix milliseconds; grows when it restarts under the same name.
-    """
-
-    name: TargetName
-    service: ServiceName
-    address: Address
-    failure_domain: FailureDomain
-    slots: int
-    leaving: bool
-    warm_up_left: timedelta
-    born: int
-
-
 @dataclass(frozen=True, slots=True)
 class TargetLoad:
     """Requests that a target works on and that wait there, and how many it works on at a time."""
--- a/endivedrift/core/effects.py
+++ b/endivedrift/core/effects.py
@@ -125,6 +125,13 @@
     peers: tuple[Address, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class ReadStore:
+    """Begin to follow the store's changes, or leave them to other hosts."""
+
+    reading: bool
+
+
 @dataclass(frozen=True, slots=True)
 class RecordAudit:
     """Append an entry to the audit trail and the log."""
@@ -144,6 +151,7 @@
     | SendPeerMessage
     | FetchConfig
     | FetchTargets
+    | ReadStore
     | RecordAudit
 )
 RequestEffect: TypeAlias = (
--- a/endivedrift/core/events.py
+++ b/endivedrift/core/events.py
@@ -130,20 +130,30 @@
 
 @dataclass(frozen=True, slots=True)
 class TargetsObserved:
-    """Targets registered, changed or vanished; `complete` where `entries` are all there are."""
+    """Targets registered, changed or vanished; `complete` where `entries` are all there are.
+
+    `version` is the store's up to which targets are known by it, and `since` the one after which
+    these changes came; both are 0 where the store counts none.
+    """
 
     at: Instant
     entries: tuple[TargetEntry, ...]
     gone: tuple[TargetName, ...] = ()
     complete: bool = False
+    version: int = 0
+    since: int = 0
 
 
 @dataclass(frozen=True, slots=True)
 class TargetsTold:
-    """Another host told which targets it knows; the store's word goes before it."""
+    """Another host told which targets it knows, and up to which version of the store.
+
+    The store's own word goes before one without a version.
+    """
 
     at: Instant
     entries: tuple[TargetEntry, ...]
+    version: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/endivedrift/fleet/__init__.py
+++ b/endivedrift/fleet/__init__.py
@@ -1,6 +1,6 @@
 """How hosts act together: membership, routes and the spread of services over hosts."""
 
-from endivedrift.fleet._datagrams import sample_alive, send_evidence
+from endivedrift.fleet._datagrams import sample_alive, send_evidence, send_word
 from endivedrift.fleet._entry import Ranking, rank_hosts
 from endivedrift.fleet._probing import (
     advance_membership,
@@ -35,6 +35,7 @@
     "learn_seeds",
     "list_usable",
     "Ranking",
+    "send_word",
     "rank_hosts",
     "receive_message",
     "sample_alive",
--- a/endivedrift/fleet/_datagrams.py
+++ b/endivedrift/fleet/_datagrams.py
@@ -5,6 +5,7 @@
 from endivedrift.core import (
     NO_CONFIG,
     Address,
+    ConfigRef,
     EvidenceDelta,
     FailureDomain,
     HostId,
@@ -12,6 +13,7 @@
     MemberStatus,
     MessageKind,
     PeerMessage,
+    StoreWord,
 )
 from endivedrift.core.effects import Effect, SendPeerMessage
 from endivedrift.fleet._view import Membership
@@ -24,33 +26,45 @@
 ) -> list[Effect]:
     """Sends outcomes to the hosts that serve the same service.
 
-    These messages are many, and go to hosts that know the sender: they leave out its addresses,
-    news of members, and the digest of the object set.
+    These messages are many: they leave out the digest of the object set too.
     """
-    me = view.me
+    message = _build_brief(view, NO_CONFIG)
+    return _send_each(view, receivers, replace(message, evidence=evidence))
+
+
+def send_word(view: Membership, receivers: list[Member], word: StoreWord) -> list[Effect]:
+    """Sends news of the store, and names the object set in force."""
+    return _send_each(view, receivers, replace(_build_brief(view, view.config), word=word))
+
+
+def _build_brief(view: Membership, config: ConfigRef) -> PeerMessage:
+    """Builds a message to hosts that know the sender, without its addresses and other news."""
     sender = replace(
-        me,
+        view.me,
         failure_domain=FailureDomain(""),
         caller_address=Address(""),
         peer_address=Address(""),
         operator_address=Address(""),
     )
+    return PeerMessage(
+        kind=MessageKind.NOTICE,
+        sender=sender,
+        sequence=0,
+        probe=0,
+        subject=HostId(""),
+        heard_subject=False,
+        config=config,
+    )
+
+
+def _send_each(view: Membership, receivers: list[Member], message: PeerMessage) -> list[Effect]:
     effects: list[Effect] = []
     for member in receivers:
-        if member.host == me.host:
+        if member.host == view.me.host:
             continue
         view.sequence += 1
-        message = PeerMessage(
-            kind=MessageKind.NOTICE,
-            sender=sender,
-            sequence=view.sequence,
-            probe=0,
-            subject=HostId(""),
-            heard_subject=False,
-            config=NO_CONFIG,
-            evidence=evidence,
-        )
-        effects.append(SendPeerMessage(member.peer_address, message))
+        numbered = replace(message, sequence=view.sequence)
+        effects.append(SendPeerMessage(member.peer_address, numbered))
     return effects
 
 
--- a/endivedrift/platform/_surroundings.py
+++ b/endivedrift/platform/_surroundings.py
@@ -64,6 +64,7 @@
         self.dialect = DIALECT
         self.claims: ClaimTable = self
         self.entry_at_callers = False
+        self.shares_store = True
         self._node = node
 
     async def claim(self, claim: Claim) -> SettledClaim:
@@ -116,6 +117,8 @@
         self._node = node
         self._runtime = runtime
         self._install = install
+        self._reading = curio.Event()
+        runtime.read_store = self._choose_reading
 
     def build_loops(self) -> dict[str, Coroutine[Any, Any, None]]:
         """Builds the loops that follow the tables, by table."""
@@ -127,18 +130,25 @@
     async def _follow(
         self,
         table: str,
-        take: Callable[[TableRead, bool], Coroutine[Any, Any, None]],
+        take: Callable[[TableRead, int], Coroutine[Any, Any, None]],
         holds_targets: bool,
     ) -> None:
-        """Gives each state and change of a table to `take`, until cancelled.
+        """Gives each state and change of a table to `take` while this host reads the store.
 
+        Changes come with the version after which they were made, and whole tables with 0.
         Only the feed of the targets' table tells the decisions that the store was away, since the
         other one may lose it alone.
         """
         client = StoreClient(self._node.store)
         version: int | None = None
         lost = False
+        await self._reading.set()
         while True:
+            if not self._reading.is_set():
+                # What other hosts tell meanwhile goes on from another version.
+                version = None
+                await client.close()
+                await self._reading.wait()
             try:
                 read, complete = await _read_on(client, table, version)
             except StoreError as error:
@@ -151,16 +161,23 @@
                         await self._runtime.dispatch(StoreLost(self._now(), str(error)))
                 await curio.sleep(draw_period(RETRY_PERIOD))
                 continue
-            version = read.version
+            since, version = version or 0, read.version
             if lost:
                 lost = False
                 _log.info("Store regained.", table=table)
                 if holds_targets:
                     await self._runtime.dispatch(StoreRegained(self._now()))
-            await take(read, complete)
+            await take(read, 0 if complete else since)
             await curio.sleep(GATHER_PERIOD.total_seconds())
 
-    async def _take_configuration(self, read: TableRead, complete: bool) -> None:
+    async def _choose_reading(self, reading: bool) -> None:
+        """Begins to follow the store, or stops after the question that it holds."""
+        if reading:
+            await self._reading.set()
+        else:
+            self._reading.clear()
+
+    async def _take_configuration(self, read: TableRead, since: int) -> None:
         """Installs the configuration where its row is new."""
         for row in read.rows:
             if row.key != CONFIGURATION_KEY or row.deleted:
@@ -173,7 +190,7 @@
                 continue
             await self._install(fetched)
 
-    async def _take_entries(self, read: TableRead, complete: bool) -> None:
+    async def _take_entries(self, read: TableRead, since: int) -> None:
         """Tells the decisions of targets that registered, changed or vanished."""
         entries: dict[TargetName, TargetEntry] = {}
         gone: set[TargetName] = set()
@@ -186,11 +203,15 @@
             else:
                 gone.discard(name)
                 entries[name] = entry
-        if entries or gone or complete:
-            event = TargetsObserved(
-                self._now(), tuple(entries.values()), tuple(sorted(gone)), complete
-            )
-            await self._runtime.dispatch(event)
+        event = TargetsObserved(
+            self._now(),
+            tuple(entries.values()),
+            tuple(sorted(gone)),
+            complete=not since,
+            version=read.version,
+            since=since,
+        )
+        await self._runtime.dispatch(event)
 
     def _now(self) -> timedelta:
         return self._runtime.clock.monotonic()
--- a/endivedrift/reducer/_config.py
+++ b/endivedrift/reducer/_config.py
@@ -103,6 +103,9 @@
     previous = state.services
     before = state.config.version
     state.config = event.config
+    if event.config.version > state.wanted.version:
+        state.wanted = event.config
+    state.next_tell = event.at
     state.objects = objects
     state.routes = build_routes(objects)
     state.membership.config = event.config
--- a/endivedrift/reducer/_discovery.py
+++ b/endivedrift/reducer/_discovery.py
@@ -50,12 +50,24 @@
 
 
 def take_told_targets(state: HostState, event: TargetsTold) -> list[Effect]:
-    """Takes in targets that another host knows, as long as the store has named none."""
+    """Takes in the targets that another host knows, where it knows more of the store.
+
+    Targets as of no version of the store count only as long as the store has named none.
+    """
+    if event.version:
+        observed = TargetsObserved(event.at, event.entries, complete=True, version=event.version)
+        return observe_targets(state, observed)
     if state.targets_seen:
         return []
     return _take_entries(state, event.at, event.entries)
 
 
+def describe_targets(state: HostState) -> tuple[tuple[TargetEntry, ...], int]:
+    """Returns the targets whose entries are in the store as far as known, and its version."""
+    known = (e for name, e in state.discovered.items() if name not in state.missing)
+    return tuple(known), state.targets_version
+
+
 def regain_store(state: HostState, event: StoreRegained) -> list[Effect]:
     """Gives entries that lapsed meanwhile the time to come back."""
     if not state.store_lost:
@@ -72,8 +84,12 @@
       state: The host.
       event: Entries that are new or changed, and names that vanished.
     Returns:
-      Audit entries, and the effects on requests that waited for a target.
+      Audit entries, and the effects on requests that waited for a target. What is older than
+      what is known already changes nothing.
     """
+    if event.version and event.version <= state.targets_version:
+        return []
+    state.targets_version = max(state.targets_version, event.version)
     entries: list[AuditEntry] = []
     gone = set(event.gone) & set(state.discovered)
     if event.complete:
--- a/endivedrift/reducer/_periodic.py
+++ b/endivedrift/reducer/_periodic.py
@@ -16,6 +16,7 @@
 from endivedrift.reducer._attempts import serve_waiting
 from endivedrift.reducer._config import retry_fetch
 from endivedrift.reducer._discovery import ask_for_targets, remove_missing
+from endivedrift.reducer._relaying import advance_relaying
 from endivedrift.reducer._state import HostState, list_watched, measure_power
 from endivedrift.reducer._targets import share_evidence
 
@@ -31,6 +32,7 @@
     effects: list[Effect] = list(retry_fetch(state, event.at))
     effects += remove_missing(state, event.at)
     effects += ask_for_targets(state, event.at)
+    effects += advance_relaying(state, event.at)
     for name in sorted(state.active):
         effects += _advance_service(state, name, event.at)
     if event.at >= state.next_evidence:
--- a/endivedrift/reducer/_state.py
+++ b/endivedrift/reducer/_state.py
@@ -37,6 +37,10 @@
 from endivedrift.policy import KeyTable, ServiceState, TokenBucket
 
 MAX_CALLER_BUCKETS = 4_096
+READERS_GROUP = "store readers"
+READERS_PER_DOMAIN = 2
+"""Hosts of a failure domain that read the store: two, so that the loss of one at the moment of a
+change delays nothing."""
 POWER_STEP = 0.25
 """Step in cores in which the power that a group of services needs is counted, so that a few targets
 that come or go change no host's part."""
@@ -117,6 +121,12 @@
       store_lost: Whether the store in which targets register does not answer.
       targets_seen: Whether the store has named the targets at least once.
       next_ask: When other hosts are next asked for targets.
+      shares_store: Whether few hosts read the store and tell the others.
+      reads_store: Whether this host follows the store's changes itself.
+      targets_version: Version of the store up to which targets are known, or 0.
+      word_heard: When a host that reads the store last told no more than is known here.
+      next_tell: When this host next tells others of the store, if it reads it.
+      readers: Hosts that read the store, for one version of the membership.
       store_regained: When it answered again after it had been lost, or None.
       urgent: Services with news of attempts that other hosts are told at once.
       dealt: Requests dealt to each service of each split route.
@@ -148,24 +158,34 @@
     targets_seen: bool = False
     next_ask: Instant = Instant(0)
     store_regained: Instant | None = None
+    shares_store: bool = False
+    reads_store: bool = True
+    targets_version: int = 0
+    word_heard: Instant | None = None
+    next_tell: Instant = Instant(0)
+    readers: tuple[int, tuple[Member, ...]] = (-1, ())
     urgent: set[ServiceName] = field(default_factory=set)
     dealt: dict[RouteName, dict[ServiceName, float]] = field(default_factory=dict)
     next_evidence: Instant = Instant(0)
     next_cleaning: Instant = Instant(0)
 
 
-def build_host(identity: HostIdentity, secret: bytes, seed: int) -> HostState:
+def build_host(
+    identity: HostIdentity, secret: bytes, seed: int, shares_store: bool = False
+) -> HostState:
     """Builds the state of a host that has just started.
 
     Args:
       identity: Who the host is.
       secret: Key of the fleet.
       seed: Seed of the source of randomness.
+      shares_store: Whether few hosts read the store and tell the others.
     Returns:
       A state with no object set and no other host known.
     """
     random = Random(seed)
-    return HostState(identity, random, KeyTable(secret), build_membership(identity, random))
+    view = build_membership(identity, random)
+    return HostState(identity, random, KeyTable(secret), view, shares_store=shares_store)
 
 
 def rank_service_hosts(state: HostState, name: ServiceName) -> tuple[Member, ...]:
@@ -212,6 +232,18 @@
     return sorted(named - {state.identity.host})
 
 
+def list_readers(state: HostState) -> tuple[Member, ...]:
+    """Returns the hosts that read the store for the others: a few of each failure domain."""
+    version, readers = state.readers
+    if version != state.membership.version:
+        usable = list_usable(state.membership)
+        domains = len({member.failure_domain for member in usable})
+        ranking = rank_hosts(READERS_GROUP, usable, READERS_PER_DOMAIN * domains)
+        readers = tuple(ranking.hosts[: ranking.primaries])
+        state.readers = (state.membership.version, readers)
+    return readers
+
+
 def share_slots(state: HostState, name: ServiceName) -> int:
     """Returns the requests that this host may have in progress at one target of a service."""
     return _rank(state, name).share
--- a/endivedrift/shell/_codec.py
+++ b/endivedrift/shell/_codec.py
@@ -6,8 +6,10 @@
 
 import hashlib
 import hmac
+import zlib
 from dataclasses import dataclass
 from datetime import timedelta
+from functools import lru_cache
 from pathlib import Path
 from typing import Any, TypeAlias
 
@@ -32,6 +34,7 @@
     Refusal,
     RefusalReason,
     ServiceName,
+    StoreWord,
     TargetEntry,
     TargetName,
     Verdict,
@@ -41,7 +44,8 @@
 MAC_BYTES = 16
 MAX_DATAGRAM_BYTES = 8_192
 MICROSECOND = timedelta(microseconds=1)
-NO_RETRY = -1
+MAX_CONFIG_BYTES = 64 * 1024 * 1024
+NO_TIME = -1
 
 capnp.remove_import_hook()
 _schema = capnp.load(str(Path(__file__).with_name("peer.capnp")))
@@ -83,9 +87,10 @@
 
 @dataclass(frozen=True, slots=True)
 class KnownTargets:
-    """The targets that registered themselves, as far as a host knows."""
+    """The targets that registered themselves, as known at a version of the store."""
 
     entries: tuple[TargetEntry, ...]
+    version: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -195,12 +200,14 @@
         refusal.mayHaveRun = reply.verdict is Verdict.MAY_HAVE_RUN
         refusal.attemptMayHaveRun = reply.attempt is Verdict.MAY_HAVE_RUN
         after = reply.retry_after
-        refusal.retryAfterMicros = NO_RETRY if after is None else after // MICROSECOND
+        refusal.retryAfterMicros = NO_TIME if after is None else after // MICROSECOND
         refusal.detail = reply.detail
     elif isinstance(reply, ConfigBytes):
-        message.config = reply.canonical
+        message.config = _compress(reply.canonical)
     elif isinstance(reply, KnownTargets):
-        slots = message.init("targets", len(reply.entries))
+        known = message.init("targets")
+        known.version = reply.version
+        slots = known.init("entries", len(reply.entries))
         for slot, entry in zip(slots, reply.entries, strict=True):
             _set_target(slot, entry)
     else:
@@ -219,14 +226,30 @@
                 case "refusal":
                     return _decode_refusal(reply.refusal)
                 case "config":
-                    return ConfigBytes(bytes(reply.config))
+                    return ConfigBytes(_decompress(bytes(reply.config)))
                 case "targets":
-                    return KnownTargets(tuple(_get_target(slot) for slot in reply.targets))
+                    known = reply.targets
+                    entries = tuple(_get_target(slot) for slot in known.entries)
+                    return KnownTargets(entries, known.version)
             return Nothing()
-    except (capnp.KjException, ValueError):
+    except (capnp.KjException, ValueError, zlib.error):
         return None
 
 
+@lru_cache(maxsize=2)
+def _compress(canonical: bytes) -> bytes:
+    """Compresses an object set; many hosts ask for the same one within a second."""
+    return zlib.compress(canonical, zlib.Z_BEST_SPEED)
+
+
+def _decompress(packed: bytes) -> bytes:
+    unpacker = zlib.decompressobj()
+    canonical = unpacker.decompress(packed, MAX_CONFIG_BYTES)
+    if not unpacker.eof:
+        raise ValueError("the object set is cut or too large")
+    return canonical
+
+
 def _encode_message(message: PeerMessage) -> bytes:
     built = _schema.Datagram.new_message()
     built.kind = message.kind.value
@@ -249,6 +272,8 @@
         slot.leaving = delta.leaving
         slot.running = delta.running
         slot.paused = delta.paused
+    if message.word is not None:
+        _set_word(built.init("word"), message.word)
     return built.to_bytes_packed()
 
 
@@ -274,6 +299,28 @@
             )
             for delta in built.evidence
         ),
+        word=_get_word(built.word) if built._has("word") else None,
+    )
+
+
+def _set_word(slot: Any, word: StoreWord) -> None:
+    slot.version = word.version
+    slot.since = word.since
+    slot.regainedMicros = NO_TIME if word.regained is None else word.regained // MICROSECOND
+    entries = slot.init("entries", len(word.entries))
+    for target, entry in zip(entries, word.entries, strict=True):
+        _set_target(target, entry)
+    slot.gone = list(word.gone)
+
+
+def _get_word(slot: Any) -> StoreWord:
+    regained = slot.regainedMicros
+    return StoreWord(
+        version=slot.version,
+        since=slot.since,
+        regained=None if regained == NO_TIME else regained * MICROSECOND,
+        entries=tuple(_get_target(target) for target in slot.entries),
+        gone=tuple(TargetName(name) for name in slot.gone),
     )
 
 
@@ -345,6 +392,6 @@
         reason=RefusalReason(slot.reason),
         verdict=verdicts[slot.mayHaveRun],
         attempt=verdicts[slot.attemptMayHaveRun],
-        retry_after=None if after == NO_RETRY else after * MICROSECOND,
+        retry_after=None if after == NO_TIME else after * MICROSECOND,
         detail=slot.detail,
     )
--- a/endivedrift/shell/_daemon.py
+++ b/endivedrift/shell/_daemon.py
@@ -72,7 +72,7 @@
     clock = SystemClock()
     identity = _identify(settings, clock)
     secret = settings.fleet.key.encode()
-    state = build_host(identity, secret, secrets.randbits(64))
+    state = build_host(identity, secret, secrets.randbits(64), surroundings.shares_store)
     runtime = Runtime(state, clock, Metrics())
     dialect = surroundings.dialect
     pool = TargetPool(clock, dialect)
--- a/endivedrift/shell/_peers.py
+++ b/endivedrift/shell/_peers.py
@@ -17,6 +17,7 @@
     TargetsTold,
 )
 from endivedrift.objects import digest_bytes
+from endivedrift.reducer import describe_targets
 from endivedrift.shell._codec import (
     MAX_DATAGRAM_BYTES,
     Call,
@@ -136,7 +137,7 @@
                 continue
             if isinstance(reply, KnownTargets) and reply.entries:
                 now = self._runtime.clock.monotonic()
-                await self._runtime.dispatch(TargetsTold(now, reply.entries))
+                await self._runtime.dispatch(TargetsTold(now, reply.entries, reply.version))
                 return
 
     async def install(self, fetched: ConfigFetched) -> None:
@@ -172,7 +173,7 @@
             canonical = self._canonical.get(call.digest)
             return ConfigBytes(canonical) if canonical is not None else Nothing()
         if isinstance(call, TargetsQuery):
-            return KnownTargets(tuple(self._runtime.state.discovered.values()))
+            return KnownTargets(*describe_targets(self._runtime.state))
         return await self._serve_forwarded(call)
 
     async def _serve_forwarded(self, call: ForwardedRequest) -> Answer | Refusal:
--- a/endivedrift/shell/_runtime.py
+++ b/endivedrift/shell/_runtime.py
@@ -29,6 +29,7 @@
     FetchTargets,
     ForwardToOwner,
     GiveUpAttempt,
+    ReadStore,
     RecordAudit,
     RefuseRequest,
     RequestEffect,
@@ -75,6 +76,7 @@
         self.send_datagram: Callable[[Address, PeerMessage], None] = _drop_datagram
         self.fetch_config: Callable[[FetchConfig], Awaitable[None]] = _fetch_nothing
         self.fetch_targets: Callable[[FetchTargets], Awaitable[None]] = _fetch_nothing
+        self.read_store: Callable[[bool], Awaitable[None]] = _read_always
         self._requests = 0
 
     def new_request_id(self) -> RequestId:
@@ -137,6 +139,11 @@
     await curio.spawn(runtime.fetch_targets(effect), daemon=True)
 
 
+@_perform.register
+async def _(effect: ReadStore, runtime: Runtime) -> None:
+    await runtime.read_store(effect.reading)
+
+
 @_perform.register
 async def _(effect: RecordAudit, runtime: Runtime) -> None:
     entry = effect.entry
@@ -156,5 +163,9 @@
     """Stands in until the peer socket is open."""
 
 
+async def _read_always(reading: bool) -> None:
+    """Stands in where each host reads the store for itself."""
+
+
 async def _fetch_nothing(effect: FetchConfig | FetchTargets) -> None:
     """Stands in until the peer socket is open."""
--- a/endivedrift/shell/_surroundings.py
+++ b/endivedrift/shell/_surroundings.py
@@ -43,11 +43,13 @@
       dialect: Names of headers and forms of refusals.
       claims: Where keys that callers made are claimed.
       entry_at_callers: Whether the entry question is answered on the address for callers.
+      shares_store: Whether few hosts read the store and tell the others.
     """
 
     dialect: Dialect
     claims: ClaimTable
     entry_at_callers: bool
+    shares_store: bool
 
     async def read_object(self, digest: Digest) -> bytes | None:
         """Reads the bytes of an object set, or None where the store does not give them."""
@@ -76,6 +78,7 @@
         self.dialect = OWN_DIALECT
         self.claims: ClaimTable = self
         self.entry_at_callers = True
+        self.shares_store = False
         self._deployment = settings.fleet.deployment
         self._platform = HttpPlatform(
             Address(settings.platform.table),
--- a/endivedrift/shell/peer.capnp
+++ b/endivedrift/shell/peer.capnp
@@ -31,6 +31,26 @@
   paused @6 :Bool;
 }
 
+struct Target {
+  name @0 :Text;
+  service @1 :Text;
+  address @2 :Text;
+  failureDomain @3 :Text;
+  slots @4 :UInt32;
+  leaving @5 :Bool;
+  warmUpMicros @6 :Int64;
+  born @7 :Int64;
+}
+
+# What a host that reads the store tells of it.
+struct StoreWord {
+  version @0 :UInt64;
+  since @1 :UInt64;
+  regainedMicros @2 :Int64;
+  entries @3 :List(Target);
+  gone @4 :List(Text);
+}
+
 # A UDP datagram.
 struct Datagram {
   kind @0 :Kind;
@@ -43,6 +63,7 @@
   configDigest @7 :Text;
   members @8 :List(Member);
   evidence @9 :List(Evidence);
+  word @10 :StoreWord;
 }
 
 struct Header {
@@ -71,15 +92,10 @@
   }
 }
 
-struct Target {
-  name @0 :Text;
-  service @1 :Text;
-  address @2 :Text;
-  failureDomain @3 :Text;
-  slots @4 :UInt32;
-  leaving @5 :Bool;
-  warmUpMicros @6 :Int64;
-  born @7 :Int64;
+# Targets as known at a version of the store.
+struct Targets {
+  version @0 :UInt64;
+  entries @1 :List(Target);
 }
 
 struct Answer {
@@ -101,8 +117,8 @@
   union {
     answer @0 :Answer;
     refusal @1 :Refusal;
-    config @2 :Data;
+    config @2 :Data;  # Compressed by zlib.
     nothing @3 :Void;
-    targets @4 :List(Target);
+    targets @4 :Targets;
   }
 }
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -151,10 +151,11 @@
         identity: HostIdentity | None = None,
         clock: ManualClock | None = None,
         seed: int = 1,
+        shares_store: bool = False,
     ) -> None:
         """Starts a host with an object set in force, or without one for None."""
         self.clock = clock or ManualClock()
-        self.state: HostState = build_host(identity or build_identity(), SECRET, seed)
+        self.state: HostState = build_host(identity or build_identity(), SECRET, seed, shares_store)
         self.random = Random(seed)
         self.requests = 0
         if objects is not None:
--- a/tests/keys_test.py
+++ b/tests/keys_test.py
@@ -273,6 +273,8 @@
         AttemptOutcome.SHED,
         AttemptOutcome.DRAINING,
         AttemptOutcome.NOT_CONNECTED,
+        # Another target answered at the address, which by the interface runs no such request.
+        AttemptOutcome.MISDIRECTED,
     )
 
 
--- a/tests/network.py
+++ b/tests/network.py
@@ -22,6 +22,7 @@
 )
 from endivedrift.core.events import ConfigFetched, PeerMessageReceived, TargetsTold
 from endivedrift.objects import ObjectSet
+from endivedrift.reducer import describe_targets
 from tests.builders import HostBench, build_identity, build_object_set
 
 STEP = 0.1
@@ -30,6 +31,8 @@
 class Network:
     """Hosts by name, and a rule that says which datagrams arrive."""
 
+    shares_store = False
+
     def __init__(self, count: int, domains: int = 3, objects: ObjectSet | None = None) -> None:
         """Starts hosts that know up to three earlier ones each."""
         self.objects = objects or build_object_set()
@@ -60,7 +63,9 @@
             plain.operator_address,
             seeds,
         )
-        self.benches[name] = HostBench(self.objects, identity, self.clock, seed=self.started)
+        self.benches[name] = HostBench(
+            self.objects, identity, self.clock, self.started, self.shares_store
+        )
 
     def run(self, seconds: float) -> None:
         """Lets time pass, with a tick of every host at each step."""
@@ -90,9 +95,9 @@
         for address in effect.peers:
             peer = address.partition(":")[0]
             reachable = peer not in self.stopped and self.passes(asker, peer)
-            known = tuple(self.benches[peer].state.discovered.values()) if reachable else ()
+            known, version = describe_targets(self.benches[peer].state) if reachable else ((), 0)
             if known:
-                told = TargetsTold(self.clock.monotonic(), known)
+                told = TargetsTold(self.clock.monotonic(), known, version)
                 self.take(asker, self.benches[asker].apply(told))
                 return
 
