Add a randomized soak of real hosts on the platform's interface

Ruled out: growing tests/chaos.py, whose callers speak the own interface's keys and whose history judges those. Change: tests/soak.py draws kills (of one and of all), freezes, stops with and without a reload, reloads, harmed links to targets and to the store (delayed, reset, silent, cut one way, standins/proxy.py), store outages and lost history, replaced targets whose address goes to another, resetting targets and changed configurations, overlapping; callers use kept connections until they are closed. It checks that nothing runs twice, refusals are true, answers are whole and one's own, leaving targets get nothing after two seconds in calm times, stopping hosts cut off nothing and exit 0 within the grace period, and that all is served again at the end.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 VENV := .venv
 STAMP := $(VENV)/.installed
 
-.PHONY: setup demo play test check bench slopes rush lab tradeoff
+.PHONY: setup demo play test check bench slopes rush lab tradeoff soak
 
 setup: $(STAMP)
 
@@ -40,3 +40,9 @@
 
 tradeoff: $(STAMP)
 	$(VENV)/bin/python -m lab.tradeoff
+
+SOAK_SEEDS ?= 1 10
+SOAK_SECONDS ?= 12
+
+soak: $(STAMP)
+	$(VENV)/bin/python -m tests.soak --seeds $(SOAK_SEEDS) --seconds $(SOAK_SECONDS)
--- a/tests/platform_builders.py
+++ b/tests/platform_builders.py
@@ -66,8 +66,16 @@
     }
 
 
-def build_node_file(ip: str, store: str, seeds: list[str], first_port: int) -> str:
+def build_node_file(
+    ip: str,
+    store: str,
+    seeds: list[str],
+    first_port: int,
+    zone: str = "rabat-a",
+    zones: tuple[str, ...] = ("rabat-a",),
+) -> str:
     """Builds the settings file of a host; its ports follow on one another."""
+    regions = "\n".join(f'{name} = "maroc-nord"' for name in zones)
     quoted = ", ".join(f'"{seed}:{first_port + 2}"' for seed in seeds)
     return f"""
 node = "front-{ip}"
@@ -75,7 +83,7 @@
 machineClass = "front"
 serves = ["front", "directory", "control"]
 ip = "{ip}"
-zone = "rabat-a"
+zone = "{zone}"
 region = "maroc-nord"
 internalPortRange = [{first_port + 4}, {first_port + 9}]
 seeds = [{quoted}]
@@ -84,7 +92,7 @@
 later = "a field that nobody knows"
 
 [zones]
-rabat-a = "maroc-nord"
+{regions}
 
 [listen]
 front = "{ip}:{first_port}"
