Let faults of the soak that overlap on one host know the process that they ended

Ruled out: a host that does not end: all six were running as they should. Change: a fault keeps the process it ended and starts the host only if nobody else did; the soak ends all it started.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -9,6 +9,7 @@
 import argparse
 import random
 import signal
+import subprocess
 import sys
 import time
 from collections import Counter
@@ -98,6 +99,7 @@
         self.left: list[tuple[str, float]] = []
         self.problems: list[str] = []
         self.late: list[str] = []
+        self.started: list[subprocess.Popen[bytes]] = []
 
     async def start(self) -> None:
         """Starts everything and waits until all hosts are ready."""
@@ -131,6 +133,18 @@
         text = build_node_file(ip, store, seeds, FIRST_PORT, ZONES[number % len(ZONES)], ZONES)
         node_file.write_text(text, "utf-8")
         self.launch(ip, node_file)
+        self.started.append(self.hosts[ip])
+
+    def restart_host(self, ip: str, ended: subprocess.Popen[bytes]) -> None:
+        """Starts a host again, unless another fault has done so since its process ended."""
+        if self.hosts[ip] is ended:
+            self.start_host(ip)
+
+    def stop(self) -> None:
+        """Ends all processes that were started here."""
+        for process in self.started:
+            process.kill()
+            process.wait()
 
     def new_name(self) -> str:
         """Returns an id that no target had before."""
@@ -179,13 +193,14 @@
 
 
 async def _kill(world: SoakWorld, hosts: list[str]) -> None:
-    for ip in hosts:
+    processes = {ip: world.hosts[ip] for ip in hosts}
+    for ip, process in processes.items():
         world.harmed.append((ip, time.monotonic()))
-        world.hosts[ip].kill()
+        process.kill()
     await curio.sleep(world.source.uniform(0.1, 1.0))
-    for ip in hosts:
-        await curio.run_in_thread(world.hosts[ip].wait)
-        world.start_host(ip)
+    for ip, process in processes.items():
+        await curio.run_in_thread(process.wait)
+        world.restart_host(ip, process)
 
 
 async def _freeze_host(world: SoakWorld) -> None:
@@ -225,7 +240,7 @@
     if process.poll() is None:
         process.kill()
         await curio.run_in_thread(process.wait)
-    world.start_host(ip)
+    world.restart_host(ip, process)
 
 
 async def _reload_host(world: SoakWorld) -> None:
