Keep a host alive that is told to reload during its start

It had been started a third time and never said Started: a SIGHUP during the imports, half a second long, took its default action and ended the process. Ruled out: a configuration that never came (the five others were ready), an address in use (exit 3 and a line). Change: the command ignores SIGHUP before the imports; the settings are read whole at the start anyway.

--- a/endivedrift/platform/__main__.py
+++ b/endivedrift/platform/__main__.py
@@ -1,40 +1,22 @@
 """Runs one host on the platform: `python -m endivedrift.platform`."""
 
-import os
+import signal
 import sys
-from pathlib import Path
-
-from endivedrift.platform._surroundings import read_surroundings
-from endivedrift.platform._values import WireError
-from endivedrift.shell.host import configure_logs, run_daemon
-
-NODE_FILE_VARIABLE = "ENDIVEDRIFT_NODE_FILE"
-EXIT_BAD_SETTINGS = 2
-EXIT_CANNOT_LISTEN = 3
 
 
 def main() -> int:
-    """Runs the host until it is asked to stop.
+    """Runs the command.
+
+    A host reads its settings whole at its start, so a signal to read them again says nothing before
+    it listens to signals. By default it would end the process during the imports.
 
     Returns:
-      Exit status: 0 after a graceful stop, 2 for faulty settings, 3 for an address in use.
+      Exit status of the command.
     """
-    path = os.environ.get(NODE_FILE_VARIABLE)
-    if path is None:
-        print(f"settings: the variable {NODE_FILE_VARIABLE} is not set", file=sys.stderr)
-        return EXIT_BAD_SETTINGS
-    try:
-        node, surroundings = read_surroundings(Path(path))
-    except WireError as error:
-        print(f"settings: {error}", file=sys.stderr)
-        return EXIT_BAD_SETTINGS
-    configure_logs(node.settings.log)
-    try:
-        run_daemon(node.settings, surroundings)
-    except OSError as error:
-        print(f"daemon: cannot listen: {error}", file=sys.stderr)
-        return EXIT_CANNOT_LISTEN
-    return 0
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    from endivedrift.platform._command import run_command
+
+    return run_command()
 
 
 if __name__ == "__main__":
