--- a/endivedrift/policy/_choice.py
+++ b/endivedrift/policy/_choice.py
@@ -139,7 +139,7 @@
         if name in excluded or record.state not in _USABLE:
             continue
         running = record.count_running(at)
-        limit = count_slots(state, record) if record.state is TargetState.HEALTHY else 1
+        limit = _limit_running(state, record) if record.state is TargetState.HEALTHY else 1
         if running < limit:
             opened.append((name, record, running))
     return opened
@@ -165,7 +165,7 @@
     )
 
 
-def count_slots(state: ServiceState, record: TargetRecord) -> int:
+def _limit_running(state: ServiceState, record: TargetRecord) -> int:
     """Returns the requests that may be in progress at a target as far as this host knows.
 
     Hosts that tell one another of each attempt count against all slots of the target; the others
@@ -173,7 +173,7 @@
     """
     if not state.service.share_at_once:
         return state.limit_per_target
-    return record.entry.slots if record.entry is not None else state.group.slots
+    return state.find_slots(record)
 
 
 def is_narrow(state: ServiceState, at: Instant) -> bool:
--- a/endivedrift/policy/_service.py
+++ b/endivedrift/policy/_service.py
@@ -6,7 +6,6 @@
 from datetime import timedelta
 
 from endivedrift.core import (
-    FailureDomain,
     HostId,
     Importance,
     Instant,
@@ -218,13 +217,14 @@
         able = sum(1 for r in self.targets.values() if r.state is not TargetState.LEAVING)
         return max(self.ejection.floor, math.ceil(share * able))
 
+    def find_slots(self, record: TargetRecord) -> int:
+        """Returns the slots of a target: those it registered, or else those of its group."""
+        return record.entry.slots if record.entry is not None else self.group.slots
+
     def count_slots(self) -> int:
         """Returns the slots of all targets that are not leaving."""
-        return sum(
-            r.entry.slots if r.entry is not None else self.group.slots
-            for r in self.targets.values()
-            if r.state is not TargetState.LEAVING
-        )
+        staying = (r for r in self.targets.values() if r.state is not TargetState.LEAVING)
+        return sum(self.find_slots(record) for record in staying)
 
     @property
     def healthy(self) -> int:
@@ -339,8 +339,3 @@
     if record.state is TargetState.LEAVING:
         record.state = TargetState.WARMING
         record.since = at
-
-
-def domain_of(record: TargetRecord) -> FailureDomain:
-    """Returns the failure domain of a target."""
-    return FailureDomain(record.target.failure_domain)
