--- a/endivedrift/platform/_configuration.py
+++ b/endivedrift/platform/_configuration.py
@@ -29,11 +29,20 @@
     digest_bytes,
     encode_object_set,
 )
-from endivedrift.platform._headers import NOT_RUN_HEADER
-from endivedrift.platform._values import WireError, read_duration, read_field
+from endivedrift.platform._headers import LEAVING_HEADER, NOT_RUN_HEADER
+from endivedrift.platform._values import (
+    WireError,
+    read_field,
+    read_integer,
+    read_milliseconds,
+)
+from endivedrift.shell.running import make_logger
+
+_REPEATABLE_BY_KIND = {"safe": True, "download": True, "unsafe": False}
+"""Whether a request may be repeated, by the kind of its rule. A kind that is not listed counts as
+not repeatable, which is safe for every request."""
 
-_REPEATABLE_BY_KIND = {"safe": True, "unsafe": False}
-"""Whether a request may be repeated, by the kind of its rule."""
+_log = make_logger("platform")
 
 
 def read_configuration(document: object, bounds: FleetBounds, at: Instant) -> ConfigFetched:
@@ -48,20 +57,22 @@
     Raises:
       WireError: If a field is missing or its value is invalid.
     """
-    version = read_field(document, "version", int)
+    version = read_integer(document, "version", least=1)
     try:
         objects = _build_objects(document, bounds)
     except ValidationError as error:
         first = error.errors()[0]
         field = ".".join(str(part) for part in first["loc"])
         raise WireError(f"version {version}: {error.title} {field}: {first['msg']}") from None
+    except WireError as error:
+        raise WireError(f"version {version}: {error}") from None
     canonical = encode_object_set(objects)
     return ConfigFetched(at, ConfigRef(Version(version), digest_bytes(canonical)), canonical)
 
 
 def _build_objects(document: object, bounds: FleetBounds) -> ObjectSet:
     limits = read_field(document, "limits", dict)
-    max_body_bytes = min(MAX_BODY_BYTES, read_field(limits, "maxBodyBytes", int))
+    max_body_bytes = min(MAX_BODY_BYTES, read_integer(limits, "maxBodyBytes"))
     routes: dict[str, Route] = {}
     for listener in read_field(document, "listeners", list):
         # A listener's `host` is a host name of requests, not a host of the fleet.
@@ -78,8 +89,10 @@
         name = read_field(cluster, "name", str)
         if name in routed_services:
             services[name] = build_discovered_service(name, bounds)
-            connection_cap = read_field(cluster, "maxConns", int)
-            groups[name] = build_discovered_group(connection_cap, NOT_RUN_HEADER.decode())
+            connection_cap = read_integer(cluster, "maxConns", least=1)
+            groups[name] = build_discovered_group(
+                connection_cap, NOT_RUN_HEADER.decode(), LEAVING_HEADER.decode()
+            )
     return ObjectSet(
         service=services,
         upstream_group=groups,
@@ -92,12 +105,10 @@
 
 
 def _build_connection_limit(limits: dict[str, Any]) -> ConnectionLimit:
-    head_timeout = read_duration(read_field(limits, "headerTimeout", str), "limits.headerTimeout")
-    idle_timeout = read_duration(read_field(limits, "idleTimeout", str), "limits.idleTimeout")
     return ConnectionLimit(
-        head_bytes=read_field(limits, "maxHeaderBytes", int),
-        head_ms=round(head_timeout.total_seconds() * 1000.0),
-        idle_ms=round(idle_timeout.total_seconds() * 1000.0),
+        head_bytes=read_integer(limits, "maxHeaderBytes"),
+        head_ms=read_milliseconds(limits, "headerTimeout"),
+        idle_ms=read_milliseconds(limits, "idleTimeout"),
     )
 
 
@@ -105,29 +116,34 @@
     action = read_field(rule, "action", dict)
     kind = read_field(rule, "kind", str)
     if kind not in _REPEATABLE_BY_KIND:
-        raise WireError(f"kind: {kind!r} is neither safe nor unsafe")
-    timeout = read_duration(read_field(action, "timeout", str), "action.timeout")
-    timeout_ms = round(timeout.total_seconds() * 1000.0)
-    split = tuple(
-        Share(service=read_field(part, "service", str), weight=read_field(part, "weight", int))
-        for part in action.get("trafficSplit", ())
-    )
-    target_latency = read_duration(read_field(rule, "targetLatency", str), "targetLatency")
+        _log.warning("Kind of a rule is unknown; its requests are not repeated.", kind=kind[:40])
+    timeout_ms = read_milliseconds(action, "timeout")
+    split = _read_split(action)
     # `priority` 0 is the most urgent; values beyond the last importance mean the last one.
-    importance = Importance(min(read_field(rule, "priority", int), max(Importance)))
+    importance = Importance(min(read_integer(rule, "priority"), max(Importance)))
     return Route(
         service=split[0].service if split else read_field(action, "service", str),
         path=read_field(rule, "match.prefix", str),
         subpaths_only=True,
         hosts=(host_name,),
         split=split,
-        max_attempts=read_field(action, "maxAttempts", int),
+        max_attempts=read_integer(action, "maxAttempts"),
         methods=("*",),
-        repeatable=_REPEATABLE_BY_KIND[kind],
+        repeatable=_REPEATABLE_BY_KIND.get(kind, False),
         deadline_ms=timeout_ms,
-        aim_ms=round(target_latency.total_seconds() * 1000.0),
+        aim_ms=read_milliseconds(rule, "targetLatency"),
         queue_wait_ms=max(1, timeout_ms - 1),
         importance=importance.name.lower(),
         request_limit_bytes=max_body_bytes,
         answer_limit_bytes=MAX_BODY_BYTES,
     )
+
+
+def _read_split(action: dict[str, Any]) -> tuple[Share, ...]:
+    """Reads the services among which a rule divides its requests; empty if it names only one."""
+    if action.get("trafficSplit") is None:
+        return ()
+    return tuple(
+        Share(service=read_field(part, "service", str), weight=read_integer(part, "weight"))
+        for part in read_field(action, "trafficSplit", list)
+    )
--- a/endivedrift/platform/_entries.py
+++ b/endivedrift/platform/_entries.py
@@ -6,9 +6,17 @@
 
 from datetime import timedelta
 
-from endivedrift.core import Address, FailureDomain, ServiceName, TargetEntry, TargetName
-from endivedrift.objects import Target
-from endivedrift.platform._values import WireError, read_duration, read_field
+from endivedrift.core import FailureDomain, ServiceName, TargetEntry, TargetName
+from endivedrift.platform._values import (
+    WireError,
+    read_address,
+    read_duration,
+    read_field,
+    read_integer,
+    read_name,
+)
+
+MAX_SLOTS = 1_000_000
 
 _IS_LEAVING_BY_STATE = {"ready": False, "draining": True}
 
@@ -26,27 +34,17 @@
     """
     state = read_field(document, "status.state", str)
     if state not in _IS_LEAVING_BY_STATE:
-        raise WireError(f"status.state: {state!r} is not known")
-    address = read_field(document, "address", str)
-    domain = read_field(document, "info.zone", str)
-    slots = read_field(document, "info.slots", int)
-    warm_up = read_field(document, "status.warmupLeft", str)
+        raise WireError(f"status.state: {state[:40]!r} is not known")
     # Write counter of the target's process. It is only validated, since it carries no state.
     read_field(document, "status.sequence", int)
-    try:
-        Target(name=name, address=address, failure_domain=domain)
-    except ValueError as error:
-        raise WireError(f"{name}: {error}") from None
-    if slots < 1:
-        raise WireError(f"info.slots: {slots} is less than 1")
     return TargetEntry(
-        name=TargetName(name),
-        service=ServiceName(read_field(document, "info.service", str)),
-        address=Address(address),
-        failure_domain=FailureDomain(domain),
-        slots=slots,
+        name=TargetName(read_name({"id": name}, "id")),
+        service=ServiceName(read_name(document, "info.service")),
+        address=read_address(document, "address"),
+        failure_domain=FailureDomain(read_name(document, "info.zone")),
+        slots=read_integer(document, "info.slots", least=1, most=MAX_SLOTS),
         leaving=_IS_LEAVING_BY_STATE[state],
-        warm_up_left=_floor_seconds(read_duration(warm_up, "status.warmupLeft")),
+        warm_up_left=_floor_seconds(read_duration(document, "status.warmupLeft")),
         started_ms=_read_started_ms(document),
     )
 
@@ -55,8 +53,7 @@
     """Returns when the target's process started (`born`), or 0 where the entry lacks it."""
     if not isinstance(document, dict) or "born" not in document:
         return 0
-    started_ms: int = read_field(document, "born", int)
-    return started_ms
+    return read_integer(document, "born")
 
 
 def _floor_seconds(warm_up: timedelta) -> timedelta:
--- a/endivedrift/platform/_headers.py
+++ b/endivedrift/platform/_headers.py
@@ -8,6 +8,8 @@
 REQUEST_ID_HEADER = b"endivedrift-attempt-id"
 """Names one attempt of the caller, not of a host: hosts pass the caller's value on unchanged."""
 NOT_RUN_HEADER = b"endivedrift-not-executed"
+LEAVING_HEADER = b"server-leaving"
+"""Stands in all answers of a target that is shutting down."""
 
 # Statuses of refusals that the caller caused. All other statuses follow from the verdict.
 _CALLER_FAULT_STATUSES = {
--- a/endivedrift/platform/_node_file.py
+++ b/endivedrift/platform/_node_file.py
@@ -10,9 +10,20 @@
 from pathlib import Path
 from typing import Any
 
+from pydantic import ValidationError
+
 from endivedrift.core import Address
 from endivedrift.objects import FleetBounds
-from endivedrift.platform._values import WireError, read_duration, read_field
+from endivedrift.platform._values import (
+    WireError,
+    parse_address,
+    read_address,
+    read_duration,
+    read_field,
+    read_integer,
+    read_name,
+    read_number,
+)
 from endivedrift.settings import (
     FleetSection,
     HostSection,
@@ -32,6 +43,7 @@
 callers cache entry answers, and the rest is longer than the usual deadline of a request."""
 EXIT_MARGIN_S = 0.3
 """A stopping host exits at least this long before the end of its grace period."""
+MAX_PORT = 65_535
 MBPS_PER_CORE = 10.0
 """Link bandwidth of the requests that one core serves: 700 per second of the usual 1.5 KB."""
 OPERATORS_PORT_VARIABLE = "ENDIVEDRIFT_METRICS_PORT"
@@ -67,23 +79,27 @@
     """
     try:
         document = tomllib.loads(path.read_text("utf-8"))
-    except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as error:
+    except (OSError, ValueError, RecursionError) as error:
         raise WireError(f"{path}: {error}") from None
-    store = read_field(document, "platform.address", str)
-    zones = read_field(document, "zones", dict)
+    try:
+        settings = _build_settings(document)
+    except ValidationError as error:
+        first = error.errors()[0]
+        field = ".".join(str(part) for part in first["loc"])
+        raise WireError(f"{path}: {error.title} {field}: {first['msg']}") from None
     bounds = FleetBounds(
-        retry_ratio=read_field(document, "bounds.retryBudgetRatio", (int, float)),
-        retry_burst=read_field(document, "bounds.budgetSlack", (int, float)),
-        floor_share=read_field(document, "bounds.floorShare", (int, float)),
-        entry_hosts=max(1, len(zones)),
+        retry_ratio=min(1.0, read_number(document, "bounds.retryBudgetRatio")),
+        retry_burst=int(read_number(document, "bounds.budgetSlack")),
+        floor_share=min(1.0, read_number(document, "bounds.floorShare")),
+        entry_hosts=max(1, len(read_field(document, "zones", dict))),
     )
     return NodeFile(
-        settings=_build_settings(document, store),
+        settings=settings,
         bounds=bounds,
-        store_address=Address(store),
-        readiness_address=Address(read_field(document, "listen.ready", str)),
-        entry_address=Address(read_field(document, "listen.directory", str)),
-        internal_address=Address(read_field(document, "listen.control", str)),
+        store_address=read_address(document, "platform.address"),
+        readiness_address=read_address(document, "listen.ready"),
+        entry_address=read_address(document, "listen.directory"),
+        internal_address=read_address(document, "listen.control"),
     )
 
 
@@ -92,37 +108,66 @@
 
     The field `cores` is not read, since one thread serves all requests of a host.
     """
-    number_types = (int, float)
-    power: float = read_field(document, "limits.cpuShare", number_types)
-    link: float = read_field(document, "limits.linkMbps", number_types)
-    return min(power, link / MBPS_PER_CORE)
+    power = read_number(document, "limits.cpuShare")
+    return min(power, read_number(document, "limits.linkMbps") / MBPS_PER_CORE)
+
+
+def _read_internal_ports(document: dict[str, Any]) -> range:
+    """Returns the ports that are free for traffic between hosts.
+
+    Raises:
+      WireError: If the field is not a first and a last port.
+    """
+    field = "internalPortRange"
+    ports = read_field(document, field, list)
+    if len(ports) != 2:
+        raise WireError(f"{field}: is not a first and a last port")
+    first, last = (read_integer({field: port}, field, least=1, most=MAX_PORT) for port in ports)
+    if first > last:
+        raise WireError(f"{field}: the first port {first} is greater than the last port {last}")
+    return range(first, last + 1)
+
 
+def _read_seeds(document: dict[str, Any], peer_port: int) -> tuple[str, ...]:
+    """Returns the peer addresses of the seeds, which are stated with another port.
 
-def _build_settings(document: dict[str, Any], store: str) -> Settings:
-    grace_s = read_duration(
-        read_field(document, "bounds.grace", str), "bounds.grace"
-    ).total_seconds()
+    Raises:
+      WireError: If a seed is not an address.
+    """
+    if "seeds" not in document:
+        return ()
+    seeds = read_field(document, "seeds", list)
+    addresses = [parse_address(seed, f"seeds.{n}") for n, seed in enumerate(seeds)]
+    return tuple(f"{address.rpartition(':')[0]}:{peer_port}" for address in addresses)
+
+
+def _build_settings(document: dict[str, Any]) -> Settings:
+    store = read_address(document, "platform.address")
+    grace_s = read_duration(document, "bounds.grace").total_seconds()
     ip = read_field(document, "ip", str)
-    ports = read_field(document, "internalPortRange", list)
+    ports = _read_internal_ports(document)
     peer_port = ports[0]
     operators_port = os.environ.get(OPERATORS_PORT_VARIABLE, ports[-1])
-    seeds = tuple(f"{seed.rpartition(':')[0]}:{peer_port}" for seed in document.get("seeds", ()))
     leave_wait_s = grace_s * LEAVE_WAIT_SHARE
     return Settings(
         host=HostSection(
-            id=read_field(document, "node", str),
-            failure_domain=read_field(document, "zone", str),
-            region=read_field(document, "region", str),
+            id=read_name(document, "node"),
+            failure_domain=read_name(document, "zone"),
+            region=read_name(document, "region"),
             power=_read_power(document),
         ),
         listen=ListenSection(
-            callers=read_field(document, "listen.front", str),
+            callers=read_address(document, "listen.front"),
             peers=f"{ip}:{peer_port}",
             operators=f"{ip}:{operators_port}",
         ),
         platform=PlatformSection(table=store, objects=store, hosts=store),
         # The platform provides no secret, so the key only separates fleets of different stores.
-        fleet=FleetSection(deployment=DEPLOYMENT, key=f"{DEPLOYMENT} at {store}", seeds=seeds),
+        fleet=FleetSection(
+            deployment=DEPLOYMENT,
+            key=f"{DEPLOYMENT} at {store}",
+            seeds=_read_seeds(document, peer_port),
+        ),
         limits=LimitsSection(
             entry_max_age_s=ENTRY_MAX_AGE_S,
             leave_wait_s=leave_wait_s,
--- a/endivedrift/platform/_store.py
+++ b/endivedrift/platform/_store.py
@@ -12,7 +12,7 @@
 from curio import socket
 
 from endivedrift.core import Address
-from endivedrift.platform._values import WireError, read_field
+from endivedrift.platform._values import WireError, read_field, read_integer
 from endivedrift.shell.interface import parse_endpoint
 
 CALL_TIMEOUT = timedelta(seconds=2)
@@ -119,7 +119,7 @@
             raise StoreError(f"status {status}")
         try:
             document = json.loads(body)
-        except ValueError as error:
+        except (ValueError, RecursionError) as error:
             raise StoreError(f"unreadable reply: {error}") from None
         if not isinstance(document, dict):
             raise StoreError("the reply is not a JSON object")
@@ -174,16 +174,22 @@
         self._sock, self._http = sock, h11.Connection(h11.CLIENT)
 
 
+def _read_value(row: dict[str, Any]) -> str:
+    """Returns a row's value, or an empty text, which is no valid value, if it has another type."""
+    value = row.get("value")
+    return value if isinstance(value, str) else ""
+
+
 def _read_rows(document: dict[str, Any]) -> TableRead:
     try:
         rows = tuple(
             StoreRow(
                 key=read_field(row, "key", str),
-                value=row.get("value") or "",
-                deleted=bool(row.get("deleted")),
+                value=_read_value(row),
+                deleted=row.get("deleted") is True,
             )
             for row in read_field(document, "rows", list)
         )
-        return TableRead(rows, read_field(document, "ver", int))
+        return TableRead(rows, read_integer(document, "ver"))
     except WireError as error:
         raise StoreError(f"unreadable reply: {error}") from None
--- a/endivedrift/platform/_values.py
+++ b/endivedrift/platform/_values.py
@@ -1,29 +1,118 @@
-"""Parses values in the platform's formats: durations with a unit, and JSON in base64."""
+"""Parses values in the platform's formats: durations with a unit, and JSON in base64.
+
+Values come from files and rows that other programs write, so any of them may be missing, of another
+type, or absurd. Each reader returns a value within bounds or raises `WireError`, nothing else.
+"""
 
 import base64
 import json
+import math
 import re
 from datetime import timedelta
 from typing import Any
 
-_DURATION = re.compile(r"^(\d+(?:\.\d+)?)(ms|s)$")
+from endivedrift.core import Address
+from endivedrift.objects import check_address
+
+MAX_DURATION = timedelta(days=1)
+"""Longest duration that is accepted."""
+MAX_INTEGER = 2**53
+"""Greatest number that every JSON implementation keeps exact; it also fits the peer messages."""
+MAX_NAME_LENGTH = 127
+MAX_SHOWN_LENGTH = 80
+"""Length up to which an invalid value is repeated in the text of an error."""
+
+_DURATION = re.compile(r"^(\d{1,15}(?:\.\d{1,15})?)(ms|s)$", re.ASCII)
+_NAME = re.compile(r"^[A-Za-z0-9][A-Za-z0-9._-]*$", re.ASCII)
 
 
 class WireError(ValueError):
     """A value from the platform is invalid; the text names the field and the cause."""
 
 
-def read_duration(value: object, field: str) -> timedelta:
-    """Reads a duration such as `1500ms` or `2.5s`.
+def read_duration(document: object, field: str) -> timedelta:
+    """Reads a field that holds a duration such as `1500ms` or `2.5s`, up to `MAX_DURATION`.
 
     Raises:
-      WireError: If it has another format.
+      WireError: If it is missing, has another format or is too long.
     """
-    found = _DURATION.match(value) if isinstance(value, str) else None
+    value = read_field(document, field, str)
+    found = _DURATION.fullmatch(value)
     if found is None:
-        raise WireError(f"{field}: {value!r} is not a number with the unit ms or s")
+        raise WireError(f"{field}: {_show(value)} is not a number with the unit ms or s")
     number = float(found.group(1))
-    return timedelta(milliseconds=number) if found.group(2) == "ms" else timedelta(seconds=number)
+    duration = timedelta(seconds=min(number / 1000.0 if found.group(2) == "ms" else number, 1e6))
+    if duration > MAX_DURATION:
+        raise WireError(f"{field}: {_show(value)} is longer than a day")
+    return duration
+
+
+def read_milliseconds(document: object, field: str) -> int:
+    """Reads a field that holds a duration, and returns it in whole milliseconds.
+
+    Raises:
+      WireError: If it is missing, has another format or is too long.
+    """
+    return round(read_duration(document, field).total_seconds() * 1000.0)
+
+
+def read_integer(document: object, field: str, least: int = 0, most: int = MAX_INTEGER) -> int:
+    """Reads a field that holds a whole number from `least` to `most`.
+
+    Raises:
+      WireError: If it is missing, of another type or out of these bounds.
+    """
+    value: int = read_field(document, field, int)
+    if not least <= value <= most:
+        raise WireError(f"{field}: is not from {least} to {most}")
+    return value
+
+
+def read_number(document: object, field: str) -> float:
+    """Reads a field that holds a finite number of at least 0.
+
+    Raises:
+      WireError: If it is missing, of another type, negative or not finite.
+    """
+    value = read_field(document, field, (int, float))
+    if not 0 <= value <= MAX_INTEGER or math.isnan(value):
+        raise WireError(f"{field}: is not from 0 to {MAX_INTEGER}")
+    return float(value)
+
+
+def read_name(document: object, field: str) -> str:
+    """Reads a field that holds a name: letters, digits, dots, hyphens and underscores.
+
+    Raises:
+      WireError: If it is missing, of another type or not such a name.
+    """
+    value: str = read_field(document, field, str)
+    if len(value) > MAX_NAME_LENGTH or _NAME.fullmatch(value) is None:
+        raise WireError(f"{field}: {_show(value)} is not a name")
+    return value
+
+
+def read_address(document: object, field: str) -> Address:
+    """Reads a field that holds an IPv4 address and a port.
+
+    Raises:
+      WireError: If it is missing, of another type or not an address.
+    """
+    return parse_address(read_field(document, field, str), field)
+
+
+def parse_address(text: object, field: str) -> Address:
+    """Checks that a value is an IPv4 address and a port.
+
+    Raises:
+      WireError: If it is not.
+    """
+    if not isinstance(text, str):
+        raise WireError(f"{field}: {_show(text)} is of another type")
+    try:
+        return Address(check_address(text))
+    except ValueError as error:
+        raise WireError(f"{field}: {_show(text)} {error}") from None
 
 
 def read_field(document: object, field: str, expected_type: type | tuple[type, ...]) -> Any:
@@ -40,7 +129,7 @@
     if not isinstance(value, expected_type) or (
         isinstance(value, bool) and expected_type is not bool
     ):
-        raise WireError(f"{field}: {value!r} is of another type")
+        raise WireError(f"{field}: {_show(value)} is of another type")
     return value
 
 
@@ -53,4 +142,13 @@
     try:
         return json.loads(base64.b64decode(text, validate=True))
     except (ValueError, RecursionError) as error:
-        raise WireError(f"value: {error}") from None
+        raise WireError(f"value: {str(error)[:MAX_SHOWN_LENGTH]}") from None
+
+
+def _show(value: object) -> str:
+    """Describes an invalid value; objects and lists may be deep or huge and are not repeated."""
+    if isinstance(value, str):
+        return repr(value[:MAX_SHOWN_LENGTH])
+    if isinstance(value, bool | float | None):
+        return repr(value)
+    return f"a value of the type {type(value).__name__}"
--- a/endivedrift/platform/platform_test.py
+++ b/endivedrift/platform/platform_test.py
@@ -61,6 +61,14 @@
         self.assertIsNotNone(find_route(table, "GET", "/a", "other.example"))
         self.assertIsNone(find_route(table, "GET", "/a/b/c", "third.example"))
 
+    def test_only_kinds_that_are_known_as_idempotent_are_repeated(self) -> None:
+        kinds = ("safe", "download", "unsafe", "odd", "Safe", "")
+        rules = [build_rule(f"r{n}", kind, f"/{n}/") for n, kind in enumerate(kinds)]
+        document = build_configuration(listeners=[{"host": LISTENER_HOST, "rules": rules}])
+        routes = read_objects(document).route
+        repeatable = [routes[f"r{n}.{LISTENER_HOST}"].repeatable for n in range(len(kinds))]
+        self.assertEqual(repeatable, [True, True, False, False, False, False])
+
     def test_a_split_names_every_service(self) -> None:
         parts = [{"service": SERVICE, "weight": 9}, {"service": "second", "weight": 1}]
         rule = build_rule("read", "safe", "/stays/", trafficSplit=parts)
@@ -81,9 +89,14 @@
             (build_configuration(clusters="none"), "clusters: 'none' is of another type"),
             (
                 build_configuration(
-                    listeners=[{"host": LISTENER_HOST, "rules": [build_rule("r", "odd", "/a/")]}]
+                    listeners=[
+                        {
+                            "host": LISTENER_HOST,
+                            "rules": [{**build_rule("r", "safe", "/a/"), "kind": 7}],
+                        }
+                    ]
                 ),
-                "neither safe nor unsafe",
+                "kind: a value of the type int is of another type",
             ),
             (
                 build_configuration(
@@ -161,7 +174,7 @@
             self.read(text.replace('grace = "6s"', ""))
 
     def test_durations_need_a_unit(self) -> None:
-        self.assertEqual(read_duration("2.5s", "f"), timedelta(seconds=2.5))
-        for value in ("2", "s", 3, "-1s", "1m"):
+        self.assertEqual(read_duration({"f": "2.5s"}, "f"), timedelta(seconds=2.5))
+        for value in ("2", "s", 3, "-1s", "1m", "9" * 31 + "s", "100000s", None):
             with self.assertRaises(WireError):
-                read_duration(value, "f")
+                read_duration({"f": value}, "f")
--- a/endivedrift/shell/_codec.py
+++ b/endivedrift/shell/_codec.py
@@ -40,13 +40,27 @@
     Verdict,
     Version,
 )
+from endivedrift.objects import check_address
 
 MAC_BYTES = 16
 MAX_DATAGRAM_BYTES = 8_192
+MAX_LIST_LENGTH = 1_024
+MAX_DURATION = timedelta(days=365)
+MAX_VERSION = 2**62
+MAX_INCARNATION = 2**63
+MAX_REFUTATIONS = 2**31
+"""Greatest numbers that are accepted. A host that refutes a report counts on from its number, which
+must still fit its field."""
+MAX_POWER_CORES = 1e6
+MAX_SLOTS = 1_000_000
 MICROSECOND = timedelta(microseconds=1)
 MAX_CONFIG_BYTES = 64 * 1024 * 1024
 NO_TIME_MICROS = -1
 
+_UNREADABLE = (capnp.KjException, ValueError, KeyError, OverflowError, AttributeError)
+"""Exceptions of decoding a message that is no message of the schema, or whose values have no
+meaning. pycapnp reports the number of an unknown enumerant or union member as an AttributeError."""
+
 capnp.remove_import_hook()
 _schema = capnp.load(str(Path(__file__).with_name("peer.capnp")))
 
@@ -136,7 +150,7 @@
         return None
     try:
         return _decode_message(_schema.Datagram.from_bytes_packed(body))
-    except (capnp.KjException, ValueError, KeyError):
+    except _UNREADABLE:
         return None
 
 
@@ -182,7 +196,7 @@
                 key=IdempotencyKey(forward.key),
                 timeout=forward.patienceMicros * MICROSECOND,
             )
-    except (capnp.KjException, ValueError, OverflowError):
+    except _UNREADABLE:
         return None
 
 
@@ -230,9 +244,9 @@
                 case "targets":
                     known = reply.targets
                     entries = tuple(_get_target(struct) for struct in known.entries)
-                    return KnownTargets(entries, known.version)
+                    return KnownTargets(entries, _get_version(known.version))
             return NotFound()
-    except (capnp.KjException, ValueError, zlib.error):
+    except (*_UNREADABLE, zlib.error):
         return None
 
 
@@ -285,8 +299,8 @@
         probe_number=datagram.probe,
         subject=HostId(datagram.subject),
         heard_subject=datagram.heardSubject,
-        config=ConfigRef(Version(datagram.configVersion), Digest(datagram.configDigest)),
-        members=tuple(_get_member(member) for member in datagram.members),
+        config=ConfigRef(_get_version(datagram.configVersion), Digest(datagram.configDigest)),
+        members=tuple(_get_member(member) for member in _get_bounded(datagram.members)),
         evidence=tuple(
             EvidenceDelta(
                 ServiceName(delta.service),
@@ -297,7 +311,7 @@
                 delta.running,
                 delta.paused,
             )
-            for delta in datagram.evidence
+            for delta in _get_bounded(datagram.evidence)
         ),
         store_update=(
             _get_store_update(datagram.storeUpdate) if datagram._has("storeUpdate") else None
@@ -322,11 +336,11 @@
 def _get_store_update(struct: Any) -> StoreUpdate:
     regained = struct.regainedMicros
     return StoreUpdate(
-        version=struct.version,
-        since=struct.since,
-        time_since_recovery=None if regained == NO_TIME_MICROS else regained * MICROSECOND,
-        entries=tuple(_get_target(target) for target in struct.entries),
-        gone=tuple(TargetName(name) for name in struct.gone),
+        version=_get_version(struct.version),
+        since=_get_version(struct.since),
+        time_since_recovery=None if regained == NO_TIME_MICROS else _get_duration(regained),
+        entries=tuple(_get_target(target) for target in _get_bounded(struct.entries)),
+        gone=tuple(TargetName(name) for name in _get_bounded(struct.gone)),
     )
 
 
@@ -343,19 +357,51 @@
 
 
 def _get_member(struct: Any) -> Member:
+    if not 0.0 < struct.power <= MAX_POWER_CORES:
+        raise ValueError("the power is out of bounds")
+    if struct.incarnation > MAX_INCARNATION or struct.counter > MAX_REFUTATIONS:
+        raise ValueError("the incarnation or its counter is out of bounds")
     return Member(
         host=HostId(struct.host),
         incarnation=Incarnation(struct.incarnation),
         refutations=struct.counter,
         status=MemberStatus(struct.status),
         failure_domain=FailureDomain(struct.failureDomain),
-        caller_address=Address(struct.callerAddress),
-        peer_address=Address(struct.peerAddress),
-        operator_address=Address(struct.operatorAddress),
+        caller_address=_get_address(struct.callerAddress),
+        peer_address=_get_address(struct.peerAddress),
+        operator_address=_get_address(struct.operatorAddress),
         power=struct.power,
     )
 
 
+def _get_bounded(items: Any) -> Any:
+    """Returns a list of a datagram, unless it is longer than any host sends.
+
+    The packed encoding compresses zeros, so a small datagram can hold a list of a million items.
+    """
+    if len(items) > MAX_LIST_LENGTH:
+        raise ValueError("a list is too long")
+    return items
+
+
+def _get_version(number: int) -> Version:
+    if number > MAX_VERSION:
+        raise ValueError("the version is out of bounds")
+    return Version(number)
+
+
+def _get_duration(micros: int) -> timedelta:
+    if not 0 <= micros <= MAX_DURATION // MICROSECOND:
+        raise ValueError("the duration is out of bounds")
+    return micros * MICROSECOND
+
+
+@lru_cache(maxsize=8_192)
+def _get_address(text: str) -> Address:
+    """Checks an address, which is empty in messages to hosts that know it."""
+    return Address(check_address(text) if text else "")
+
+
 def _set_target(struct: Any, entry: TargetEntry) -> None:
     struct.name = entry.name
     struct.service = entry.service
@@ -368,14 +414,16 @@
 
 
 def _get_target(struct: Any) -> TargetEntry:
+    if not struct.address or not 0 < struct.slots <= MAX_SLOTS:
+        raise ValueError("the target has no address or no valid number of slots")
     return TargetEntry(
         name=TargetName(struct.name),
         service=ServiceName(struct.service),
-        address=Address(struct.address),
+        address=_get_address(struct.address),
         failure_domain=FailureDomain(struct.failureDomain),
         slots=struct.slots,
         leaving=struct.leaving,
-        warm_up_left=struct.warmUpMicros * MICROSECOND,
+        warm_up_left=_get_duration(struct.warmUpMicros),
         started_ms=struct.born,
     )
 
@@ -398,6 +446,6 @@
         reason=RefusalReason(struct.reason),
         verdict=verdicts[struct.mayHaveRun],
         attempt_verdict=verdicts[struct.attemptMayHaveRun],
-        retry_after=None if after == NO_TIME_MICROS else after * MICROSECOND,
+        retry_after=None if after == NO_TIME_MICROS else _get_duration(after),
         detail=struct.detail,
     )
--- a/tests/fuzzing.py
+++ b/tests/fuzzing.py
@@ -6,6 +6,7 @@
 """
 
 import os
+from collections.abc import Callable
 from contextlib import AbstractContextManager
 from typing import Any
 from unittest import mock
@@ -55,6 +56,25 @@
     run_state_machine_as_test(machine, settings=chosen)
 
 
+def fuzz_input(test: Callable[..., None]) -> Callable[..., None]:
+    """Runs a property test of `given` on fixed inputs, as many as the environment sets.
+
+    A seed in the environment gives other inputs than the default ones, which follow from the test's
+    source.
+    """
+    seed = os.environ.get("ENDIVEDRIFT_FUZZ_SEED")
+    chosen = settings(
+        max_examples=int(os.environ.get("ENDIVEDRIFT_FUZZ_EXAMPLES", DEFAULT_EXAMPLES)),
+        deadline=None,
+        derandomize=seed is None,
+        database=None,
+        suppress_health_check=list(HealthCheck),
+    )
+    if seed is not None:
+        test = hypothesis.seed(int(seed))(test)
+    return chosen(test)
+
+
 def detects_fault(machine: type[RuleBasedStateMachine]) -> bool:
     """Tells whether a machine finds a violation in the histories of several fixed seeds.
 
