--- a/endivedrift/shell/_codec.py
+++ b/endivedrift/shell/_codec.py
@@ -41,6 +41,7 @@
     Version,
 )
 from endivedrift.objects import check_address
+from endivedrift.shell._packing import check_packed
 
 MAC_BYTES = 16
 MAX_DATAGRAM_BYTES = 8_192
@@ -149,6 +150,7 @@
     if len(datagram) <= MAC_BYTES or not verify_mac(secret, mac, body):
         return None
     try:
+        check_packed(body)
         return _decode_message(_schema.Datagram.from_bytes_packed(body))
     except _UNREADABLE:
         return None
--- a/endivedrift/shell/codec_test.py
+++ b/endivedrift/shell/codec_test.py
@@ -173,6 +173,18 @@
         body = datagram.to_bytes_packed()
         self.assertIsNone(decode_datagram(SECRET, compute_mac(SECRET, body) + body))
 
+    def test_a_datagram_that_ends_early_is_rejected(self) -> None:
+        # pycapnp ends the process when it reads such a message.
+        for body in MESSAGES:
+            for length in range(len(body)):
+                cut = body[:length]
+                self.assertIsNone(decode_datagram(SECRET, compute_mac(SECRET, cut) + cut))
+
+    def test_a_message_of_several_segments_is_read(self) -> None:
+        delta = EvidenceDelta(ServiceName(SERVICE), name_target(1), 1, 2, True, 1, True)
+        message = replace(build_message(), evidence=(delta,) * 300)
+        self.assertEqual(decode_datagram(SECRET, encode_datagram(SECRET, message)), message)
+
     def test_numbers_that_leave_no_room_for_the_next_one_are_rejected(self) -> None:
         message = build_message()
         for changes in ({"refutations": 2**32 - 1}, {"incarnation": 2**64 - 1}):
