--- a/endivedrift/core/__init__.py
+++ b/endivedrift/core/__init__.py
@@ -54,6 +54,13 @@
     RefusalReason,
     TargetState,
 )
+from endivedrift.core._store_versions import (
+    MAX_ERA,
+    MAX_STORE_NUMBER,
+    build_store_version,
+    get_store_era,
+    get_store_number,
+)
 from endivedrift.core._verdicts import (
     NOT_RUN_OUTCOMES,
     Verdict,
@@ -90,6 +97,8 @@
     "Member",
     "MemberStatus",
     "MessageKind",
+    "MAX_ERA",
+    "MAX_STORE_NUMBER",
     "NOT_RUN_OUTCOMES",
     "NO_CONFIG",
     "PauseCause",
@@ -109,5 +118,8 @@
     "TimestampedAuditEntry",
     "Verdict",
     "Version",
+    "build_store_version",
+    "get_store_era",
+    "get_store_number",
     "judge_outcome",
 ]
--- a/endivedrift/core/_states.py
+++ b/endivedrift/core/_states.py
@@ -37,6 +37,7 @@
     NONE = "none"
     LISTED = "listed"
     ANNOUNCED = "told"
+    REPLACED = "replaced"
 
 
 class Importance(IntEnum):
--- a/endivedrift/core/events.py
+++ b/endivedrift/core/events.py
@@ -42,7 +42,11 @@
 
 @dataclass(frozen=True, slots=True)
 class AttemptFinished:
-    """An attempt at a target ended; `answer` is set only for the outcome ANSWERED."""
+    """An attempt at a target ended.
+
+    `answer` is set only for the outcome ANSWERED. `leaving` tells whether the target stated that it
+    is shutting down, `retry_after` for how long it wants no further request from this host.
+    """
 
     at: Instant
     request: RequestId
@@ -52,6 +56,7 @@
     answer: Answer | None = None
     leaving: bool = False
     load: TargetLoad | None = None
+    retry_after: timedelta | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/endivedrift/objects/_bounds.py
+++ b/endivedrift/objects/_bounds.py
@@ -84,15 +84,12 @@
     )
 
 
-def build_discovered_group(
-    connection_cap: int, not_run_header: str, draining_header: str
-) -> UpstreamGroup:
+def build_discovered_group(connection_cap: int, not_run_header: str) -> UpstreamGroup:
     """Builds an upstream group whose targets register and state their own slots."""
     return UpstreamGroup(
         slots=1,
         connection_cap=connection_cap,
         not_run_header=not_run_header,
-        draining_header=draining_header,
         discovered=True,
         close_delimited=True,
         connect_ms=200,
--- a/endivedrift/platform/_configuration.py
+++ b/endivedrift/platform/_configuration.py
@@ -29,9 +29,10 @@
     digest_bytes,
     encode_object_set,
 )
-from endivedrift.platform._headers import LEAVING_HEADER, NOT_RUN_HEADER
+from endivedrift.platform._headers import NOT_RUN_HEADER
 from endivedrift.platform._values import (
     WireError,
+    escape_text,
     read_field,
     read_integer,
     read_milliseconds,
@@ -62,7 +63,7 @@
         objects = _build_objects(document, bounds)
     except ValidationError as error:
         first = error.errors()[0]
-        field = ".".join(str(part) for part in first["loc"])
+        field = escape_text(".".join(str(part) for part in first["loc"]))
         raise WireError(f"version {version}: {error.title} {field}: {first['msg']}") from None
     except WireError as error:
         raise WireError(f"version {version}: {error}") from None
@@ -90,9 +91,7 @@
         if name in routed_services:
             services[name] = build_discovered_service(name, bounds)
             connection_cap = read_integer(cluster, "maxConns", least=1)
-            groups[name] = build_discovered_group(
-                connection_cap, NOT_RUN_HEADER.decode(), LEAVING_HEADER.decode()
-            )
+            groups[name] = build_discovered_group(connection_cap, NOT_RUN_HEADER.decode())
     return ObjectSet(
         service=services,
         upstream_group=groups,
@@ -116,7 +115,9 @@
     action = read_field(rule, "action", dict)
     kind = read_field(rule, "kind", str)
     if kind not in _REPEATABLE_BY_KIND:
-        _log.warning("Kind of a rule is unknown; its requests are not repeated.", kind=kind[:40])
+        _log.warning(
+            "Kind of a rule is unknown; its requests are not repeated.", kind=escape_text(kind)
+        )
     timeout_ms = read_milliseconds(action, "timeout")
     split = _read_split(action)
     # `priority` 0 is the most urgent; values beyond the last importance mean the last one.
--- a/endivedrift/platform/_entries.py
+++ b/endivedrift/platform/_entries.py
@@ -9,6 +9,7 @@
 from endivedrift.core import FailureDomain, ServiceName, TargetEntry, TargetName
 from endivedrift.platform._values import (
     WireError,
+    escape_text,
     read_address,
     read_duration,
     read_field,
@@ -34,7 +35,7 @@
     """
     state = read_field(document, "status.state", str)
     if state not in _IS_LEAVING_BY_STATE:
-        raise WireError(f"status.state: {state[:40]!r} is not known")
+        raise WireError(f"status.state: {escape_text(state)} is not known")
     # Write counter of the target's process. It is only validated, since it carries no state.
     read_field(document, "status.sequence", int)
     return TargetEntry(
--- a/endivedrift/platform/_environment.py
+++ b/endivedrift/platform/_environment.py
@@ -35,7 +35,7 @@
     StoreRow,
     TableRead,
 )
-from endivedrift.platform._values import WireError, read_row_value
+from endivedrift.platform._values import WireError, escape_text, read_row_value
 from endivedrift.reducer import resolve_entry_hosts
 from endivedrift.shell.host import ConfigInstaller
 from endivedrift.shell.interface import HttpAnswer, SimpleHttpServer
@@ -268,8 +268,9 @@
     try:
         return read_entry(row.key, read_row_value(row.value))
     except WireError as error:
+        name = escape_text(row.key)
         _log.warning(
-            "Entry is invalid; its target counts as removed.", target=row.key, cause=str(error)
+            "Entry is invalid; its target counts as removed.", target=name, cause=str(error)
         )
         return None
 
--- a/endivedrift/platform/_headers.py
+++ b/endivedrift/platform/_headers.py
@@ -8,8 +8,11 @@
 REQUEST_ID_HEADER = b"endivedrift-attempt-id"
 """Names one attempt of the caller, not of a host: hosts pass the caller's value on unchanged."""
 NOT_RUN_HEADER = b"endivedrift-not-executed"
-LEAVING_HEADER = b"server-leaving"
-"""Stands in all answers of a target that is shutting down."""
+LEAVING_HEADERS = (b"server-leaving", b"endivedrift-server-leaving")
+"""Names of the header in all answers of a target that is shutting down. The platform names it
+without the prefix of its other headers, and may send either."""
+STORE_ERA_HEADERS = (b"store-era", b"endivedrift-store-era")
+"""Names of the header in all answers of the store that counts how often it was restored."""
 
 # Statuses of refusals that the caller caused. All other statuses follow from the verdict.
 _CALLER_FAULT_STATUSES = {
@@ -47,6 +50,7 @@
     rejects_invalid_deadlines=False,
     expected_target_header=b"endivedrift-expect-instance",
     load_header=b"endivedrift-server-load",
+    leaving_headers=LEAVING_HEADERS,
     proof_header=b"endivedrift-server-signature",
     caller_header=None,
     key_header=None,
--- a/endivedrift/platform/_store.py
+++ b/endivedrift/platform/_store.py
@@ -11,7 +11,15 @@
 import h11
 from curio import socket
 
-from endivedrift.core import Address
+from endivedrift.core import (
+    MAX_ERA,
+    MAX_STORE_NUMBER,
+    Address,
+    build_store_version,
+    get_store_era,
+    get_store_number,
+)
+from endivedrift.platform._headers import STORE_ERA_HEADERS
 from endivedrift.platform._values import WireError, read_field, read_integer
 from endivedrift.shell.interface import parse_endpoint
 
@@ -25,6 +33,7 @@
 """TCP probes an idle connection every second and closes it after two probes without a reply."""
 READ_BYTES = 65_536
 HISTORY_GONE_STATUS = 410
+MAX_ERA_DIGITS = 7
 
 
 class StoreError(Exception):
@@ -46,7 +55,7 @@
 
 @dataclass(frozen=True, slots=True)
 class TableRead:
-    """Rows read from a table and the store version up to which they are current."""
+    """Rows read from a table and the store version, with its era, up to which they are current."""
 
     rows: tuple[StoreRow, ...]
     version: int
@@ -60,6 +69,7 @@
         self._address = address
         self._sock: socket.socket | None = None
         self._http: h11.Connection | None = None
+        self._era = 0
 
     async def read_table(self, table: str) -> TableRead:
         """Reads all rows of a table, page by page, in the part whose name is empty.
@@ -73,7 +83,9 @@
         while True:
             query = {"table": table, "part": "", **({"from": start_key} if start_key else {})}
             page = await self._get("rows-get", query, CALL_TIMEOUT)
-            read = _read_rows(page)
+            read = _read_rows(page, self._era)
+            if version and get_store_era(version) != self._era:
+                raise StoreError("the store was restored while the table was read")
             rows += read.rows
             # The version of the first page counts: rows may change while the others are read, and
             # such changes are then delivered again by `read_changes`.
@@ -90,8 +102,13 @@
           HistoryGoneError: If the whole table must be read again.
         """
         wait_ms = round(LONG_POLL_WAIT.total_seconds() * 1000.0)
-        query = {"table": table, "after": str(version), "waitMs": str(wait_ms)}
-        return _read_rows(await self._get("rows-feed", query, LONG_POLL_WAIT + CALL_TIMEOUT))
+        number = get_store_number(version)
+        query = {"table": table, "after": str(number), "waitMs": str(wait_ms)}
+        document = await self._get("rows-feed", query, LONG_POLL_WAIT + CALL_TIMEOUT)
+        if self._era != get_store_era(version):
+            # A restored store counts from an earlier number, so changes may be missing.
+            raise HistoryGoneError
+        return _read_rows(document, self._era)
 
     async def close(self) -> None:
         """Closes the connection."""
@@ -142,6 +159,7 @@
                 http.receive_data(await sock.recv(READ_BYTES))
             elif isinstance(event, h11.Response):
                 status = event.status_code
+                self._read_era(event)
             elif isinstance(event, h11.Data):
                 body += event.data
             elif isinstance(event, h11.EndOfMessage):
@@ -154,6 +172,12 @@
             await self.close()
         return status, bytes(body)
 
+    def _read_era(self, response: h11.Response) -> None:
+        """Notes the era of the store; an answer that states none is of the one known."""
+        for name, value in response.headers:
+            if name in STORE_ERA_HEADERS and value.isdigit() and len(value) <= MAX_ERA_DIGITS:
+                self._era = min(int(value), MAX_ERA)
+
     async def _connect(self) -> None:
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         try:
@@ -180,7 +204,7 @@
     return value if isinstance(value, str) else ""
 
 
-def _read_rows(document: dict[str, Any]) -> TableRead:
+def _read_rows(document: dict[str, Any], era: int) -> TableRead:
     try:
         rows = tuple(
             StoreRow(
@@ -190,6 +214,7 @@
             )
             for row in read_field(document, "rows", list)
         )
-        return TableRead(rows, read_integer(document, "ver"))
+        number = read_integer(document, "ver", most=MAX_STORE_NUMBER)
+        return TableRead(rows, build_store_version(era, number))
     except WireError as error:
         raise StoreError(f"unreadable reply: {error}") from None
--- a/endivedrift/platform/_values.py
+++ b/endivedrift/platform/_values.py
@@ -142,13 +142,21 @@
     try:
         return json.loads(base64.b64decode(text, validate=True))
     except (ValueError, RecursionError) as error:
-        raise WireError(f"value: {str(error)[:MAX_SHOWN_LENGTH]}") from None
+        raise WireError(f"value: {escape_text(str(error))}") from None
+
+
+def escape_text(text: str) -> str:
+    """Returns the beginning of a text for a log or an error, other characters than ASCII escaped.
+
+    JSON may hold half of a character, which no encoding can write.
+    """
+    return text[:MAX_SHOWN_LENGTH].encode("ascii", "backslashreplace").decode()
 
 
 def _show(value: object) -> str:
     """Describes an invalid value; objects and lists may be deep or huge and are not repeated."""
     if isinstance(value, str):
-        return repr(value[:MAX_SHOWN_LENGTH])
+        return repr(escape_text(value))
     if isinstance(value, bool | float | None):
         return repr(value)
     return f"a value of the type {type(value).__name__}"
--- a/endivedrift/platform/input_test.py
+++ b/endivedrift/platform/input_test.py
@@ -154,7 +154,7 @@
         if not isinstance(document, dict):
             return
         try:
-            read = _read_rows(document)
+            read = _read_rows(document, 1)
         except StoreError:
             return
         for row in read.rows:
--- a/endivedrift/platform/store_test.py
+++ b/endivedrift/platform/store_test.py
@@ -1,8 +1,11 @@
 """Tests that calls of the store's client end in a reply or in a `StoreError`."""
 
 import contextlib
+import os
+import secrets
 import socket
 import unittest
+from collections.abc import Awaitable, Callable
 from datetime import timedelta
 from unittest import mock
 
@@ -10,7 +13,11 @@
 
 from endivedrift.core import Address
 from endivedrift.platform import _store
-from endivedrift.platform._store import StoreClient, StoreError
+from endivedrift.platform._store import HistoryGoneError, StoreClient, StoreError
+from standins._http_server import serve_http
+from standins.platform_store import StoreStandin
+
+PORT = 20_950
 
 
 class UnreachableStoreTest(unittest.TestCase):
@@ -30,5 +37,52 @@
                 curio.run(client.read_table, "op")
 
 
+class RestoredStoreTest(unittest.TestCase):
+    """Reads a store that is restored from an older copy."""
+
+    def run_scenario(
+        self, scenario: Callable[[StoreStandin, StoreClient], Awaitable[None]]
+    ) -> None:
+        async def run() -> None:
+            store = StoreStandin()
+            store.write("op", "config", {"version": 1})
+            address = f"127.{1 + os.getpid() % 250}.{secrets.randbelow(250)}.1"
+            serving = await curio.spawn(serve_http(address, PORT, store.handle), daemon=True)
+            await curio.sleep(0.05)
+            await scenario(store, StoreClient(Address(f"{address}:{PORT}")))
+            await serving.cancel()
+
+        curio.run(run)
+
+    def test_a_version_that_is_given_out_again_is_a_newer_one(self) -> None:
+        async def scenario(store: StoreStandin, client: StoreClient) -> None:
+            copy = store.take_snapshot()
+            store.write("op", "a", {})
+            before = await client.read_table("op")
+            store.restore(copy)
+            store.write("op", "b", {})
+            with self.assertRaises(HistoryGoneError):
+                await client.read_changes("op", before.version)
+            after = await client.read_table("op")
+            self.assertEqual({row.key for row in after.rows}, {"config", "b"})
+            self.assertGreater(after.version, before.version)
+            store.write("op", "c", {})
+            changes = await client.read_changes("op", after.version)
+            self.assertEqual([row.key for row in changes.rows], ["c"])
+
+        self.run_scenario(scenario)
+
+    def test_a_version_that_the_restored_store_does_not_have_is_gone(self) -> None:
+        async def scenario(store: StoreStandin, client: StoreClient) -> None:
+            copy = store.take_snapshot()
+            store.write("op", "a", {})
+            before = await client.read_table("op")
+            store.restore(copy)
+            with self.assertRaises(HistoryGoneError):
+                await client.read_changes("op", before.version)
+
+        self.run_scenario(scenario)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/endivedrift/policy/_choice.py
+++ b/endivedrift/policy/_choice.py
@@ -148,7 +148,7 @@
     candidates = []
     for name in names:
         record = state.targets[name]
-        if name in tried_targets or record.state not in _USABLE_STATES:
+        if name in tried_targets or record.state not in _USABLE_STATES or record.held_until > at:
             continue
         in_flight = record.count_in_flight(at)
         limit = _get_in_flight_limit(state, record) if record.state is TargetState.HEALTHY else 1
@@ -217,7 +217,7 @@
     """Tells whether there are usable targets and all of them are paused."""
     usable = False
     for record in state.targets.values():
-        if record.state in _USABLE_STATES:
+        if record.state in _USABLE_STATES and record.held_until <= at:
             if record.paused_until <= at:
                 return False
             usable = True
--- a/endivedrift/policy/_ejection.py
+++ b/endivedrift/policy/_ejection.py
@@ -19,7 +19,8 @@
 LISTED_RETURN_DELAY = timedelta(seconds=10)
 """Time for which the machine list, which lags, must show a target as live before it returns."""
 LEAVING_TTL = timedelta(minutes=5)
-"""Time after the last sign of leaving from which a target is tried again."""
+"""Time after the last sign of leaving from which a target is tried again. A registered process that
+announced its end itself never returns; the process that replaces it registers anew."""
 
 
 def update_states(state: ServiceState, at: Instant) -> list[AuditEntry]:
@@ -139,6 +140,8 @@
     entries: list[AuditEntry] = []
     for record in state.targets.values():
         is_leaving = record.leaving_source is not LeavingSource.NONE
+        if record.entry is not None and record.leaving_source is LeavingSource.ANNOUNCED:
+            continue
         if is_leaving and at - record.leaving_seen_at >= LEAVING_TTL:
             entries += _restore_leaving_target(state, record, at, "no recent sign of leaving")
     return entries
--- a/endivedrift/policy/_service.py
+++ b/endivedrift/policy/_service.py
@@ -76,6 +76,7 @@
       avoided_until: End of the time for which it is used only if a request would otherwise wait.
       repeated_pauses: Further pauses since the last one that followed a good answer.
       last_failure_at: When it last failed a request.
+      held_until: Until when it wants no request from this host, as it stated in a refusal.
       reported_in_flight: Requests in progress as last reported to other hosts.
       unsent_pause: Whether this host has paused it since the last report.
       unsent_in_flight: Whether the number of requests in progress changed since the last report.
@@ -108,6 +109,7 @@
     avoided_until: Instant = Instant(0)
     repeated_pauses: int = 0
     last_failure_at: Instant = Instant(0)
+    held_until: Instant = Instant(0)
     unsent_in_flight: bool = False
     unsent_pause: bool = False
     reported_in_flight: int = 0
--- a/endivedrift/reducer/_attempts.py
+++ b/endivedrift/reducer/_attempts.py
@@ -361,7 +361,8 @@
 ) -> list[Effect]:
     pending = state.requests[request]
     priority = pending.route.route.queue_priority
-    if not _has_candidate(service, pending):
+    opens_at = _find_opening_time(service, pending, at)
+    if opens_at is None:
         detail = "no usable target is left"
         retry = timedelta(seconds=1)
         return end_with_refusal(state, at, request, RefusalReason.NO_TARGET, detail, retry)
@@ -371,7 +372,7 @@
         allowed = min(
             allowed, pending.arrived + pending.route.route.aim - at - service.service_time
         )
-    expected = estimate_wait(service, priority)
+    expected = max(estimate_wait(service, priority), opens_at - at)
     if expected > allowed:
         detail = f"a wait of {expected.total_seconds():.2f} s is expected"
         return end_with_refusal(state, at, request, RefusalReason.QUEUE_WAIT, detail, expected)
@@ -389,12 +390,18 @@
     return effects
 
 
-def _has_candidate(service: ServiceState, pending: RequestState) -> bool:
+def _find_opening_time(service: ServiceState, pending: RequestState, at: Instant) -> Instant | None:
+    """Returns when the first usable target that was not tried takes requests of this host again.
+
+    Targets that have stated no such time take requests now.
+    """
     states = {TargetState.HEALTHY, TargetState.WARMING, TargetState.PROBATION}
-    return any(
-        record.state in states and name not in pending.tried_targets
+    times = (
+        max(at, record.held_until)
         for name, record in service.targets.items()
+        if record.state in states and name not in pending.tried_targets
     )
+    return min(times, default=None)
 
 
 def _record_attempt(
@@ -413,9 +420,13 @@
         entries += record_trial(service, record, bad, event.at)
     if bad is False:
         record.last_success_at = event.at
+    if event.retry_after is not None:
+        record.held_until = max(record.held_until, event.at + event.retry_after)
     failure = PauseCause.ANSWERED if status >= SERVER_ERROR else _PAUSE_CAUSES.get(event.outcome)
+    if failure is PauseCause.REFUSED and event.retry_after is not None:
+        failure = None
     if failure is not None and pause_target(service, record, event.at, failure):
-        record.unsent_pause = event.outcome not in _UNSHARED_OUTCOMES
+        record.unsent_pause |= event.outcome not in _UNSHARED_OUTCOMES
         cause = f"{event.outcome.value} {status or ''}".strip()
         entries.append(
             AuditEntry(event.at, AuditKind.PAUSED, event.target, cause, service.name, event.request)
@@ -430,7 +441,7 @@
         entries += mark_leaving(service, event.target, event.at, LeavingSource.ANNOUNCED, cause)
     if event.outcome is AttemptOutcome.MISDIRECTED:
         cause = "another target answers at its address"
-        entries += mark_leaving(service, event.target, event.at, LeavingSource.ANNOUNCED, cause)
+        entries += mark_leaving(service, event.target, event.at, LeavingSource.REPLACED, cause)
     return [RecordAudit(entry) for entry in entries]
 
 
--- a/endivedrift/reducer/_config.py
+++ b/endivedrift/reducer/_config.py
@@ -121,7 +121,8 @@
     }
     state.active_services = set(state.services)
     state.caller_buckets.clear()
-    state.split_counts.clear()
+    for route in state.split_positions.keys() - objects.route.keys():
+        del state.split_positions[route]
     if state.phase is HostPhase.STARTING:
         state.phase = HostPhase.SERVING
         mark_serving(state.membership)
--- a/endivedrift/reducer/_discovery.py
+++ b/endivedrift/reducer/_discovery.py
@@ -3,8 +3,13 @@
 Registrations can lapse although their targets live, for instance while the store is unavailable. A
 target is therefore kept for a grace period if its registration lapsed after an outage of the store,
 or together with those of many other targets.
+
+A store that was restored from an older copy shows registrations as they were then. What a process
+was known to have announced since, that it is leaving or gone, stays in force until another process
+registers or, for a process that is gone, until it registers anew.
 """
 
+from dataclasses import replace
 from datetime import timedelta
 
 from endivedrift.core import (
@@ -16,6 +21,7 @@
     ServiceName,
     TargetEntry,
     TargetName,
+    get_store_era,
 )
 from endivedrift.core.effects import Effect, FetchTargets, RecordAudit
 from endivedrift.core.events import (
@@ -25,9 +31,13 @@
     TargetsObserved,
 )
 from endivedrift.fleet import sample_alive
-from endivedrift.policy import mark_leaving, register_target, restore_registered_target
+from endivedrift.policy import (
+    mark_leaving,
+    register_target,
+    restore_registered_target,
+)
 from endivedrift.reducer._attempts import dispatch_queued
-from endivedrift.reducer._state import HostState
+from endivedrift.reducer._state import Departure, HostState
 
 REREGISTRATION_GRACE = timedelta(seconds=2)
 """Time after an outage of the store in which lapsed registrations are renewed, as specified for the
@@ -35,6 +45,7 @@
 ASKED_PEER_COUNT = 3
 ASK_INTERVAL = timedelta(seconds=1)
 """Time between two requests to other hosts: several times their response time."""
+MAX_DEPARTURES = 4_096
 MASS_LOSS_GRACE = timedelta(milliseconds=1_200)
 """Time for which targets are kept whose simultaneous loss would break the floor of their service:
 over half of the two seconds after which a vanished target must get no more requests."""
@@ -98,15 +109,40 @@
     """
     if event.version and event.version <= state.targets_version:
         return []
-    state.targets_version = max(state.targets_version, event.version)
     entries: list[AuditEntry] = []
+    era = get_store_era(event.version)
+    is_restored = state.targets_version > 0 and get_store_era(state.targets_version) < era
+    state.targets_version = max(state.targets_version, event.version)
+    if is_restored:
+        state.store_recovered_at = event.at
+        cause = f"was restored from an older copy; its era is {era}"
+        entries.append(AuditEntry(event.at, AuditKind.STORE_CHANGED, "store", cause))
     gone = set(event.gone) & set(state.discovered)
     if event.complete:
         state.has_read_targets = True
         gone |= set(state.discovered) - {entry.name for entry in event.entries}
     entries += _remove_or_keep_lapsed(state, gone, event.at)
     lost: list[Effect] = [RecordAudit(entry) for entry in entries]
-    return lost + _apply_entries(state, event.at, event.entries)
+    observed = event.entries
+    if event.complete:
+        observed = tuple(e for e in observed if not _departed_before(state, e, era))
+    return lost + _apply_entries(state, event.at, observed)
+
+
+def _find_departure(state: HostState, entry: TargetEntry) -> Departure | None:
+    """Returns what is known of the very process of a registration, if it was removed before."""
+    departure = state.departures.get(entry.name)
+    return departure if departure and departure.started_ms == entry.started_ms else None
+
+
+def _departed_before(state: HostState, entry: TargetEntry, era: int) -> bool:
+    """Tells whether a registration was seen to be removed before the store was restored.
+
+    The whole table of a restored store shows it again. It counts only once it is written anew,
+    which is then reported as a change.
+    """
+    departure = _find_departure(state, entry)
+    return departure is not None and departure.era < era
 
 
 def _apply_entries(
@@ -114,7 +150,10 @@
 ) -> list[Effect]:
     entries: list[AuditEntry] = []
     changed_services = set()
-    for entry in observed:
+    for observed_entry in observed:
+        entry = _keep_leaving(state, observed_entry)
+        departure = _find_departure(state, entry)
+        state.departures.pop(entry.name, None)
         state.removal_times.pop(entry.name, None)
         known = state.discovered.get(entry.name)
         if known == entry or (known is not None and known.started_ms > entry.started_ms):
@@ -123,6 +162,8 @@
             entries += _remove_target(state, entry.name, at)
         state.discovered[entry.name] = entry
         entries += place_registered_target(state, entry, at)
+        if departure is not None:
+            _restore_hold(state, entry, departure)
         changed_services.add(entry.service)
     effects: list[Effect] = [RecordAudit(entry) for entry in entries]
     for service in sorted(changed_services & set(state.services)):
@@ -131,6 +172,27 @@
     return effects
 
 
+def _restore_hold(state: HostState, entry: TargetEntry, departure: Departure) -> None:
+    """Applies again until when a target wants no request, after its registration came back."""
+    service = state.services.get(entry.service)
+    record = service.targets.get(entry.name) if service is not None else None
+    if record is not None:
+        record.held_until = max(record.held_until, departure.held_until)
+
+
+def _keep_leaving(state: HostState, entry: TargetEntry) -> TargetEntry:
+    """Marks a registration as leaving if its process has registered as leaving before.
+
+    A process that shuts down does not return. A later registration as ready is an older one, which
+    was delayed or comes from an older copy of the store.
+    """
+    known = state.discovered.get(entry.name)
+    is_known = known is not None and known.leaving and known.started_ms == entry.started_ms
+    departure = _find_departure(state, entry)
+    has_left = departure is not None and departure.leaving
+    return replace(entry, leaving=True) if entry.started_ms and (is_known or has_left) else entry
+
+
 def remove_lapsed_targets(state: HostState, at: Instant) -> list[Effect]:
     """Removes targets whose registrations were not renewed in time."""
     due = sorted(name for name, until in state.removal_times.items() if until <= at)
@@ -152,6 +214,7 @@
             entries += _remove_target(state, name, at)
             continue
         state.removal_times[name] = until
+        _record_departure(state, state.discovered[name])
         cause = f"its registration lapsed; kept for {(until - at).total_seconds():.1f} s"
         service = state.discovered[name].service
         entries.append(AuditEntry(at, AuditKind.TARGET_MISSING, name, cause, service))
@@ -197,8 +260,25 @@
     if entry is None:
         return []
     service = state.services.get(ServiceName(entry.service))
+    _record_departure(state, entry)
     if service is None or service.targets.pop(name, None) is None:
         return []
     return [
         AuditEntry(at, AuditKind.TARGET_GONE, name, "its registration was removed", service.name)
     ]
+
+
+def _record_departure(state: HostState, entry: TargetEntry) -> None:
+    """Notes that the registration of a target was removed, and the era of the first sign of it."""
+    service = state.services.get(entry.service)
+    record = service.targets.get(entry.name) if service is not None else None
+    announced = record is not None and record.leaving_source is LeavingSource.ANNOUNCED
+    held_until = record.held_until if record is not None else Instant(0)
+    earlier = _find_departure(state, entry)
+    era = earlier.era if earlier is not None else get_store_era(state.targets_version)
+    state.departures.pop(entry.name, None)
+    state.departures[entry.name] = Departure(
+        entry.started_ms, entry.leaving or announced, held_until, era
+    )
+    if len(state.departures) > MAX_DEPARTURES:
+        del state.departures[next(iter(state.departures))]
--- a/endivedrift/reducer/_requests.py
+++ b/endivedrift/reducer/_requests.py
@@ -19,6 +19,7 @@
 from endivedrift.reducer._state import MAX_CALLER_BUCKETS, HostState, RequestState
 
 NO_CONFIG_RETRY_DELAY = timedelta(seconds=1)
+GOLDEN_RATIO = (5.0**0.5 - 1.0) / 2.0
 
 
 def start_request(state: HostState, event: RequestArrived) -> list[Effect]:
@@ -99,18 +100,24 @@
 
 
 def _choose_split_service(state: HostState, found: NamedRoute) -> ServiceName | None:
-    """Chooses the service of a split route whose share of requests is furthest below its weight."""
+    """Chooses the service of a split route, so that each gets its share by weight.
+
+    The shares divide the interval from 0 to 1. Each request moves a position in it by the golden
+    ratio, which spreads the positions evenly. The first one is random: many hosts that get a few
+    requests each would otherwise send all of them to the greatest share.
+    """
     shares = [share for share in found.route.split if share.weight]
     if not shares:
         return None
-    counts = state.split_counts.setdefault(found.name, {})
-    chosen = min(
-        shares,
-        key=lambda s: ((counts.get(ServiceName(s.service), 0.0) + 1.0) / s.weight, s.service),
-    )
-    name = ServiceName(chosen.service)
-    counts[name] = counts.get(name, 0.0) + 1.0
-    return name
+    position = state.split_positions.get(found.name)
+    position = state.random.random() if position is None else (position + GOLDEN_RATIO) % 1.0
+    state.split_positions[found.name] = position
+    rest = position * sum(share.weight for share in shares)
+    for share in shares:
+        rest -= share.weight
+        if rest < 0.0:
+            return ServiceName(share.service)
+    return ServiceName(shares[-1].service)
 
 
 def _check_caller(state: HostState, event: RequestArrived, found: NamedRoute) -> list[Effect]:
--- a/endivedrift/reducer/_state.py
+++ b/endivedrift/reducer/_state.py
@@ -108,6 +108,23 @@
     config: ConfigRef
 
 
+@dataclass(frozen=True, slots=True)
+class Departure:
+    """What stays known of a target whose registration was removed.
+
+    Attributes:
+      started_ms: Start of its process in Unix milliseconds.
+      leaving: Whether the process was known to be shutting down.
+      held_until: Until when the process wants no request from this host.
+      era: Era of the store in which its registration was removed.
+    """
+
+    started_ms: int
+    leaving: bool
+    held_until: Instant
+    era: int
+
+
 @dataclass(slots=True)
 class HostState:
     """The complete state of the reducer.
@@ -127,18 +144,21 @@
       required_power: Processor power in cores that each group of services needs at its hosts.
       discovered: Targets that registered themselves, by name.
       removal_times: When targets are removed whose registrations lapsed, by name.
+      departures: Targets whose registrations were removed, the latest last.
       store_unavailable: Whether the store in which targets register does not answer.
       has_read_targets: Whether the store has listed all targets at least once.
       next_ask_at: When other hosts may next be asked for targets.
       store_is_relayed: Whether a few hosts read the store and relay it to the others.
       reads_store: Whether this host reads the store's changes itself.
-      targets_version: Version of the store up to which targets are known, or 0.
+      targets_version: Version of the store up to which targets are known, or 0. It contains the
+        era, so that it grows although a restored store counts from an earlier number.
       last_update_at: When an update of a reader last showed this host to be up to date, or None.
       next_update_at: When this host next sends updates, if it is a reader.
       readers_cache: Hosts that read the store, and the version of the membership they are for.
       store_recovered_at: When the store last answered again after an outage, or None.
       changed_targets: Targets whose requests in progress are reported at once, by service.
-      split_counts: Requests sent to each service of each split route.
+      split_positions: Position of the latest request in the interval that the services of a split
+        route divide by weight, by route.
       next_evidence_at: When evidence is next sent to other hosts.
       next_cleanup_at: When expired key records are next dropped.
     """
@@ -165,6 +185,7 @@
     required_power: dict[str, float] = field(default_factory=dict)
     discovered: dict[TargetName, TargetEntry] = field(default_factory=dict)
     removal_times: dict[TargetName, Instant] = field(default_factory=dict)
+    departures: dict[TargetName, Departure] = field(default_factory=dict)
     store_unavailable: bool = False
     has_read_targets: bool = False
     next_ask_at: Instant = Instant(0)
@@ -176,7 +197,7 @@
     next_update_at: Instant = Instant(0)
     readers_cache: tuple[int, tuple[Member, ...]] = (-1, ())
     changed_targets: dict[ServiceName, set[TargetName]] = field(default_factory=dict)
-    split_counts: dict[RouteName, dict[ServiceName, float]] = field(default_factory=dict)
+    split_positions: dict[RouteName, float] = field(default_factory=dict)
     next_evidence_at: Instant = Instant(0)
     next_cleanup_at: Instant = Instant(0)
 
--- a/endivedrift/shell/_callers.py
+++ b/endivedrift/shell/_callers.py
@@ -52,6 +52,8 @@
 MAX_UNPARSED_BYTES = 131_072
 MAX_PIPELINED_REQUESTS = 16
 """Maximum number of requests of one connection in progress; further ones are not read."""
+EVENTS_PER_TURN = 128
+"""Events of the parser after which other tasks run; tiny chunks take no wait between two events."""
 WRITE_TIMEOUT = timedelta(seconds=30)
 CLOSING_IDLE_TIMEOUT = timedelta(milliseconds=500)
 LISTEN_BACKLOG = 1_024
@@ -371,7 +373,11 @@
             interim_response = h11.InformationalResponse(status_code=100, headers=[])
             await connection.sock.sendall(connection.http.send(interim_response))
         body = bytearray()
+        event_count = 0
         while True:
+            event_count += 1
+            if not event_count % EVENTS_PER_TURN:
+                await curio.sleep(0)
             event = await self._next_event_before_deadline(connection)
             if isinstance(event, h11.Data):
                 body += event.data
--- a/endivedrift/shell/_codec.py
+++ b/endivedrift/shell/_codec.py
@@ -58,9 +58,17 @@
 MAX_CONFIG_BYTES = 64 * 1024 * 1024
 NO_TIME_MICROS = -1
 
-_UNREADABLE = (capnp.KjException, ValueError, KeyError, OverflowError, AttributeError)
+_UNREADABLE = (
+    capnp.KjException,
+    ValueError,
+    KeyError,
+    OverflowError,
+    AttributeError,
+    RuntimeError,
+)
 """Exceptions of decoding a message that is no message of the schema, or whose values have no
-meaning. pycapnp reports the number of an unknown enumerant or union member as an AttributeError."""
+meaning. pycapnp reports the number of an unknown enumerant or union member as an AttributeError and
+a missing part as a RuntimeError."""
 
 capnp.remove_import_hook()
 _schema = capnp.load(str(Path(__file__).with_name("peer.capnp")))
--- a/endivedrift/shell/_conventions.py
+++ b/endivedrift/shell/_conventions.py
@@ -25,6 +25,8 @@
       rejects_invalid_deadlines: Whether an invalid deadline is refused; otherwise, it is ignored.
       expected_target_header: Name of the target that a request is meant for.
       load_header: A target's running requests, waiting requests and slots, separated by commas.
+      leaving_headers: Headers of an answer, besides the one that its upstream group names, which
+        state that the target is shutting down unless their value is 0.
       proof_header: Header that proves that an answer comes from the target itself. Of the answers
         without it, only server errors are passed on; others are treated as malformed.
       caller_header: Name of the caller's account.
@@ -38,6 +40,7 @@
     rejects_invalid_deadlines: bool
     expected_target_header: bytes | None
     load_header: bytes | None
+    leaving_headers: tuple[bytes, ...]
     proof_header: bytes | None
     caller_header: bytes | None
     key_header: bytes | None
@@ -59,6 +62,7 @@
     rejects_invalid_deadlines=True,
     expected_target_header=None,
     load_header=None,
+    leaving_headers=(),
     proof_header=None,
     caller_header=b"x-caller",
     key_header=b"idempotency-key",
--- a/endivedrift/shell/_targets.py
+++ b/endivedrift/shell/_targets.py
@@ -8,10 +8,11 @@
 """
 
 import contextlib
+import re
 import socket as stdlib_socket
 from collections import deque
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from datetime import timedelta
 
 import curio
@@ -43,15 +44,33 @@
 )
 
 MAX_IDLE_TIME = timedelta(seconds=10)
+MAX_BUFFERED_BYTES = 32 * 1024 * 1024
+"""Limit on the answers that a host holds in memory at one time while it reads them. A body takes up
+to three times its size until it is sent, and the smallest hosts have 200 MB."""
+MAX_INFORMATIONAL_RESPONSES = 16
+MAX_FRAMING_BYTES = 256 * 1024
+"""Bytes beyond its body that an answer may take, as heads, chunk headers and trailers."""
+EVENTS_PER_TURN = 128
+"""Events of the parser after which other tasks run; tiny chunks take no wait between two events."""
 KEEP_ALIVE_FRACTION = 0.8
 """Fraction of the idle timeout announced by a target during which a connection is reused. The rest
 covers the time that a request takes to reach the target."""
 REFUSAL_STATUSES = frozenset({400, 421, 429, 503})
+_BROKEN_OFF_OUTCOMES = frozenset(
+    {AttemptOutcome.CUT, AttemptOutcome.TIMED_OUT, AttemptOutcome.TOO_LARGE}
+)
+"""Outcomes of attempts whose answer may have begun with a valid head."""
 MISDIRECTED_STATUS = 421
+RETRY_LATER_STATUSES = frozenset({429, 503})
+"""Statuses with which a target may state how long it wants no further request."""
+MAX_RETRY_AFTER = timedelta(minutes=10)
+"""Longest such time that is honoured; a longer one is more likely a fault of the target."""
 MIN_SERVER_ERROR_STATUS = 500
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 """Statuses that tell a caller that its request did not run."""
 
+_SECONDS = re.compile(rb"\d{1,15}(\.\d{1,15})?")
+
 
 @dataclass(frozen=True, slots=True)
 class TargetRequest:
@@ -77,6 +96,7 @@
     answer: Answer | None = None
     leaving: bool = False
     load: TargetLoad | None = None
+    retry_after: timedelta | None = None
 
 
 class TargetPool:
@@ -87,6 +107,7 @@
         self._clock = clock
         self._conventions = conventions
         self._idle: dict[Address, deque[_Connection]] = {}
+        self._buffered = _ByteBudget(MAX_BUFFERED_BYTES)
 
     async def attempt(
         self,
@@ -118,6 +139,7 @@
             attempt_result.answer,
             attempt_result.leaving,
             attempt_result.load,
+            attempt_result.retry_after,
         )
 
     async def close(self) -> None:
@@ -168,7 +190,7 @@
             await _close(connection.sock)
             return _AttemptResult(AttemptOutcome.NOT_CONNECTED)
         attempt_result = _AttemptResult(AttemptOutcome.TIMED_OUT)
-        reader = _AnswerReader(self._conventions, effect, request, connection)
+        reader = _AnswerReader(self._conventions, effect, request, connection, self._buffered)
         try:
             async with curio.ignore_after(remaining):
                 await self._send(connection, effect, request, remaining)
@@ -183,6 +205,10 @@
             attempt_result = _AttemptResult(AttemptOutcome.CUT)
         except h11.RemoteProtocolError:
             attempt_result = _AttemptResult(AttemptOutcome.MALFORMED)
+        finally:
+            reader.release_buffer()
+        if attempt_result.outcome in _BROKEN_OFF_OUTCOMES and reader.states_leaving():
+            attempt_result = replace(attempt_result, leaving=True)
         await self._release(effect, connection, attempt_result)
         return attempt_result
 
@@ -259,14 +285,29 @@
     return AttemptFinished(at, request, target, AttemptOutcome.CANCELLED, timedelta(0))
 
 
+@dataclass(slots=True)
+class _ByteBudget:
+    """The bytes of answers that are being read, and their limit."""
+
+    limit: int
+    used: int = 0
+
+
 @dataclass(slots=True)
 class _AnswerReader:
-    """Reads one answer; `read` may be called again after it was interrupted by a timeout."""
+    """Reads one answer; `read` may be called again after it was interrupted by a timeout.
+
+    A target may send bytes without end, as heads, chunk headers or a body. Each of these is bounded
+    by its size, and all together by the deadline of the attempt.
+    """
 
     conventions: HttpConventions
     effect: SendToTarget
     request: TargetRequest
     connection: _Connection
+    budget: _ByteBudget
+    received_bytes: int = 0
+    informational_count: int = 0
     response: h11.Response | None = None
     headers: Headers = ()
     body: bytearray = field(default_factory=bytearray)
@@ -274,13 +315,21 @@
     async def read(self) -> _AttemptResult:
         """Reads up to the end of the answer and classifies it."""
         attempt_result = None
+        event_count = 0
         while attempt_result is None:
+            event_count += 1
+            if not event_count % EVENTS_PER_TURN:
+                await curio.sleep(0)
             event = self.connection.http.next_event()
             if event is h11.NEED_DATA:
                 data = await self.connection.sock.recv(READ_BYTES)
                 if not data and not self._is_close_delimited():
                     return _AttemptResult(AttemptOutcome.CUT)
                 self.connection.http.receive_data(data)
+                self.received_bytes += len(data)
+                framing_bytes = self.received_bytes - len(self.body) - len(data)
+                if framing_bytes > MAX_FRAMING_BYTES:
+                    return _AttemptResult(AttemptOutcome.TOO_LARGE)
             else:
                 attempt_result = self._process_event(event)
         return attempt_result
@@ -301,16 +350,27 @@
                 return _AttemptResult(AttemptOutcome.MALFORMED)
         elif isinstance(event, h11.Data):
             self.body += event.data
-            if len(self.body) > self.effect.answer_limit_bytes:
+            self.budget.used += len(event.data)
+            is_over_limit = len(self.body) > self.effect.answer_limit_bytes
+            if is_over_limit or self.budget.used > self.budget.limit:
                 return _AttemptResult(AttemptOutcome.TOO_LARGE)
         elif isinstance(event, h11.EndOfMessage) and self.response is not None:
             if self.connection.http.trailing_data[0] and not self._has_proof_header():
                 return _AttemptResult(AttemptOutcome.MALFORMED)
             return self._classify(self.response.status_code)
-        elif not isinstance(event, h11.InformationalResponse):
+        elif isinstance(event, h11.InformationalResponse):
+            self.informational_count += 1
+            if self.informational_count > MAX_INFORMATIONAL_RESPONSES:
+                return _AttemptResult(AttemptOutcome.MALFORMED)
+        else:
             return _AttemptResult(AttemptOutcome.MALFORMED)
         return None
 
+    def release_buffer(self) -> None:
+        """Returns the bytes of the body to the budget when the attempt has ended."""
+        self.budget.used -= len(self.body)
+        self.body = bytearray()
+
     def _has_proof_header(self) -> bool:
         proof = self.conventions.proof_header
         return proof is not None and find_header(self.headers, proof) is not None
@@ -325,17 +385,18 @@
 
     def _classify(self, status: int) -> _AttemptResult:
         headers, effect = self.headers, self.effect
-        leaving = find_header(headers, effect.draining_header) is not None
+        leaving = self.states_leaving()
         refused = find_header(headers, effect.not_run_header) is not None
+        retry_after = _read_retry_after(status, headers)
         self._apply_keep_alive()
         load = _read_load(headers, self.conventions.load_header)
         if status == MISDIRECTED_STATUS and self.conventions.expected_target_header is not None:
             return _AttemptResult(AttemptOutcome.MISDIRECTED)
         if refused and status in REFUSAL_STATUSES:
             outcome = AttemptOutcome.DRAINING if leaving else AttemptOutcome.SHED
-            return _AttemptResult(outcome, leaving=leaving, load=load)
+            return _AttemptResult(outcome, None, leaving, load, retry_after)
         if self.conventions.proof_header is not None and not self._may_be_passed_on(status):
-            return _AttemptResult(AttemptOutcome.MALFORMED)
+            return _AttemptResult(AttemptOutcome.MALFORMED, retry_after=retry_after)
         kept = strip_hop_headers(headers)
         if self.request.method == "HEAD":
             length = find_header(headers, b"content-length")
@@ -343,15 +404,24 @@
         answer = Answer(status, kept, bytes(self.body))
         return _AttemptResult(AttemptOutcome.ANSWERED, answer, leaving, load)
 
+    def states_leaving(self) -> bool:
+        """Tells whether the head of the answer states that the target is shutting down."""
+        names = (self.effect.draining_header, *self.conventions.leaving_headers)
+        values = [find_header(self.headers, name) for name in names]
+        return any(value is not None and value.strip() != b"0" for value in values)
+
     def _may_be_passed_on(self, status: int) -> bool:
         """Tells whether an answer may be passed on to the caller as the target's own.
 
-        An answer with the proof header must also echo the request id and have no content encoding,
-        since callers request none. Without the proof header, only server errors are passed on, and
-        only those that do not tell the caller that its request did not run.
+        A status that tells the caller that its request did not run is passed on in no answer, since
+        the target has not stated that. An answer with the proof header must also echo the request
+        id and have no content encoding, since callers request none. Without the proof header, only
+        server errors are passed on.
         """
+        if status in NOT_RUN_STATUSES:
+            return False
         if not self._has_proof_header():
-            return status >= MIN_SERVER_ERROR_STATUS and status not in NOT_RUN_STATUSES
+            return status >= MIN_SERVER_ERROR_STATUS
         echoed = find_header(self.headers, self.conventions.request_id_header) is not None
         return echoed and find_header(self.headers, b"content-encoding") is None
 
@@ -381,6 +451,17 @@
     return TargetLoad(running, waiting, slots)
 
 
+def _read_retry_after(status: int, headers: Headers) -> timedelta | None:
+    """Reads for how long a target that refused a request wants no further one.
+
+    The value is in seconds, with fractions. An invalid one, or a date, is ignored.
+    """
+    value = (find_header(headers, b"retry-after") or b"").strip()
+    if status not in RETRY_LATER_STATUSES or _SECONDS.fullmatch(value) is None:
+        return None
+    return min(MAX_RETRY_AFTER, timedelta(seconds=min(float(value), 1e6)))
+
+
 def _format_attempt_id(effect: SendToTarget) -> bytes:
     return f"{effect.request}.{effect.target}".encode()
 
--- a/endivedrift/shell/targets_test.py
+++ b/endivedrift/shell/targets_test.py
@@ -14,6 +14,7 @@
 from endivedrift.core import (
     Address,
     AttemptOutcome,
+    Headers,
     RequestId,
     ServiceName,
     SystemClock,
@@ -21,7 +22,9 @@
 )
 from endivedrift.core.effects import SendToTarget
 from endivedrift.core.events import AttemptFinished
+from endivedrift.platform._headers import PLATFORM_CONVENTIONS
 from endivedrift.shell import _targets
+from endivedrift.shell._conventions import DEFAULT_CONVENTIONS, HttpConventions
 from endivedrift.shell._targets import TargetPool, TargetRequest
 from tests.fuzzing import inject_fault
 
@@ -90,14 +93,16 @@
     close: bool = False,
     deadline_s: float = 5.0,
     late: bytes = b"",
+    conventions: HttpConventions = DEFAULT_CONVENTIONS,
+    headers: Headers = ((b"host", b"x"),),
 ) -> tuple[list[AttemptFinished], int]:
     """Runs attempts one after the other; returns their results and the connections accepted."""
 
     async def run() -> tuple[list[AttemptFinished], int]:
         target = ScriptedTarget(answer, close, late)
         serving = await curio.spawn(target.serve(), daemon=True)
-        pool = TargetPool(SystemClock())
-        request = TargetRequest("GET", b"/", ((b"host", b"x"),), b"")
+        pool = TargetPool(SystemClock(), conventions)
+        request = TargetRequest("GET", b"/", headers, b"")
         finished = []
         for _ in range(count):
             effect = build_effect(target.address, deadline_s)
@@ -168,6 +173,68 @@
         self.assertIs(curio.run(run).outcome, AttemptOutcome.NOT_CONNECTED)
 
 
+class AnnouncementTest(unittest.TestCase):
+    """Reads what a target of the platform says of itself in its answers."""
+
+    SHED = "endivedrift-attempt-id: a1\r\nx-not-run: 1\r\n"
+    SIGNED = "endivedrift-attempt-id: a1\r\nendivedrift-server-signature: s\r\n"
+
+    def attempt(self, status: int, extra: str, close: bool = False) -> AttemptFinished:
+        answer = write_answer(status=status, extra=extra)
+        headers = ((b"host", b"x"), (b"endivedrift-attempt-id", b"a1"))
+        finished, _ = run_attempts(
+            answer[:-1] if close else answer,
+            close=close,
+            conventions=PLATFORM_CONVENTIONS,
+            headers=headers,
+        )
+        return finished[0]
+
+    def test_every_answer_tells_that_its_target_is_leaving(self) -> None:
+        for name in ("Server-Leaving", "Endivedrift-Server-Leaving"):
+            line = f"{name}: 1\r\n"
+            self.assertTrue(self.attempt(200, self.SIGNED + line).leaving)
+            self.assertTrue(self.attempt(500, self.SIGNED + line).leaving)
+            self.assertTrue(self.attempt(200, self.SIGNED + line, close=True).leaving)
+            refused = self.attempt(503, self.SHED + line)
+            self.assertIs(refused.outcome, AttemptOutcome.DRAINING)
+            self.assertTrue(refused.leaving)
+        self.assertFalse(self.attempt(200, self.SIGNED).leaving)
+        self.assertFalse(self.attempt(200, self.SIGNED + "Server-Leaving: 0\r\n").leaving)
+
+    def test_an_answer_to_another_request_tells_nothing(self) -> None:
+        foreign = self.SIGNED.replace("a1", "a2") + "Server-Leaving: 1\r\n"
+        finished = self.attempt(200, foreign)
+        self.assertIs(finished.outcome, AttemptOutcome.MALFORMED)
+        self.assertFalse(finished.leaving)
+
+    def test_retry_after_of_a_refusal_is_read_within_bounds(self) -> None:
+        longest = _targets.MAX_RETRY_AFTER
+        for value, expected in (
+            ("2", timedelta(seconds=2)),
+            ("0.25", timedelta(milliseconds=250)),
+            ("1000000000", longest),
+            ("9" * 14, longest),
+            ("9" * 400, None),
+            ("-1", None),
+            ("1e3", None),
+            ("nan", None),
+            ("", None),
+            ("Fri, 04 Dec 2026 10:00:00 GMT", None),
+        ):
+            with self.subTest(value):
+                finished = self.attempt(503, self.SHED + f"Retry-After: {value}\r\n")
+                self.assertIs(finished.outcome, AttemptOutcome.SHED)
+                self.assertEqual(finished.retry_after, expected)
+        self.assertIsNone(self.attempt(503, self.SHED).retry_after)
+        self.assertIsNone(self.attempt(200, self.SIGNED + "Retry-After: 2\r\n").retry_after)
+
+    def test_a_signed_answer_that_promises_not_run_is_not_passed_on(self) -> None:
+        for status in (408, 429, 503):
+            finished = self.attempt(status, self.SIGNED)
+            self.assertIs(finished.outcome, AttemptOutcome.MALFORMED)
+
+
 class ReuseTest(unittest.TestCase):
     def test_a_connection_is_reused_after_an_answer_that_echoes_the_request_id(self) -> None:
         finished, accepted = run_attempts(write_answer(), count=3)
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -48,6 +48,14 @@
         return {**body, "deleted": True} if self.deleted else {**body, "value": self.value}
 
 
+@dataclass(frozen=True, slots=True)
+class StoreSnapshot:
+    """A copy of the store's rows and version."""
+
+    rows: dict[tuple[str, str], _Row]
+    version: int
+
+
 @dataclass(slots=True)
 class StoreStandin:
     """The store.
@@ -57,12 +65,24 @@
       version: Version of the last write.
       faults: Active faults.
       calls: Number of calls received.
+      era: Number of times that the store was restored, plus one.
     """
 
     rows: dict[tuple[str, str], _Row] = field(default_factory=dict)
     version: int = 1
     faults: StoreFaults = field(default_factory=StoreFaults)
     calls: int = 0
+    era: int = 1
+
+    def take_snapshot(self) -> StoreSnapshot:
+        """Returns a copy of the rows and of the version."""
+        return StoreSnapshot(dict(self.rows), self.version)
+
+    def restore(self, snapshot: StoreSnapshot) -> None:
+        """Goes back to a copy; what was written since is lost, and its versions come again."""
+        self.rows = dict(snapshot.rows)
+        self.version = snapshot.version
+        self.era += 1
 
     def write(self, table: str, key: str, document: object) -> None:
         """Writes a document as JSON to one row."""
@@ -108,8 +128,13 @@
             self.faults.forget = False
             return StandinReply(410)
         after = int(query["after"])
+        if after > self.version:
+            return StandinReply(410, {"store-era": str(self.era)})
+        era = self.era
         remaining_s = int(query["waitMs"]) / 1000.0
         while remaining_s > 0.0 and not self.faults.status:
+            if era != self.era:
+                return StandinReply(503, {"store-era": str(self.era)})
             rows = [r for r in self.rows.values() if r.table == query["table"] and r.ver > after]
             if rows:
                 return self._build_reply(sorted(rows, key=lambda row: row.ver))
@@ -142,7 +167,7 @@
             "ver": self.version,
             "now": "0ms",
         }
-        headers = {"content-type": "application/json"}
+        headers = {"content-type": "application/json", "store-era": str(self.era)}
         return StandinReply(200, headers, json.dumps(body).encode())
 
 
--- /dev/null
+++ b/tests/announcements_test.py
@@ -0,0 +1,347 @@
+"""Tests that what a target says of itself stays in force: that it leaves, or wants no requests.
+
+Each test drives the reducer of one host with a virtual clock and is named after its pattern.
+"""
+
+import unittest
+from collections import Counter
+from dataclasses import replace
+from datetime import timedelta
+
+from endivedrift.core import (
+    AttemptOutcome,
+    RefusalReason,
+    RouteName,
+    ServiceName,
+    TargetName,
+    build_store_version,
+)
+from endivedrift.core.effects import Effect, RefuseRequest, SendPeerMessage, SendToTarget
+from endivedrift.core.events import AttemptFinished, TargetsObserved
+from endivedrift.fleet import NamedRoute
+from endivedrift.objects import Share
+from endivedrift.policy import _choice
+from endivedrift.reducer import _discovery
+from endivedrift.reducer._requests import _choose_split_service
+from tests.builders import (
+    SERVICE,
+    WRITE_PATH,
+    HostHarness,
+    build_answer,
+    build_config_fetched,
+    build_discovered_set,
+    build_target_entry,
+    name_target,
+)
+from tests.fuzzing import inject_fault
+from tests.network import Network
+
+TARGET = name_target(1)
+RETRY_AFTER = timedelta(seconds=3)
+
+
+class AnnouncementTest(unittest.TestCase):
+    """Runs a host with three targets, of which one makes an announcement."""
+
+    def setUp(self) -> None:
+        self.harness = HostHarness(build_discovered_set())
+        self.observe(complete=True)
+        self.harness.advance(1.0)
+
+    def observe(
+        self,
+        *removed: TargetName,
+        version: int = 0,
+        numbers: tuple[int, ...] = (0, 1, 2),
+        complete: bool = False,
+        born: int = 1,
+        leaving: bool = False,
+    ) -> None:
+        entries = tuple(
+            build_target_entry(n, born=born if n == 1 else 1, leaving=leaving and n == 1)
+            for n in numbers
+            if name_target(n) not in removed
+        )
+        now = self.harness.clock.monotonic()
+        event = TargetsObserved(now, entries, removed, complete, version, version and version - 1)
+        self.harness.apply(event)
+
+    def finish(
+        self,
+        effect: SendToTarget,
+        outcome: AttemptOutcome = AttemptOutcome.ANSWERED,
+        leaving: bool = False,
+        retry_after: timedelta | None = None,
+    ) -> list[Effect]:
+        answer = build_answer() if outcome is AttemptOutcome.ANSWERED else None
+        event = AttemptFinished(
+            self.harness.clock.monotonic(),
+            effect.request,
+            effect.target,
+            outcome,
+            timedelta(milliseconds=150),
+            answer,
+            leaving,
+            None,
+            retry_after,
+        )
+        return self.harness.apply(event)
+
+    def send(self, count: int) -> Counter[TargetName]:
+        """Sends requests, four at a time, each answered after 0.1 s, and counts them by target.
+
+        Four requests are more than the slots of one target, and as many as those of two.
+        """
+        targets: Counter[TargetName] = Counter()
+        for _ in range(0, count, 4):
+            sent = []
+            for _ in range(4):
+                effects = self.harness.receive_request("POST", WRITE_PATH)[1]
+                sent += [effect for effect in effects if isinstance(effect, SendToTarget)]
+            targets.update(effect.target for effect in sent)
+            self.harness.advance(0.1)
+            for effect in sent:
+                self.finish(effect)
+        return targets
+
+    def send_to_target(self) -> SendToTarget:
+        """Sends requests until one goes to the target, which is still in progress then."""
+        for _ in range(100):
+            effects = self.harness.receive_request("POST", WRITE_PATH)[1]
+            sent = next(effect for effect in effects if isinstance(effect, SendToTarget))
+            if sent.target == TARGET:
+                return sent
+            self.finish(sent)
+            self.harness.advance(0.1)
+        raise AssertionError("no request was sent to the target")
+
+
+class LeavingTest(AnnouncementTest):
+    def test_a_target_that_leaves_by_an_answer_gets_no_request_again(self) -> None:
+        self.finish(self.send_to_target(), leaving=True)
+        self.assertNotIn(TARGET, self.send(40))
+
+    def test_it_stays_out_for_longer_than_signs_of_others_count(self) -> None:
+        self.finish(self.send_to_target(), leaving=True)
+        self.harness.advance(400.0, step=1.0)
+        self.assertNotIn(TARGET, self.send(40))
+
+    def test_an_answer_that_broke_off_counts_too(self) -> None:
+        self.finish(self.send_to_target(), AttemptOutcome.CUT, leaving=True)
+        self.harness.advance(20.0)
+        self.assertNotIn(TARGET, self.send(40))
+
+    def test_it_stays_out_when_its_entry_lapses_and_comes_back_as_ready(self) -> None:
+        self.finish(self.send_to_target(), leaving=True)
+        self.observe(TARGET, numbers=())
+        self.harness.advance(3.0)
+        self.observe()
+        self.harness.advance(5.0)
+        self.assertNotIn(TARGET, self.send(40))
+
+    def test_without_the_memory_of_departures_it_would_return(self) -> None:
+        with inject_fault(_discovery, "_record_departure", lambda *arguments: None):
+            self.finish(self.send_to_target(), leaving=True)
+            self.observe(TARGET, numbers=())
+            self.observe()
+            self.harness.advance(5.0)
+            self.assertIn(TARGET, self.send(40))
+
+    def test_it_stays_out_when_the_configuration_changes(self) -> None:
+        self.finish(self.send_to_target(), leaving=True)
+        changed = build_discovered_set(aim_ms=700)
+        self.harness.apply(build_config_fetched(self.harness.clock, changed, version=2))
+        self.assertNotIn(TARGET, self.send(40))
+
+    def test_an_older_entry_that_says_ready_does_not_bring_it_back(self) -> None:
+        self.observe(numbers=(1,), leaving=True)
+        self.observe(numbers=(1,))
+        self.harness.advance(15.0)
+        self.assertNotIn(TARGET, self.send(40))
+
+    def test_the_process_that_replaces_it_is_used(self) -> None:
+        self.finish(self.send_to_target(), leaving=True)
+        self.observe(born=2)
+        self.harness.advance(5.0)
+        self.assertIn(TARGET, self.send(40))
+
+
+class LeavingFleetTest(unittest.TestCase):
+    def test_the_hosts_that_use_a_target_learn_at_once_that_it_leaves(self) -> None:
+        network = Network(6, 3, build_discovered_set())
+        network.run(10.0)
+        now = network.clock.monotonic()
+        entries = tuple(build_target_entry(number) for number in range(3))
+        for harness in network.hosts.values():
+            harness.apply(TargetsObserved(now, entries, (), True))
+        first = network.hosts["h0"]
+        effects = first.receive_request("POST", WRITE_PATH)[1]
+        sent = next(effect for effect in effects if isinstance(effect, SendToTarget))
+        finished = AttemptFinished(
+            now,
+            sent.request,
+            sent.target,
+            AttemptOutcome.ANSWERED,
+            RETRY_AFTER,
+            build_answer(),
+            True,
+        )
+        effects = first.apply(finished)
+        told = [effect for effect in effects if isinstance(effect, SendPeerMessage)]
+        self.assertTrue(told)
+        network.handle_effects("h0", effects)
+        for effect in told:
+            name = effect.address.partition(":")[0]
+            service = network.hosts[name].state.services[ServiceName(SERVICE)]
+            self.assertEqual(service.targets[sent.target].state.value, "leaving")
+
+
+class RetryAfterTest(AnnouncementTest):
+    def hold(self, retry_after: timedelta = RETRY_AFTER) -> None:
+        self.finish(self.send_to_target(), AttemptOutcome.SHED, retry_after=retry_after)
+
+    def test_a_target_that_wants_no_requests_for_three_seconds_gets_none(self) -> None:
+        self.hold()
+        end = self.harness.clock.monotonic() + RETRY_AFTER
+        sent: Counter[TargetName] = Counter()
+        while self.harness.clock.monotonic() < end:
+            sent += self.send(4)
+        self.assertNotIn(TARGET, sent)
+        self.assertGreater(sum(sent.values()), 20)
+        self.assertIn(TARGET, self.send(20))
+
+    def test_without_the_hold_it_would_get_some(self) -> None:
+        original = _choice._list_candidates
+
+        def ignore_holds(state, names, tried_targets, at):  # type: ignore[no-untyped-def]
+            for record in state.targets.values():
+                record.held_until = timedelta(0)
+            return original(state, names, tried_targets, at)
+
+        with inject_fault(_choice, "_list_candidates", ignore_holds):
+            self.hold()
+            self.assertIn(TARGET, self.send(20))
+
+    def test_the_time_still_counts_after_its_entry_lapsed_and_came_back(self) -> None:
+        self.hold()
+        self.observe(TARGET, numbers=())
+        self.observe()
+        self.assertNotIn(TARGET, self.send(20))
+
+    def test_it_counts_as_full_and_not_as_failing(self) -> None:
+        self.hold()
+        record = self.harness.state.services[ServiceName(SERVICE)].targets[TARGET]
+        self.assertEqual((record.paused_until, record.score), (timedelta(0), 0.0))
+
+    def test_requests_are_refused_at_once_when_all_targets_want_none_for_longer(self) -> None:
+        for _ in range(3):
+            effects = self.harness.receive_request("POST", WRITE_PATH)[1]
+            sent = next(effect for effect in effects if isinstance(effect, SendToTarget))
+            hold = timedelta(seconds=10.0)
+            self.finish(sent, AttemptOutcome.SHED, retry_after=hold)
+        self.harness.advance(0.1)
+        effects = self.harness.receive_request("POST", WRITE_PATH)[1]
+        refused = next(effect for effect in effects if isinstance(effect, RefuseRequest))
+        self.assertIs(refused.refusal.reason, RefusalReason.QUEUE_WAIT)
+        retry_after = refused.refusal.retry_after
+        assert retry_after is not None
+        self.assertGreater(retry_after, timedelta(seconds=5.0))
+
+    def test_the_next_request_may_wait_for_a_short_hold(self) -> None:
+        for number in range(3):
+            record = self.harness.state.services[ServiceName(SERVICE)].targets[name_target(number)]
+            record.held_until = self.harness.clock.monotonic() + timedelta(seconds=0.5)
+        effects = self.harness.receive_request("POST", WRITE_PATH)[1]
+        self.assertFalse(any(isinstance(effect, RefuseRequest) for effect in effects))
+        effects = self.harness.advance(0.7)
+        self.assertTrue(any(isinstance(effect, SendToTarget) for effect in effects))
+
+
+class RestoredStoreTest(AnnouncementTest):
+    """The store comes back from a copy, which holds all three targets as ready."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.observe(complete=True, version=build_store_version(1, 100))
+
+    def restore(self, numbers: tuple[int, ...] = (0, 1, 2)) -> None:
+        self.observe(complete=True, version=build_store_version(2, 40), numbers=numbers)
+
+    def list_targets(self) -> set[TargetName]:
+        return set(self.harness.state.services[ServiceName(SERVICE)].targets)
+
+    def test_versions_that_are_given_out_again_count_as_newer(self) -> None:
+        self.restore()
+        self.observe(numbers=(3,), version=build_store_version(2, 41))
+        self.assertIn(name_target(3), self.list_targets())
+        self.observe(numbers=(4,), version=build_store_version(1, 102))
+        self.assertNotIn(name_target(4), self.list_targets())
+
+    def test_a_target_that_had_left_is_not_used_again(self) -> None:
+        self.observe(TARGET, numbers=(), version=build_store_version(1, 101))
+        self.harness.advance(2.0)
+        self.restore()
+        self.assertNotIn(TARGET, self.list_targets())
+        self.observe(complete=True, version=build_store_version(2, 45))
+        self.assertNotIn(TARGET, self.list_targets())
+
+    def test_a_target_whose_entry_lapsed_a_moment_ago_is_not_kept_by_the_copy(self) -> None:
+        self.observe(TARGET, numbers=(), version=build_store_version(1, 101))
+        self.restore()
+        self.harness.advance(3.0)
+        self.observe(complete=True, version=build_store_version(2, 45))
+        self.assertNotIn(TARGET, self.list_targets())
+
+    def test_without_the_memory_of_departures_it_would_be_used(self) -> None:
+        with inject_fault(_discovery, "_record_departure", lambda *arguments: None):
+            self.observe(TARGET, numbers=(), version=build_store_version(1, 101))
+            self.restore()
+            self.assertIn(TARGET, self.list_targets())
+
+    def test_it_is_used_once_it_writes_its_entry_anew(self) -> None:
+        self.observe(TARGET, numbers=(), version=build_store_version(1, 101))
+        self.restore()
+        self.observe(numbers=(1,), version=build_store_version(2, 41))
+        self.assertIn(TARGET, self.list_targets())
+        self.harness.advance(5.0)
+        self.assertIn(TARGET, self.send(40))
+
+    def test_a_target_that_had_announced_its_end_stays_out(self) -> None:
+        self.observe(numbers=(1,), leaving=True, version=build_store_version(1, 101))
+        self.restore()
+        self.harness.advance(15.0)
+        self.assertNotIn(TARGET, self.send(40))
+
+    def test_a_target_that_registered_after_the_copy_has_time_to_do_so_again(self) -> None:
+        self.restore(numbers=(0, 2))
+        self.harness.advance(1.5)
+        self.assertIn(TARGET, self.list_targets())
+        self.harness.advance(1.0)
+        self.assertNotIn(TARGET, self.list_targets())
+
+    def test_an_older_configuration_of_the_copy_is_not_put_in_force(self) -> None:
+        newer = build_discovered_set(aim_ms=700)
+        self.harness.apply(build_config_fetched(self.harness.clock, newer, version=7))
+        older = build_discovered_set()
+        self.harness.apply(build_config_fetched(self.harness.clock, older, version=6))
+        self.assertEqual(self.harness.state.config.version, 7)
+
+
+class SplitTest(unittest.TestCase):
+    def test_shares_follow_the_weights_over_few_requests_at_each_of_many_hosts(self) -> None:
+        route = build_discovered_set().route["read"]
+        split = (Share(service="a", weight=7), Share(service="b", weight=3))
+        found = NamedRoute(RouteName("read"), replace(route, split=split))
+        counts: Counter[ServiceName | None] = Counter()
+        for seed in range(60):
+            harness = HostHarness(build_discovered_set(), seed=seed)
+            for _ in range(5):
+                counts[_choose_split_service(harness.state, found)] += 1
+        self.assertAlmostEqual(counts[ServiceName("a")] / 300, 0.7, delta=0.05)
+        harness = HostHarness(build_discovered_set(), seed=1)
+        single = Counter(_choose_split_service(harness.state, found) for _ in range(100))
+        self.assertAlmostEqual(single[ServiceName("a")], 70, delta=2)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -251,7 +251,7 @@
     write = replace(read, path=WRITE_PATH, repeatable=False, deadline_ms=2500, queue_wait_ms=2499)
     return ObjectSet(
         service={SERVICE: build_discovered_service(SERVICE, bounds)},
-        upstream_group={SERVICE: build_discovered_group(330, "x-not-run", "x-draining")},
+        upstream_group={SERVICE: build_discovered_group(330, "x-not-run")},
         ejection_limit={BOUNDS_RULE_NAME: build_ejection_limit(bounds)},
         drain_rule={BOUNDS_RULE_NAME: build_drain_rule()},
         retry_rule={BOUNDS_RULE_NAME: build_retry_rule(bounds)},
--- a/tests/platform_path_test.py
+++ b/tests/platform_path_test.py
@@ -118,6 +118,33 @@
 
         self.run_scenario(scenario)
 
+    def test_a_restored_store_is_followed_and_brings_no_target_back(self) -> None:
+        async def scenario(platform_fleet: PlatformFleet) -> None:
+            host = f"{platform_fleet.subnet}.2"
+            store = platform_fleet.store
+            copy = store.take_snapshot()
+            address = f"{platform_fleet.subnet}.1:20000"
+            store.write("servers", "i-1", build_entry(address, state="draining"))
+            store.remove("servers", "i-1")
+            store.write("op", "config", build_configuration(version=9))
+            await platform_fleet.poll_until(
+                lambda: equals(find_targets(platform_fleet, host), {"i-2"})
+            )
+            store.restore(copy)
+            await curio.sleep(2.0)
+            self.assertEqual(await find_targets(platform_fleet, host), {"i-2"})
+            # Versions after the copy are given out again; a change at one of them must be read.
+            store.write("servers", "i-1", {**build_entry(address), "born": 1779015099999})
+            ran_before = len(platform_fleet.targets["i-1"].ran)
+
+            async def is_used_again() -> bool:
+                await find_targets(platform_fleet, host)
+                return len(platform_fleet.targets["i-1"].ran) > ran_before
+
+            await platform_fleet.poll_until(is_used_again)
+
+        self.run_scenario(scenario)
+
 
 async def has_ended(process: subprocess.Popen[bytes]) -> bool:
     return process.poll() is not None
--- a/tests/relaying_test.py
+++ b/tests/relaying_test.py
@@ -3,12 +3,21 @@
 import random
 import unittest
 from collections.abc import Callable
+from dataclasses import replace
 from datetime import timedelta
+from unittest import mock
 
-from endivedrift.core import TargetEntry, TargetName
+from endivedrift.core import (
+    PeerMessage,
+    TargetEntry,
+    TargetName,
+    build_store_version,
+    get_store_era,
+    get_store_number,
+)
 from endivedrift.core.effects import Effect, SetStoreReading
 from endivedrift.core.events import StoreRecovered, StoreUnavailable, TargetsObserved
-from endivedrift.reducer import _relaying, list_readers
+from endivedrift.reducer import _discovery, _relaying, list_readers
 from tests.builders import build_config_fetched, build_discovered_set, build_target_entry
 from tests.fuzzing import inject_fault
 from tests.network import Network
@@ -29,6 +38,7 @@
       answered_calls: Number of calls that the store answered.
       read_versions: The version that each host reading the store has seen, or 0 for none.
       cut_off: Hosts that have been told that the store is unavailable.
+      era: Number of times that the store was restored, plus one.
     """
 
     store_is_relayed = True
@@ -42,6 +52,7 @@
         self.answered_calls = 0
         self.read_versions: dict[str, int] = {}
         self.cut_off: set[str] = set()
+        self.era = 1
         super().__init__(count, DOMAINS, build_discovered_set())
 
     def start_host(self, name: str) -> None:
@@ -59,6 +70,13 @@
             del self.entries[removed]
             self.changed_versions[removed] = self.version
 
+    def restore(self, version: int, entries: dict[TargetName, TargetEntry]) -> None:
+        """Goes back to a copy with these entries, taken at an earlier version."""
+        self.era += 1
+        self.version = version
+        self.entries = dict(entries)
+        self.changed_versions = dict.fromkeys(entries, version)
+
     def run(self, seconds: float) -> None:
         """Advances the clock; hosts that read the store poll it every half second."""
         for _ in range(round(seconds / 0.5)):
@@ -77,18 +95,23 @@
             self.cut_off.add(name)
             self.read_versions[name] = 0
             return
-        if seen_version == self.version:
+        current_version = build_store_version(self.era, self.version)
+        if seen_version == current_version:
             return
         self.answered_calls += 1
         now = self.clock.monotonic()
         if name in self.cut_off:
             self.cut_off.discard(name)
             self.handle_effects(name, self.hosts[name].apply(StoreRecovered(now)))
-        changes = [n for n, version in self.changed_versions.items() if version > seen_version]
+        is_same_era = get_store_era(seen_version) == self.era
+        since = get_store_number(seen_version) if is_same_era else 0
+        changes = [n for n, version in self.changed_versions.items() if version > since]
         entries = tuple(self.entries[n] for n in changes if n in self.entries)
         removed = tuple(n for n in changes if n not in self.entries)
-        event = TargetsObserved(now, entries, removed, not seen_version, self.version, seen_version)
-        self.read_versions[name] = self.version
+        event = TargetsObserved(
+            now, entries, removed, not since, current_version, seen_version if since else 0
+        )
+        self.read_versions[name] = current_version
         self.handle_effects(name, self.hosts[name].apply(event))
 
     def handle_effects(self, sender: str, effects: list[Effect]) -> None:
@@ -226,6 +249,90 @@
         network.run(10.0)
         self.assertEqual(set(network.read_versions), network.find_readers())
 
+    def restore_store(self, network: StoreNetwork) -> None:
+        """Restores a copy that lacks a new target and shows one that has left since."""
+        copy = dict(network.entries)
+        version = network.version
+        network.change_entry(build_target_entry(40))
+        network.change_entry(None, build_target_entry(1).name)
+        for number in range(50, 60):
+            network.change_entry(build_target_entry(number))
+            network.change_entry(None, build_target_entry(number).name)
+        network.run(4.0)
+        self.assertEqual(network.list_outdated(), set())
+        network.restore(version, copy)
+
+    def list_users(self, network: StoreNetwork, number: int) -> set[str]:
+        """Returns the hosts that know a target."""
+        name = build_target_entry(number).name
+        return {h for h, harness in network.hosts.items() if name in harness.state.discovered}
+
+    def check_restored_store(self, count: int, seconds: float) -> None:
+        network = self.start_network(count, seconds)
+        self.restore_store(network)
+        network.run(1.5)
+        self.assertEqual(self.list_users(network, 1), set())
+        self.assertEqual(len(self.list_users(network, 40)), count)
+        # The new target writes its entry again, at a version that was given out before.
+        network.change_entry(build_target_entry(40))
+        network.change_entry(None, build_target_entry(1).name)
+        network.change_entry(build_target_entry(41))
+        network.run(IN_FORCE_LIMIT_S)
+        self.assertEqual(network.list_outdated(), set())
+        network.run(3.0)
+        self.assertEqual(network.list_outdated(), set())
+
+    def test_45_hosts_follow_a_store_that_was_restored_from_an_older_copy(self) -> None:
+        self.check_restored_store(45, 15.0)
+
+    def test_300_hosts_follow_a_store_that_was_restored_from_an_older_copy(self) -> None:
+        self.check_restored_store(300, 25.0)
+
+    def test_readers_that_missed_the_restoration_do_not_hold_back_the_others(self) -> None:
+        network = self.start_network()
+        blind = set(sorted(network.find_readers())[:3])
+        self.restore_store(network)
+        network.reaches_store = lambda host: host not in blind
+        network.run(2.0)
+        network.change_entry(build_target_entry(40))
+        network.change_entry(None, build_target_entry(1).name)
+        network.run(IN_FORCE_LIMIT_S)
+        self.assertEqual(network.list_outdated(), set())
+
+    def test_datagrams_from_before_the_restoration_change_nothing_after_it(self) -> None:
+        network = self.start_network()
+        delayed: list[tuple[str, str, PeerMessage]] = []
+        deliver = network.deliver
+
+        def record(sender: str, receiver: str, message: PeerMessage) -> None:
+            if message.store_update is not None:
+                delayed.append((sender, receiver, message))
+            deliver(sender, receiver, message)
+
+        with mock.patch.object(network, "deliver", record):
+            self.restore_store(network)
+        network.run(1.5)
+        network.change_entry(build_target_entry(40))
+        network.change_entry(None, build_target_entry(1).name)
+        network.run(IN_FORCE_LIMIT_S)
+        sequences = {name: h.state.membership.records for name, h in network.hosts.items()}
+        for sender, receiver, message in delayed:
+            # A datagram of another sender with a number that is still to come is the worst case.
+            sequence = max(r.sequence for r in sequences[receiver].values()) + 1
+            deliver(sender, receiver, replace(message, sequence=sequence))
+        self.assertEqual(network.list_outdated(), set())
+
+    def test_without_eras_a_restored_store_is_not_followed(self) -> None:
+        with inject_fault(_discovery, "get_store_era", get_store_number):
+            network = self.start_network()
+            network.era = 0
+            self.restore_store(network)
+            network.era = 0
+            network.run(2.0)
+            network.change_entry(build_target_entry(41))
+            network.run(IN_FORCE_LIMIT_S)
+        self.assertNotEqual(network.list_outdated(), set())
+
 
 if __name__ == "__main__":
     unittest.main()
