--- a/tests/relaying_test.py
+++ b/tests/relaying_test.py
@@ -1,6 +1,7 @@
 """Tests that few hosts read the store and relay its changes, on a simulated network and store."""
 
 import random
+import sys
 import unittest
 from collections.abc import Callable
 from dataclasses import replace
@@ -17,7 +18,7 @@
 )
 from endivedrift.core.effects import Effect, SetStoreReading
 from endivedrift.core.events import StoreRecovered, StoreUnavailable, TargetsObserved
-from endivedrift.reducer import _discovery, _relaying, list_readers
+from endivedrift.reducer import _relaying, list_readers
 from tests.builders import build_config_fetched, build_discovered_set, build_target_entry
 from tests.fuzzing import inject_fault
 from tests.network import Network
@@ -323,11 +324,9 @@
         self.assertEqual(network.list_outdated(), set())
 
     def test_without_eras_a_restored_store_is_not_followed(self) -> None:
-        with inject_fault(_discovery, "get_store_era", get_store_number):
+        with inject_fault(sys.modules[__name__], "build_store_version", lambda era, number: number):
             network = self.start_network()
-            network.era = 0
             self.restore_store(network)
-            network.era = 0
             network.run(2.0)
             network.change_entry(build_target_entry(41))
             network.run(IN_FORCE_LIMIT_S)
