--- a/endivedrift/policy/_evidence.py
+++ b/endivedrift/policy/_evidence.py
@@ -221,6 +221,8 @@
                 record.unsent_pause,
             )
             deltas.append(delta)
+            record.unsent_far_good += record.unsent_good
+            record.unsent_far_bad += record.unsent_bad
             record.unsent_in_flight = False
             record.unsent_pause = False
             record.unsent_good = 0
@@ -229,6 +231,44 @@
     return tuple(deltas)
 
 
+def take_far_evidence(
+    state: ServiceState, flags: Iterable[EvidenceDelta] | None = None
+) -> tuple[EvidenceDelta, ...]:
+    """Returns the evidence for hosts that are not told of each attempt, and marks it as sent.
+
+    Args:
+      state: The service.
+      flags: Evidence that was just taken for the other hosts, which states what is told to all at
+        once; None for a periodic report on all targets.
+    Returns:
+      The evidence on each target that has something to send.
+    """
+    flagged = {delta.target: delta for delta in flags} if flags is not None else None
+    deltas = []
+    for name in state.targets if flagged is None else flagged:
+        record = state.targets[name]
+        running = len(record.attempts)
+        has_outcomes = record.unsent_far_good or record.unsent_far_bad
+        if flagged is None and not (has_outcomes or running or record.reported_far_in_flight):
+            continue
+        flag = flagged[name] if flagged is not None else None
+        deltas.append(
+            EvidenceDelta(
+                state.name,
+                name,
+                record.unsent_far_good,
+                record.unsent_far_bad,
+                flag is not None and flag.leaving,
+                running,
+                flag is not None and flag.paused,
+            )
+        )
+        record.unsent_far_good = 0
+        record.unsent_far_bad = 0
+        record.reported_far_in_flight = running
+    return tuple(deltas)
+
+
 def _compute_log_likelihood_ratio(state: ServiceState, good: int, bad: int) -> float:
     usual = _clamp_rate(state.usual_bad_rate)
     failing_rate = usual + state.ejection.detectable_failure_rate * (1.0 - usual)
--- a/endivedrift/policy/_service.py
+++ b/endivedrift/policy/_service.py
@@ -81,6 +81,9 @@
       unsent_pause: Whether this host has paused it since the last report.
       unsent_in_flight: Whether the number of requests in progress changed since the last report.
       unsent_good, unsent_bad: Outcomes not yet reported to other hosts.
+      unsent_far_good, unsent_far_bad: Outcomes reported to hosts that are told of each attempt, but
+        not yet to the others.
+      reported_far_in_flight: Requests in progress as last reported to those others.
       unsent_leaving: Whether it is still to be reported to other hosts that it is leaving.
     """
 
@@ -113,6 +116,9 @@
     unsent_in_flight: bool = False
     unsent_pause: bool = False
     reported_in_flight: int = 0
+    unsent_far_good: int = 0
+    unsent_far_bad: int = 0
+    reported_far_in_flight: int = 0
 
     @property
     def score(self) -> float:
--- a/endivedrift/reducer/_targets.py
+++ b/endivedrift/reducer/_targets.py
@@ -1,7 +1,11 @@
 """Applies reports on targets from the machine list and from other hosts, and sends reports to them.
 
 Hosts send the outcomes they see and the requests they have in progress to the primaries of the
-service, periodically or at once as the service is configured.
+service, periodically or at once as the service is configured. With few primaries, all are told of
+each attempt. With many, that would cost each request a message to each of them. Only those near the
+target are then told at once: the primaries of this host's failure domain and those of the target's,
+which use it most. The others get a report twice a second, and are told at once when a target is
+paused or leaves.
 """
 
 from endivedrift.core import (
@@ -24,11 +28,15 @@
     mark_leaving,
     pause_target,
     restore_listed_target,
+    take_far_evidence,
     take_unsent_evidence,
 )
 from endivedrift.reducer._attempts import dispatch_queued
 from endivedrift.reducer._state import HostState, list_primaries
 
+MAX_PRIMARIES_TOLD_ALL = 4
+"""Number of primaries up to which all of them are told of each attempt."""
+
 
 def apply_machine_list(state: HostState, at: Instant) -> list[Effect]:
     """Takes targets out of use that the machine list shows as leaving, and restores live ones.
@@ -99,9 +107,11 @@
     changed, state.changed_targets = state.changed_targets, {}
     effects: list[Effect] = []
     for name in sorted(changed.keys() & state.services.keys()):
-        effects += _send_evidence(
-            state, name, take_unsent_evidence(state.services[name], changed=sorted(changed[name]))
-        )
+        service = state.services[name]
+        deltas = take_unsent_evidence(service, changed=sorted(changed[name]))
+        flagged = [delta for delta in deltas if delta.paused or delta.leaving]
+        far = take_far_evidence(service, flagged) if _has_far_primaries(state, name) else ()
+        effects += _send_by_domain(state, name, deltas, far)
     return effects
 
 
@@ -110,15 +120,49 @@
     effects: list[Effect] = []
     for name in sorted(state.active_services & state.services.keys()):
         service = state.services[name]
-        effects += _send_evidence(
-            state, name, take_unsent_evidence(service, service.service.share_at_once)
-        )
+        deltas = take_unsent_evidence(service, service.service.share_at_once)
+        far = take_far_evidence(service) if _has_far_primaries(state, name) else ()
+        effects += _send_by_domain(state, name, deltas, far)
     return effects
 
 
-def _send_evidence(
-    state: HostState, name: ServiceName, deltas: tuple[EvidenceDelta, ...]
+def _has_far_primaries(state: HostState, name: ServiceName) -> bool:
+    """Tells whether a service has so many primaries that not all are told of each attempt."""
+    if not state.services[name].service.share_at_once:
+        return False
+    return len(list_primaries(state, name)) > MAX_PRIMARIES_TOLD_ALL
+
+
+def _send_by_domain(
+    state: HostState,
+    name: ServiceName,
+    near: tuple[EvidenceDelta, ...],
+    far: tuple[EvidenceDelta, ...],
 ) -> list[Effect]:
-    if not deltas:
-        return []
-    return send_evidence(state.membership, list(list_primaries(state, name)), deltas)
+    """Sends evidence to the primaries of a service.
+
+    Args:
+      state: The host.
+      name: The service.
+      near: Evidence on each target for the primaries near it.
+      far: Evidence on each target for its other primaries.
+    Returns:
+      The messages; all primaries of a failure domain get the same one.
+    """
+    primaries = list_primaries(state, name)
+    if not _has_far_primaries(state, name):
+        return send_evidence(state.membership, list(primaries), near) if near else []
+    home = state.identity.failure_domain
+    targets = state.services[name].targets
+    effects: list[Effect] = []
+    for domain in sorted({member.failure_domain for member in primaries}):
+        deltas = near
+        if domain != home:
+            deltas = tuple(
+                [d for d in near if targets[d.target].target.failure_domain == domain]
+                + [d for d in far if targets[d.target].target.failure_domain != domain]
+            )
+        if deltas:
+            receivers = [member for member in primaries if member.failure_domain == domain]
+            effects += send_evidence(state.membership, receivers, deltas)
+    return effects
