--- a/endivedrift/objects/_canonical.py
+++ b/endivedrift/objects/_canonical.py
@@ -9,16 +9,16 @@
 from typing import Any
 
 from expression import Error, Ok, Result
-from pydantic import ValidationError
 
 from endivedrift.core import Digest
 from endivedrift.objects._consistency import check_consistency
-from endivedrift.objects._schema import OBJECT_SET_ADAPTER, Caller, ObjectSet
+from endivedrift.objects._reading import FieldError, build_reader, describe_record
+from endivedrift.objects._schema import Caller, ObjectSet
 
 
 def describe_object_set(objects: ObjectSet) -> dict[str, dict[str, Any]]:
     """Returns the objects as plain JSON values, by kind and name."""
-    described: dict[str, dict[str, Any]] = OBJECT_SET_ADAPTER.dump_python(objects, mode="json")
+    described: dict[str, dict[str, Any]] = describe_record(objects)
     return described
 
 
@@ -36,9 +36,9 @@
       The object set, or the reason why it is invalid.
     """
     try:
-        objects = OBJECT_SET_ADAPTER.validate_json(canonical)
-    except ValidationError as error:
-        return Error(f"{error.error_count()} invalid fields")
+        objects = build_reader(ObjectSet)(json.loads(canonical))
+    except (FieldError, ValueError, RecursionError) as error:
+        return Error(str(error))
     faults = check_consistency(objects)
     return Error(faults[0].cause) if faults else Ok(_deduplicate_callers(objects))
 
--- a/endivedrift/objects/_schema.py
+++ b/endivedrift/objects/_schema.py
@@ -1,25 +1,24 @@
 """The types of object that operators publish, as immutable records.
 
 Objects are written as TOML tables with the name `KIND.NAME` and refer to one another by name. The
-types validate their own fields; references between objects are checked in `_consistency`.
+constraints on their fields are checked where the records are read; references between objects are
+checked in `_consistency`.
 """
 
 import ipaddress
-from dataclasses import field
+from dataclasses import dataclass, field
 from datetime import timedelta
-from typing import Annotated
-
-from pydantic import ConfigDict, Field, TypeAdapter, field_validator
-from pydantic.dataclasses import dataclass
+from typing import Annotated, Any, ClassVar
 
 from endivedrift.core import Importance
+from endivedrift.objects._constraints import STRICT, Checked, Length, Pattern, Range
 
 MAX_BODY_BYTES = 64 * 1024 * 1024
 MAX_DEADLINE_MS = 120_000
 
-Name = Annotated[str, Field(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,126}$")]
-Milliseconds = Annotated[int, Field(ge=1, le=MAX_DEADLINE_MS)]
-Probability = Annotated[float, Field(gt=0.0, lt=1.0)]
+Name = Annotated[str, Pattern(r"^[A-Za-z0-9][A-Za-z0-9._-]{0,126}$")]
+Milliseconds = Annotated[int, Range(ge=1, le=MAX_DEADLINE_MS)]
+Probability = Annotated[float, Range(gt=0.0, lt=1.0)]
 
 
 def check_address(text: str) -> str:
@@ -41,10 +40,10 @@
     return text
 
 
-_STRICT = ConfigDict(extra="forbid", strict=True)
+AddressText = Annotated[str, Checked(check_address)]
 
 
-@dataclass(frozen=True, slots=True, kw_only=True, config=_STRICT)
+@dataclass(frozen=True, slots=True, kw_only=True)
 class Target:
     """One target of an upstream group.
 
@@ -55,15 +54,14 @@
       draining: Whether the operator is taking the target out of use.
     """
 
+    __pydantic_config__: ClassVar[dict[str, Any]] = STRICT
     name: Name
-    address: str
+    address: AddressText
     failure_domain: Name
     draining: bool = False
 
-    _address = field_validator("address")(check_address)
-
 
-@dataclass(frozen=True, slots=True, kw_only=True, config=_STRICT)
+@dataclass(frozen=True, slots=True, kw_only=True)
 class UpstreamGroup:
     """A group of interchangeable targets.
 
@@ -81,18 +79,19 @@
       targets: The published targets.
     """
 
-    slots: Annotated[int, Field(ge=1, le=10_000)]
-    connection_cap: Annotated[int, Field(ge=1, le=100_000)]
-    not_run_header: Annotated[str, Field(pattern=r"^[a-z0-9-]+$")] = "x-not-run"
-    draining_header: Annotated[str, Field(pattern=r"^[a-z0-9-]+$")] = "x-draining"
+    __pydantic_config__: ClassVar[dict[str, Any]] = STRICT
+    slots: Annotated[int, Range(ge=1, le=10_000)]
+    connection_cap: Annotated[int, Range(ge=1, le=100_000)]
+    not_run_header: Annotated[str, Pattern(r"^[a-z0-9-]+$")] = "x-not-run"
+    draining_header: Annotated[str, Pattern(r"^[a-z0-9-]+$")] = "x-draining"
     discovered: bool = False
     close_delimited: bool = False
     connect_ms: Milliseconds = 1_000
-    reuse_unrepeatable_ms: Annotated[int, Field(ge=0, le=60_000)] = 0
+    reuse_unrepeatable_ms: Annotated[int, Range(ge=0, le=60_000)] = 0
     targets: tuple[Target, ...] = ()
 
 
-@dataclass(frozen=True, slots=True, kw_only=True, config=_STRICT)
+@dataclass(frozen=True, slots=True, kw_only=True)
 class EjectionLimit:
     """Limits and sensitivity of ejecting and pausing targets.
 
@@ -109,17 +108,18 @@
       max_stay_ms: Maximum duration of an ejection.
     """
 
-    floor: Annotated[int, Field(ge=1)]
-    floor_share: Annotated[float, Field(ge=0.0, le=1.0)] = 0.0
-    pause_ms: Annotated[int, Field(ge=0, le=60_000)] = 0
+    __pydantic_config__: ClassVar[dict[str, Any]] = STRICT
+    floor: Annotated[int, Range(ge=1)]
+    floor_share: Annotated[float, Range(ge=0.0, le=1.0)] = 0.0
+    pause_ms: Annotated[int, Range(ge=0, le=60_000)] = 0
     false_ejection_rate: Probability
     detectable_failure_rate: Probability
-    slow_factor: Annotated[float, Field(gt=1.0, le=100.0)] = 3.0
+    slow_factor: Annotated[float, Range(gt=1.0, le=100.0)] = 3.0
     base_stay_ms: Milliseconds = 5_000
     max_stay_ms: Milliseconds = 60_000
 
 
-@dataclass(frozen=True, slots=True, kw_only=True, config=_STRICT)
+@dataclass(frozen=True, slots=True, kw_only=True)
 class DrainRule:
     """How hosts treat new targets.
 
@@ -127,10 +127,11 @@
       warm_up_ms: Slow start: time during which a new target is given one request at a time.
     """
 
+    __pydantic_config__: ClassVar[dict[str, Any]] = STRICT
     warm_up_ms: Milliseconds = 5_000
 
 
-@dataclass(frozen=True, slots=True, kw_only=True, config=_STRICT)
+@dataclass(frozen=True, slots=True, kw_only=True)
 class RetryRule:
     """How often requests are retried.
 
@@ -140,12 +141,13 @@
       budget_cap: Maximum number of tokens in the retry budget.
     """
 
-    max_attempts: Annotated[int, Field(ge=1, le=10)] = 3
-    budget_ratio: Annotated[float, Field(ge=0.0, le=1.0)] = 0.1
-    budget_cap: Annotated[int, Field(ge=0, le=10_000)] = 20
+    __pydantic_config__: ClassVar[dict[str, Any]] = STRICT
+    max_attempts: Annotated[int, Range(ge=1, le=10)] = 3
+    budget_ratio: Annotated[float, Range(ge=0.0, le=1.0)] = 0.1
+    budget_cap: Annotated[int, Range(ge=0, le=10_000)] = 20
 
 
-@dataclass(frozen=True, slots=True, kw_only=True, config=_STRICT)
+@dataclass(frozen=True, slots=True, kw_only=True)
 class Service:
     """A service that callers can reach.
 
@@ -159,25 +161,27 @@
       share_at_once: Whether the primaries are notified at once when an attempt begins or ends.
     """
 
+    __pydantic_config__: ClassVar[dict[str, Any]] = STRICT
     upstream_group: Name
     ejection_limit: Name
     drain_rule: Name
     retry_rule: Name
-    entry_hosts: Annotated[int, Field(ge=1, le=1_000)] = 2
-    slots_per_core: Annotated[int, Field(ge=0, le=1_000_000)] = 0
-    queue_length: Annotated[int, Field(ge=0, le=100_000)] = 256
+    entry_hosts: Annotated[int, Range(ge=1, le=1_000)] = 2
+    slots_per_core: Annotated[int, Range(ge=0, le=1_000_000)] = 0
+    queue_length: Annotated[int, Range(ge=0, le=100_000)] = 256
     share_at_once: bool = False
 
 
-@dataclass(frozen=True, slots=True, kw_only=True, config=_STRICT)
+@dataclass(frozen=True, slots=True, kw_only=True)
 class Share:
     """A service to which a share of a route's requests goes, in proportion to its weight."""
 
+    __pydantic_config__: ClassVar[dict[str, Any]] = STRICT
     service: Name
-    weight: Annotated[int, Field(ge=0)]
+    weight: Annotated[int, Range(ge=0)]
 
 
-@dataclass(frozen=True, slots=True, kw_only=True, config=_STRICT)
+@dataclass(frozen=True, slots=True, kw_only=True)
 class Route:
     """A route, which matches requests and determines the service they go to.
 
@@ -201,23 +205,22 @@
       known_callers_only: Whether a request must name a published caller account.
     """
 
+    __pydantic_config__: ClassVar[dict[str, Any]] = STRICT
     service: Name
-    path: Annotated[str, Field(pattern=r"^/[A-Za-z0-9._~/%!$&'()*+,;=:@-]*$")]
-    methods: Annotated[
-        tuple[Annotated[str, Field(pattern=r"^([A-Z]+|\*)$")], ...], Field(min_length=1)
-    ]
+    path: Annotated[str, Pattern(r"^/[A-Za-z0-9._~/%!$&'()*+,;=:@-]*$")]
+    methods: Annotated[tuple[Annotated[str, Pattern(r"^([A-Z]+|\*)$")], ...], Length(1)]
     subpaths_only: bool = False
     hosts: tuple[str, ...] = ()
     split: tuple[Share, ...] = ()
-    max_attempts: Annotated[int, Field(ge=0, le=10)] = 0
+    max_attempts: Annotated[int, Range(ge=0, le=10)] = 0
     repeatable: bool
     key_required: bool = False
     deadline_ms: Milliseconds
     queue_wait_ms: Milliseconds
-    aim_ms: Annotated[int, Field(ge=0, le=MAX_DEADLINE_MS)] = 0
-    importance: Annotated[str, Field(pattern=r"^(critical|normal|deferrable)$")] = "normal"
-    request_limit_bytes: Annotated[int, Field(ge=0, le=MAX_BODY_BYTES)] = 65_536
-    answer_limit_bytes: Annotated[int, Field(ge=0, le=MAX_BODY_BYTES)] = 1_048_576
+    aim_ms: Annotated[int, Range(ge=0, le=MAX_DEADLINE_MS)] = 0
+    importance: Annotated[str, Pattern(r"^(critical|normal|deferrable)$")] = "normal"
+    request_limit_bytes: Annotated[int, Range(ge=0, le=MAX_BODY_BYTES)] = 65_536
+    answer_limit_bytes: Annotated[int, Range(ge=0, le=MAX_BODY_BYTES)] = 1_048_576
     known_callers_only: bool = False
 
     @property
@@ -241,7 +244,7 @@
         return Importance[self.importance.upper()]
 
 
-@dataclass(frozen=True, slots=True, kw_only=True, config=_STRICT)
+@dataclass(frozen=True, slots=True, kw_only=True)
 class ConnectionLimit:
     """Limits of callers' connections, which replace those of the settings.
 
@@ -251,12 +254,13 @@
       idle_ms: Time after which a connection without a request is closed.
     """
 
-    head_bytes: Annotated[int, Field(ge=256, le=1_048_576)] = 16_384
+    __pydantic_config__: ClassVar[dict[str, Any]] = STRICT
+    head_bytes: Annotated[int, Range(ge=256, le=1_048_576)] = 16_384
     head_ms: Milliseconds = 10_000
-    idle_ms: Annotated[int, Field(ge=1, le=3_600_000)] = 60_000
+    idle_ms: Annotated[int, Range(ge=1, le=3_600_000)] = 60_000
 
 
-@dataclass(frozen=True, slots=True, kw_only=True, config=_STRICT)
+@dataclass(frozen=True, slots=True, kw_only=True)
 class Caller:
     """A caller account with its rate limit at each host.
 
@@ -265,14 +269,16 @@
       burst: Capacity of the token bucket, in requests.
     """
 
-    requests_per_s: Annotated[float, Field(gt=0.0)]
-    burst: Annotated[int, Field(ge=1)]
+    __pydantic_config__: ClassVar[dict[str, Any]] = STRICT
+    requests_per_s: Annotated[float, Range(gt=0.0)]
+    burst: Annotated[int, Range(ge=1)]
 
 
-@dataclass(frozen=True, slots=True, kw_only=True, config=_STRICT)
+@dataclass(frozen=True, slots=True, kw_only=True)
 class ObjectSet:
     """All objects that are published together, by kind and name."""
 
+    __pydantic_config__: ClassVar[dict[str, Any]] = STRICT
     service: dict[Name, Service] = field(default_factory=dict)
     upstream_group: dict[Name, UpstreamGroup] = field(default_factory=dict)
     ejection_limit: dict[Name, EjectionLimit] = field(default_factory=dict)
@@ -281,7 +287,3 @@
     route: dict[Name, Route] = field(default_factory=dict)
     caller: dict[Name, Caller] = field(default_factory=dict)
     connection_limit: dict[Name, ConnectionLimit] = field(default_factory=dict)
-
-
-OBJECT_SET_ADAPTER = TypeAdapter(ObjectSet)
-"""Validates object sets from JSON and converts them to plain JSON values."""
--- a/endivedrift/objects/_source.py
+++ b/endivedrift/objects/_source.py
@@ -8,10 +8,9 @@
 from typing import Any
 
 from expression import Error, Ok, Result
-from pydantic import ValidationError
 
 from endivedrift.objects._consistency import check_consistency
-from endivedrift.objects._schema import OBJECT_SET_ADAPTER, ObjectSet
+from endivedrift.objects._schema import ObjectSet
 
 
 @dataclass(frozen=True, slots=True)
@@ -116,10 +115,12 @@
 def _parse_objects(
     merged: dict[str, dict[str, Any]], origins: dict[str, str]
 ) -> tuple[ObjectSet | None, list[ObjectError]]:
-    try:
-        return OBJECT_SET_ADAPTER.validate_json(json.dumps(merged, default=str)), []
-    except ValidationError as error:
-        return None, [_describe_fault(fault, origins) for fault in error.errors()]
+    # Imports pydantic, which hosts do not need.
+    from endivedrift.objects import _validation
+
+    text = json.dumps(merged, default=str)
+    objects, faults = _validation.validate_json(ObjectSet, text)
+    return objects, [_describe_fault(fault, origins) for fault in faults]
 
 
 def _describe_fault(fault: Any, origins: dict[str, str]) -> ObjectError:
--- a/endivedrift/platform/_configuration.py
+++ b/endivedrift/platform/_configuration.py
@@ -7,7 +7,7 @@
 
 from typing import Any
 
-from pydantic import ValidationError
+from expression import Result
 
 from endivedrift.core import ConfigRef, Importance, Instant, Version
 from endivedrift.core.events import ConfigFetched
@@ -26,6 +26,7 @@
     build_drain_rule,
     build_ejection_limit,
     build_retry_rule,
+    decode_object_set,
     digest_bytes,
     encode_object_set,
 )
@@ -60,14 +61,12 @@
     """
     version = read_integer(document, "version", least=1)
     try:
-        objects = _build_objects(document, bounds)
-    except ValidationError as error:
-        first = error.errors()[0]
-        field = escape_text(".".join(str(part) for part in first["loc"]))
-        raise WireError(f"version {version}: {error.title} {field}: {first['msg']}") from None
+        canonical = encode_object_set(_build_objects(document, bounds))
     except WireError as error:
         raise WireError(f"version {version}: {error}") from None
-    canonical = encode_object_set(objects)
+    match decode_object_set(canonical):
+        case Result(tag="error", error=cause):
+            raise WireError(f"version {version}: {escape_text(cause)}")
     return ConfigFetched(at, ConfigRef(Version(version), digest_bytes(canonical)), canonical)
 
 
--- a/endivedrift/platform/_environment.py
+++ b/endivedrift/platform/_environment.py
@@ -49,6 +49,10 @@
 MIN_FEED_INTERVAL = timedelta(milliseconds=500)
 """Shortest time between two reads of a feed, so that changes in quick succession cost one call. It
 is a quarter of the time within which a change must be in force."""
+FIRST_FEED_DELAY = timedelta(milliseconds=1_200)
+"""Time after the first read of a table until its changes are followed. Hosts that hear in this time
+from those that read the store need not follow it, which saves each start a call for each table. It
+is the time without such an update after which a host reads the store itself."""
 RETRY_PERIOD = timedelta(milliseconds=500)
 """Delay before another call to a store that did not answer."""
 SETTINGS_CHECK_PERIOD = timedelta(seconds=2)
@@ -167,6 +171,7 @@
         client = StoreClient(self._node_file.store_address)
         version: int | None = None
         unavailable = False
+        pause = FIRST_FEED_DELAY
         await self._reading_enabled.set()
         while True:
             if not self._reading_enabled.is_set():
@@ -194,7 +199,8 @@
                 if holds_targets:
                     await self._runtime.dispatch(StoreRecovered(self._now()))
             await apply(read, 0 if complete else since)
-            await curio.sleep(MIN_FEED_INTERVAL.total_seconds())
+            await curio.sleep(pause.total_seconds())
+            pause = MIN_FEED_INTERVAL
 
     async def _set_reading(self, enabled: bool) -> None:
         """Starts following the store, or stops after the call in progress."""
--- a/endivedrift/platform/_node_file.py
+++ b/endivedrift/platform/_node_file.py
@@ -10,8 +10,6 @@
 from pathlib import Path
 from typing import Any
 
-from pydantic import ValidationError
-
 from endivedrift.core import Address
 from endivedrift.objects import FleetBounds
 from endivedrift.platform._values import (
@@ -81,12 +79,7 @@
         document = tomllib.loads(path.read_text("utf-8"))
     except (OSError, ValueError, RecursionError) as error:
         raise WireError(f"{path}: {error}") from None
-    try:
-        settings = _build_settings(document)
-    except ValidationError as error:
-        first = error.errors()[0]
-        field = ".".join(str(part) for part in first["loc"])
-        raise WireError(f"{path}: {error.title} {field}: {first['msg']}") from None
+    settings = _build_settings(document)
     bounds = FleetBounds(
         retry_ratio=min(1.0, read_number(document, "bounds.retryBudgetRatio")),
         retry_burst=int(read_number(document, "bounds.budgetSlack")),
@@ -109,7 +102,10 @@
     The field `cores` is not read, since one thread serves all requests of a host.
     """
     power = read_number(document, "limits.cpuShare")
-    return min(power, read_number(document, "limits.linkMbps") / MBPS_PER_CORE)
+    power = min(power, read_number(document, "limits.linkMbps") / MBPS_PER_CORE)
+    if not power:
+        raise WireError("limits: the processor share or the link is 0")
+    return power
 
 
 def _read_internal_ports(document: dict[str, Any]) -> range:
@@ -144,10 +140,11 @@
 def _build_settings(document: dict[str, Any]) -> Settings:
     store = read_address(document, "platform.address")
     grace_s = read_duration(document, "bounds.grace").total_seconds()
-    ip = read_field(document, "ip", str)
+    ip = parse_address(f"{read_field(document, 'ip', str)}:{MAX_PORT}", "ip").rpartition(":")[0]
     ports = _read_internal_ports(document)
     peer_port = ports[0]
     operators_port = os.environ.get(OPERATORS_PORT_VARIABLE, ports[-1])
+    operators = parse_address(f"{ip}:{operators_port}", OPERATORS_PORT_VARIABLE)
     leave_wait_s = grace_s * LEAVE_WAIT_SHARE
     return Settings(
         host=HostSection(
@@ -159,7 +156,7 @@
         listen=ListenSection(
             callers=read_address(document, "listen.front"),
             peers=f"{ip}:{peer_port}",
-            operators=f"{ip}:{operators_port}",
+            operators=operators,
         ),
         platform=PlatformSection(table=store, objects=store, hosts=store),
         # The platform provides no secret, so the key only separates fleets of different stores.
--- a/endivedrift/platform/feeds_test.py
+++ b/endivedrift/platform/feeds_test.py
@@ -58,6 +58,7 @@
             _environment,
             _read_updates=reply,
             MIN_FEED_INTERVAL=_environment.RETRY_PERIOD * 0,
+            FIRST_FEED_DELAY=_environment.RETRY_PERIOD * 0,
             RETRY_PERIOD=_environment.RETRY_PERIOD * 0,
         )
         with without_delays:
--- a/endivedrift/settings.py
+++ b/endivedrift/settings.py
@@ -1,21 +1,21 @@
 """Settings of the daemon, read from a TOML file and validated as a whole."""
 
+import json
 import re
 import tomllib
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from datetime import timedelta
 from pathlib import Path
-from typing import Annotated, Any
+from typing import Annotated, Any, ClassVar
 
 from expression import Error, Ok, Result
-from pydantic import BaseModel, ConfigDict, Field, ValidationError, field_validator
 
-from endivedrift.objects import check_address
+from endivedrift.objects import STRICT, AddressText, Length, Pattern, Range
 
 MIN_KEY_LENGTH = 16
 LEAVE_MARGIN_S = 1.0
 
-Name = Annotated[str, Field(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,126}$")]
+Name = Annotated[str, Pattern(r"^[A-Za-z0-9][A-Za-z0-9._-]{0,126}$")]
 
 
 @dataclass(frozen=True, slots=True)
@@ -32,11 +32,8 @@
         return f"{place}: {self.cause}"
 
 
-class _Section(BaseModel):
-    model_config = ConfigDict(frozen=True, extra="forbid", strict=True)
-
-
-class HostSection(_Section):
+@dataclass(frozen=True, slots=True, kw_only=True)
+class HostSection:
     """Identity and capacity of this host.
 
     Attributes:
@@ -46,13 +43,15 @@
       power: Processor power that the host has for requests, in cores.
     """
 
+    __pydantic_config__: ClassVar[dict[str, Any]] = STRICT
     id: Name
     failure_domain: Name
     region: Name
-    power: Annotated[float, Field(gt=0, le=1_000, strict=False)] = 1.0
+    power: Annotated[float, Range(gt=0, le=1_000)] = 1.0
 
 
-class ListenSection(_Section):
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ListenSection:
     """Addresses that the daemon listens on, as IP:PORT.
 
     Attributes:
@@ -61,14 +60,14 @@
       operators: Metrics, health and state (TCP).
     """
 
-    callers: str
-    peers: str
-    operators: str
+    __pydantic_config__: ClassVar[dict[str, Any]] = STRICT
+    callers: AddressText
+    peers: AddressText
+    operators: AddressText
 
-    _addresses = field_validator("callers", "peers", "operators")(check_address)
 
-
-class PlatformSection(_Section):
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PlatformSection:
     """Addresses of the platform's services, as IP:PORT.
 
     Attributes:
@@ -77,14 +76,14 @@
       hosts: List of live and leaving machines.
     """
 
-    table: str
-    objects: str
-    hosts: str
-
-    _addresses = field_validator("table", "objects", "hosts")(check_address)
+    __pydantic_config__: ClassVar[dict[str, Any]] = STRICT
+    table: AddressText
+    objects: AddressText
+    hosts: AddressText
 
 
-class FleetSection(_Section):
+@dataclass(frozen=True, slots=True, kw_only=True)
+class FleetSection:
     """Settings that all hosts of a deployment share.
 
     Attributes:
@@ -93,19 +92,14 @@
       seeds: Peer addresses that are asked for members while the platform lists none.
     """
 
+    __pydantic_config__: ClassVar[dict[str, Any]] = STRICT
     deployment: Name
-    key: Annotated[str, Field(min_length=MIN_KEY_LENGTH)]
-    seeds: Annotated[tuple[str, ...], Field(strict=False)] = ()
+    key: Annotated[str, Length(MIN_KEY_LENGTH)] = field(repr=False)
+    seeds: tuple[AddressText, ...] = ()
 
-    @field_validator("seeds")
-    @classmethod
-    def _check_seeds(cls, seeds: tuple[str, ...]) -> tuple[str, ...]:
-        for seed in seeds:
-            check_address(seed)
-        return seeds
 
-
-class LimitsSection(_Section):
+@dataclass(frozen=True, slots=True, kw_only=True)
+class LimitsSection:
     """Limits on callers and on the time that a stopping host takes.
 
     Attributes:
@@ -120,13 +114,14 @@
       drain_s: Time that a stopping host then has to finish requests in progress.
     """
 
-    connections: Annotated[int, Field(ge=1, le=60_000)] = 2_000
-    idle_s: Annotated[float, Field(gt=0, le=600, strict=False)] = 60.0
-    head_s: Annotated[float, Field(gt=0, le=60, strict=False)] = 10.0
-    entry_max_age_s: Annotated[float, Field(gt=0, le=300, strict=False)] = 5.0
-    body_bytes: Annotated[int, Field(ge=0)] = 65_536
-    leave_wait_s: Annotated[float, Field(ge=0, le=600, strict=False)] = 0.0
-    drain_s: Annotated[float, Field(gt=0, le=600, strict=False)] = 150.0
+    __pydantic_config__: ClassVar[dict[str, Any]] = STRICT
+    connections: Annotated[int, Range(ge=1, le=60_000)] = 2_000
+    idle_s: Annotated[float, Range(gt=0, le=600)] = 60.0
+    head_s: Annotated[float, Range(gt=0, le=60)] = 10.0
+    entry_max_age_s: Annotated[float, Range(gt=0, le=300)] = 5.0
+    body_bytes: Annotated[int, Range(ge=0)] = 65_536
+    leave_wait_s: Annotated[float, Range(ge=0, le=600)] = 0.0
+    drain_s: Annotated[float, Range(gt=0, le=600)] = 150.0
 
     @property
     def leave_wait(self) -> timedelta:
@@ -134,7 +129,8 @@
         return timedelta(seconds=self.leave_wait_s or self.entry_max_age_s + LEAVE_MARGIN_S)
 
 
-class LogSection(_Section):
+@dataclass(frozen=True, slots=True, kw_only=True)
+class LogSection:
     """Level and format of the daemon's log.
 
     Attributes:
@@ -142,13 +138,16 @@
       format: json for one JSON object per line, or text.
     """
 
-    level: Annotated[str, Field(pattern=r"^(debug|info|warning|error)$")] = "info"
-    format: Annotated[str, Field(pattern=r"^(json|text)$")] = "json"
+    __pydantic_config__: ClassVar[dict[str, Any]] = STRICT
+    level: Annotated[str, Pattern(r"^(debug|info|warning|error)$")] = "info"
+    format: Annotated[str, Pattern(r"^(json|text)$")] = "json"
 
 
-class Settings(_Section):
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Settings:
     """All settings of one daemon."""
 
+    __pydantic_config__: ClassVar[dict[str, Any]] = STRICT
     host: HostSection
     listen: ListenSection
     platform: PlatformSection
@@ -171,13 +170,18 @@
         return Error((SettingsError(str(path), "", f"cannot be read: {error}"),))
     except tomllib.TOMLDecodeError as error:
         return Error((SettingsError(str(path), "", f"is not valid TOML: {error}"),))
-    try:
-        return Ok(Settings.model_validate(document))
-    except ValidationError as error:
-        return Error(tuple(_describe_fault(str(path), fault) for fault in error.errors()))
+    # Imports pydantic, which hosts that read their settings elsewhere do not need.
+    from endivedrift.objects import _validation
+
+    text = json.dumps(document, default=str)
+    settings, faults = _validation.validate_json(Settings, text)
+    if faults:
+        return Error(tuple(_describe_fault(str(path), fault) for fault in faults))
+    return Ok(settings)
 
 
 def _describe_fault(file: str, fault: Any) -> SettingsError:
-    field = ".".join(str(part) for part in fault["loc"])
-    message = "is not a known setting" if fault["type"] == "extra_forbidden" else fault["msg"]
-    return SettingsError(file, field, re.sub(r"^Value error, ", "", message))
+    path = ".".join(str(part) for part in fault["loc"])
+    is_unknown = fault["type"] == "unexpected_keyword_argument"
+    message = "is not a known setting" if is_unknown else fault["msg"]
+    return SettingsError(file, path, re.sub(r"^Value error, ", "", message))
