--- a/endivedrift/platform/_environment.py
+++ b/endivedrift/platform/_environment.py
@@ -183,7 +183,7 @@
             try:
                 read, complete = await _read_updates(client, table, version)
             except StoreError as error:
-                self._runtime.metrics.platform_failures.labels(table).inc()
+                self._runtime.metrics.platform_failures[table] += 1
                 version = None
                 if not unavailable:
                     unavailable = True
--- a/endivedrift/platform/feeds_test.py
+++ b/endivedrift/platform/feeds_test.py
@@ -18,6 +18,7 @@
 from endivedrift.platform._environment import OPERATOR_TABLE, TARGET_TABLE, Feeds
 from endivedrift.platform._node_file import read_node_file
 from endivedrift.platform._store import StoreError, TableRead
+from endivedrift.shell._metrics import Metrics
 from endivedrift.shell.running import Runtime
 from tests.platform_builders import build_node_file
 
@@ -42,7 +43,7 @@
                 raise given
             return given, True
 
-        runtime = mock.Mock(spec=Runtime, clock=ManualClock(), metrics=mock.Mock())
+        runtime = mock.Mock(spec=Runtime, clock=ManualClock(), metrics=Metrics())
         runtime.dispatch = dispatch
         feeds = Feeds(node, runtime, dispatch)
 
--- a/endivedrift/platform/imports_test.py
+++ b/endivedrift/platform/imports_test.py
@@ -4,7 +4,7 @@
 import sys
 import unittest
 
-UNNEEDED = ("pydantic", "typer", "rich", "click", "matplotlib", "hypothesis")
+UNNEEDED = ("pydantic", "prometheus_client", "typer", "rich", "click", "matplotlib", "hypothesis")
 """Packages of the tool and of the developers."""
 
 SCRIPT = """
--- a/endivedrift/shell/_callers.py
+++ b/endivedrift/shell/_callers.py
@@ -190,7 +190,7 @@
         connection = _Connection(sock, self._new_parser(), is_closing=self._is_closing)
         is_over_limit = len(self._connections) >= self._limits.connections
         self._connections[id(connection)] = connection
-        self._runtime.metrics.connections.set(len(self._connections))
+        self._runtime.metrics.connections = len(self._connections)
         await curio.spawn(self._run_connection(connection, is_over_limit), daemon=True)
 
     def _new_parser(self) -> h11.Connection:
@@ -224,7 +224,7 @@
             with contextlib.suppress(OSError):
                 await connection.sock.close()
             del self._connections[id(connection)]
-            self._runtime.metrics.connections.set(len(self._connections))
+            self._runtime.metrics.connections = len(self._connections)
 
     async def _read_bytes(self, connection: _Connection) -> None:
         """Feeds bytes to the parser, and reports to the reducer that the caller disconnected."""
--- a/endivedrift/shell/_environment.py
+++ b/endivedrift/shell/_environment.py
@@ -103,7 +103,7 @@
             return await self._platform.get_object(digest)
         except PlatformError:
             if self._runtime is not None:
-                self._runtime.metrics.platform_failures.labels("objects").inc()
+                self._runtime.metrics.platform_failures["objects"] += 1
             return None
 
     async def reload(self, runtime: Runtime) -> None:
@@ -123,7 +123,7 @@
                 head = await read_config_head(self._platform, self._deployment)
                 await runtime.dispatch(ConfigHeadObserved(runtime.clock.monotonic(), head.config))
             except PlatformError:
-                runtime.metrics.platform_failures.labels("table").inc()
+                runtime.metrics.platform_failures["table"] += 1
             await curio.sleep(jitter_period(HEAD_POLL_PERIOD))
 
     async def _poll_machines(self, runtime: Runtime) -> None:
@@ -132,5 +132,5 @@
                 machines = await self._platform.list_machines()
                 await runtime.dispatch(MachineListRead(runtime.clock.monotonic(), machines))
             except PlatformError:
-                runtime.metrics.platform_failures.labels("hosts").inc()
+                runtime.metrics.platform_failures["hosts"] += 1
             await curio.sleep(jitter_period(MACHINE_LIST_POLL_PERIOD))
--- a/endivedrift/shell/_metrics.py
+++ b/endivedrift/shell/_metrics.py
@@ -1,8 +1,11 @@
 """Metrics in Prometheus format; names carry their units."""
 
+from bisect import bisect_left
+from collections import Counter
+from collections.abc import Iterator
+from dataclasses import dataclass, field
 from datetime import timedelta
-
-from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
+from typing import Any
 
 from endivedrift.core import (
     Answer,
@@ -16,105 +19,164 @@
 from endivedrift.reducer import HostState
 
 LATENCY_BUCKETS_SECONDS = (0.001, 0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10)
+INFINITE_BUCKET = "+Inf"
+
+
+@dataclass(slots=True)
+class Durations:
+    """A histogram of durations: how many fell into each bucket, and their sum in seconds."""
+
+    counts: list[int] = field(default_factory=lambda: [0] * (len(LATENCY_BUCKETS_SECONDS) + 1))
+    sum_s: float = 0.0
+
+    def observe(self, seconds: float) -> None:
+        """Counts one duration."""
+        self.counts[bisect_left(LATENCY_BUCKETS_SECONDS, seconds)] += 1
+        self.sum_s += seconds
+
+    def list_buckets(self) -> list[tuple[str, int]]:
+        """Returns the upper bound of each bucket with the number of durations up to it."""
+        bounds = [*map(str, map(float, LATENCY_BUCKETS_SECONDS)), INFINITE_BUCKET]
+        total, buckets = 0, []
+        for bound, count in zip(bounds, self.counts, strict=True):
+            total += count
+            buckets.append((bound, total))
+        return buckets
 
 
 class Metrics:
-    """The metrics of one daemon, in a registry of their own."""
+    """The metrics of one daemon.
+
+    They are counted in plain tables by label. prometheus_client, which takes long to import,
+    formats them when they are first asked for.
+
+    Attributes:
+      requests: Requests of callers by service and result.
+      request_seconds: Time from a request's arrival to its answer, by service.
+      attempts: Attempts at targets by service and outcome.
+      audit: Audit entries by kind.
+      platform_failures: Calls to the platform without an answer, by service or table.
+      peer_bytes: Bytes of datagrams by direction.
+      rejected_peer_messages: Datagrams and calls of peers that could not be read.
+      connections: Open connections of callers.
+    """
 
     def __init__(self) -> None:
         """Creates all metrics with the value 0."""
-        registry = CollectorRegistry()
-        self._registry = registry
-        self.requests = Counter(
-            "endivedrift_requests",
-            "Requests of callers by service and result",
-            ["service", "result"],
-            registry=registry,
-        )
-        self.request_seconds = Histogram(
-            "endivedrift_request_seconds",
-            "Time from a request's arrival to its answer",
-            ["service"],
-            buckets=LATENCY_BUCKETS_SECONDS,
-            registry=registry,
-        )
-        self.attempts = Counter(
-            "endivedrift_attempts",
-            "Attempts at targets by service and outcome",
-            ["service", "outcome"],
-            registry=registry,
-        )
-        self.audit = Counter(
-            "endivedrift_audit_entries", "Audit entries by kind", ["kind"], registry=registry
-        )
-        self.rejected_peer_messages = Counter(
-            "endivedrift_peer_rejected",
-            "Datagrams and calls of peers that failed authentication or could not be read",
-            registry=registry,
-        )
-        self.peer_bytes = Counter(
-            "endivedrift_peer_bytes", "Bytes of datagrams", ["direction"], registry=registry
-        )
-        self.platform_failures = Counter(
-            "endivedrift_platform_failures",
-            "Calls to the platform without an answer",
-            ["service"],
-            registry=registry,
-        )
-        self.connections = Gauge(
-            "endivedrift_caller_connections", "Open connections of callers", registry=registry
-        )
-        self.config_version = Gauge(
-            "endivedrift_config_version", "Version of the object set in force", registry=registry
-        )
-        self.members = Gauge(
-            "endivedrift_members", "Known hosts by status", ["status"], registry=registry
-        )
-        self.targets = Gauge(
-            "endivedrift_targets",
-            "Targets by service and state",
-            ["service", "state"],
-            registry=registry,
-        )
-        self.queued = Gauge(
-            "endivedrift_queued_requests", "Waiting requests", ["service"], registry=registry
-        )
-        self.keys = Gauge(
-            "endivedrift_idempotency_keys", "Remembered idempotency keys", registry=registry
-        )
-        self.serving = Gauge(
-            "endivedrift_serving", "1 while the host serves, else 0", registry=registry
-        )
+        self.requests: Counter[tuple[str, str]] = Counter()
+        self.request_seconds: dict[str, Durations] = {}
+        self.attempts: Counter[tuple[str, str]] = Counter()
+        self.audit: Counter[str] = Counter()
+        self.platform_failures: Counter[str] = Counter()
+        self.peer_bytes: Counter[str] = Counter()
+        self.rejected_peer_messages = 0
+        self.connections = 0
 
     def count_audit(self, entry: AuditEntry) -> None:
         """Counts an audit entry."""
-        self.audit.labels(entry.kind.value).inc()
+        self.audit[entry.kind.value] += 1
 
     def count_request(self, service: str, result: Answer | Refusal, duration: timedelta) -> None:
         """Counts a finished request by its result, and records its duration."""
         label = "answered" if isinstance(result, Answer) else result.reason.value
-        self.requests.labels(service, label).inc()
-        self.request_seconds.labels(service).observe(duration.total_seconds())
+        self.requests[service, label] += 1
+        durations = self.request_seconds.setdefault(service, Durations())
+        durations.observe(duration.total_seconds())
 
     def count_attempt(self, service: str, outcome: AttemptOutcome) -> None:
         """Counts a finished attempt by its outcome."""
-        self.attempts.labels(service, outcome.value).inc()
+        self.attempts[service, outcome.value] += 1
 
     def render(self, state: HostState) -> bytes:
-        """Returns all metrics in the text format, after updating the gauges from the state."""
-        self.config_version.set(state.config.version)
-        self.keys.set(len(state.keys.records))
-        self.serving.set(1 if state.phase is HostPhase.SERVING else 0)
-        for status in MemberStatus:
-            records = state.membership.records.values()
-            count = sum(1 for record in records if record.member.status is status)
-            self.members.labels(status.name.lower()).set(count)
-        self.targets.clear()
-        self.queued.clear()
-        for name, service in state.services.items():
-            self.queued.labels(name).set(service.queued_count)
-            for target_state in TargetState:
-                targets = service.targets.values()
-                count = sum(1 for record in targets if record.state is target_state)
-                self.targets.labels(name, target_state.value).set(count)
-        return generate_latest(self._registry)
+        """Returns all metrics, and gauges of the state, in the text format."""
+        import prometheus_client
+
+        registry = prometheus_client.CollectorRegistry()
+        registry.register(_Snapshot([*self._list_counters(), *_list_gauges(self, state)]))
+        return prometheus_client.generate_latest(registry)
+
+    def _list_counters(self) -> Iterator[Any]:
+        from prometheus_client.core import CounterMetricFamily, HistogramMetricFamily
+
+        for name, text, labels, counts in (
+            (
+                "endivedrift_requests",
+                "Requests of callers by service and result",
+                ("service", "result"),
+                self.requests,
+            ),
+            (
+                "endivedrift_attempts",
+                "Attempts at targets by service and outcome",
+                ("service", "outcome"),
+                self.attempts,
+            ),
+            ("endivedrift_audit_entries", "Audit entries by kind", ("kind",), self.audit),
+            ("endivedrift_peer_bytes", "Bytes of datagrams", ("direction",), self.peer_bytes),
+            (
+                "endivedrift_platform_failures",
+                "Calls to the platform without an answer",
+                ("service",),
+                self.platform_failures,
+            ),
+        ):
+            family = CounterMetricFamily(name, text, labels=labels)
+            for key, count in counts.items():
+                family.add_metric([key] if isinstance(key, str) else list(key), count)
+            yield family
+        text = "Datagrams and calls of peers that failed authentication or could not be read"
+        name = "endivedrift_peer_rejected"
+        yield CounterMetricFamily(name, text, value=self.rejected_peer_messages)
+        text = "Time from a request's arrival to its answer"
+        histogram = HistogramMetricFamily("endivedrift_request_seconds", text, labels=("service",))
+        for service, durations in self.request_seconds.items():
+            histogram.add_metric([service], durations.list_buckets(), durations.sum_s)
+        yield histogram
+
+
+class _Snapshot:
+    """Hands families of metrics to a registry."""
+
+    def __init__(self, families: list[Any]) -> None:
+        self._families = families
+
+    def collect(self) -> list[Any]:
+        return self._families
+
+
+def _list_gauges(metrics: Metrics, state: HostState) -> Iterator[Any]:
+    from prometheus_client.core import GaugeMetricFamily
+
+    serving = 1 if state.phase is HostPhase.SERVING else 0
+    for name, text, value in (
+        ("endivedrift_caller_connections", "Open connections of callers", metrics.connections),
+        (
+            "endivedrift_config_version",
+            "Version of the object set in force",
+            state.config.version,
+        ),
+        (
+            "endivedrift_idempotency_keys",
+            "Remembered idempotency keys",
+            len(state.keys.records),
+        ),
+        ("endivedrift_serving", "1 while the host serves, else 0", serving),
+    ):
+        yield GaugeMetricFamily(name, text, value=value)
+    members = GaugeMetricFamily("endivedrift_members", "Known hosts by status", labels=("status",))
+    statuses = Counter(record.member.status for record in state.membership.records.values())
+    for status in MemberStatus:
+        members.add_metric([status.name.lower()], statuses[status])
+    yield members
+    text = "Targets by service and state"
+    targets = GaugeMetricFamily("endivedrift_targets", text, labels=("service", "state"))
+    queued = GaugeMetricFamily(
+        "endivedrift_queued_requests", "Waiting requests", labels=("service",)
+    )
+    for name, service in state.services.items():
+        queued.add_metric([name], service.queued_count)
+        states = Counter(record.state for record in service.targets.values())
+        for target_state in TargetState:
+            targets.add_metric([name, target_state.value], states[target_state])
+    yield targets
+    yield queued
--- a/endivedrift/shell/_peers.py
+++ b/endivedrift/shell/_peers.py
@@ -85,7 +85,7 @@
         if message is not self._last_encoded[0]:
             self._last_encoded = (message, encode_datagram(self._context.secret, message))
         datagram = self._last_encoded[1]
-        self._runtime.metrics.peer_bytes.labels("sent").inc(len(datagram))
+        self._runtime.metrics.peer_bytes["sent"] += len(datagram)
         with contextlib.suppress(OSError), self._udp.blocking() as raw:
             raw.setblocking(False)
             raw.sendto(datagram, parse_endpoint(address).to_sockaddr())
@@ -94,10 +94,10 @@
         """Receives datagrams until cancelled."""
         while True:
             datagram, source = await self._udp.recvfrom(MAX_DATAGRAM_BYTES)
-            self._runtime.metrics.peer_bytes.labels("received").inc(len(datagram))
+            self._runtime.metrics.peer_bytes["received"] += len(datagram)
             message = decode_datagram(self._context.secret, datagram)
             if message is None:
-                self._runtime.metrics.rejected_peer_messages.inc()
+                self._runtime.metrics.rejected_peer_messages += 1
                 continue
             origin = Address(f"{source[0]}:{source[1]}")
             now = self._runtime.clock.monotonic()
@@ -166,7 +166,7 @@
     async def _serve_connection(self, sock: socket.socket) -> None:
         try:
             if not await serve_call(self._context.secret, sock, self._handle_call):
-                self._runtime.metrics.rejected_peer_messages.inc()
+                self._runtime.metrics.rejected_peer_messages += 1
         finally:
             self._open_calls -= 1
             with contextlib.suppress(OSError):
