--- a/endivedrift/policy/_choice.py
+++ b/endivedrift/policy/_choice.py
@@ -1,11 +1,13 @@
 """Selects the target of a request.
 
 All targets of a group are compared, or a random sample of a very large group (Mitzenmacher, The
-power of two choices in randomized load balancing, 2001). The target with the fewest requests in
-progress is preferred. Among equals it is the one with the most recent good answer, because a target
-that stops answering is noticed first by the lack of good answers. Targets that failed recently are
-avoided while another target is usable. If the service fails many of its requests in spite of this,
-requests are spread so that at least as many targets as the floor are in use.
+power of two choices in randomized load balancing, 2001). The least busy target is preferred:
+one with less than half of its slots in use before one with more. One in another failure domain
+counts as half a target busier, since traffic between domains is expensive. Among equals it is the
+one with the most recent good answer, because a target that stops answering is noticed first by the
+lack of good answers. Targets that failed recently are avoided while another target is usable, and
+get one request at a time until they give a good answer. If the service fails many of its requests
+in spite of this, requests are spread so that at least as many targets as the floor are in use.
 """
 
 import math
@@ -128,11 +130,11 @@
             and record.avoided_until <= at
             and not record.score
         )
-        cost = (
-            (1.0, in_flight + 1.0)
-            if is_unsuspected
-            else _compute_cost(state, record, in_flight, at)
-        )
+        half = max(1, state.get_slots(record) // 2)
+        load = in_flight // half + 1.0
+        if record.target.failure_domain != home_domain:
+            load += 1.0
+        cost = (1.0, load) if is_unsuspected else _compute_cost(state, record, load, at)
         if cost > best_cost or (avoids_last_resort and cost[0] >= LAST_RESORT_RANK):
             continue
         if cost < best_cost:
@@ -151,12 +153,20 @@
         if name in tried_targets or record.state not in _USABLE_STATES or record.held_until > at:
             continue
         in_flight = record.count_in_flight(at)
-        limit = _get_in_flight_limit(state, record) if record.state is TargetState.HEALTHY else 1
+        is_proven = record.state is TargetState.HEALTHY and not _has_failed_last(record)
+        limit = _get_in_flight_limit(state, record) if is_proven else 1
         if in_flight < limit:
             candidates.append((name, record, in_flight))
     return candidates
 
 
+def _has_failed_last(record: TargetRecord) -> bool:
+    """Tells whether a target has failed a request and given no good answer since."""
+    if not record.last_failure_at:
+        return False
+    return record.last_success_at is None or record.last_success_at < record.last_failure_at
+
+
 def has_faster_target(state: ServiceState, name: TargetName, started: Instant, at: Instant) -> bool:
     """Tells whether an attempt is slow because of its target and not of the whole service.
 
@@ -241,7 +251,7 @@
 
 
 def _compute_cost(
-    state: ServiceState, record: TargetRecord, in_flight: int, at: Instant
+    state: ServiceState, record: TargetRecord, load: float, at: Instant
 ) -> tuple[float, float]:
     """Returns the rank of a target and, within the rank, its load; the lowest cost is preferred.
 
@@ -249,7 +259,7 @@
     after a failure, comes last.
     """
     factor = OVER_THRESHOLD_COST_FACTOR if record.score >= state.threshold else 1.0
-    load = (in_flight + 1.0) * factor
+    load *= factor
     if record.avoided_until > at or record.state is TargetState.PROBATION:
         return (LAST_RESORT_RANK, load)
     is_new_and_due = (
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -89,6 +89,10 @@
         value = base64.b64encode(json.dumps(document).encode()).decode()
         self._write_rows([{"table": table, "key": key, "value": value}], [])
 
+    def list_keys(self, table: str) -> set[str]:
+        """Returns the keys of a table's rows."""
+        return {k for (name, k), row in self.rows.items() if name == table and not row.deleted}
+
     def remove(self, table: str, key: str) -> None:
         """Marks one row as deleted."""
         self._write_rows([], [{"table": table, "key": key}])
--- a/standins/platform_target.py
+++ b/standins/platform_target.py
@@ -15,6 +15,7 @@
       name: Instance id, which requests must expect.
       work_s: Processing time of a request.
       reset_share_of_ten: Number of each ten requests whose connection is closed without an answer.
+      is_leaving: Whether its answers state that it is shutting down.
       ran: Attempt ids of the requests that ran, in order.
       received: Number of requests received.
     """
@@ -22,7 +23,7 @@
     name: str
     work_s: float = 0.01
     reset_share_of_ten: int = 0
-    answering: bool = True
+    is_leaving: bool = False
     ran: list[str] = field(default_factory=list)
     received: int = 0
 
@@ -41,5 +42,7 @@
             "endivedrift-server-signature": f"signed.{self.name}.{attempt}",
             "endivedrift-server-load": "1,0,2",
         }
+        if self.is_leaving:
+            headers["server-leaving"] = "1"
         body = f"{self.name} {request.method} {request.path} {len(request.body)}"
         return StandinReply(200, headers, body.encode())
--- a/tests/patterns_test.py
+++ b/tests/patterns_test.py
@@ -6,6 +6,7 @@
 import random
 import unittest
 from collections import Counter
+from dataclasses import replace
 from datetime import timedelta
 
 from endivedrift.core import (
@@ -130,6 +131,27 @@
             self.handle_effects(self.harness.advance(0.01, step=0.01))
             self.finish_due()
 
+    def receive_notice(self, name: str, deltas: tuple[EvidenceDelta, ...] = ()) -> None:
+        """Applies a notice of another host that shares the service."""
+        self.sequence += 1
+        sender = build_membership(build_identity(name, domain="b"), random.Random(1)).me
+        sender = sender.with_status(type(sender.status).ALIVE)
+        message = PeerMessage(
+            MessageKind.NOTICE,
+            sender,
+            self.sequence,
+            0,
+            HostId(""),
+            False,
+            self.harness.state.config,
+            (),
+            deltas,
+        )
+        now = self.harness.clock.monotonic()
+        self.handle_effects(
+            self.harness.apply(PeerMessageReceived(now, sender.peer_address, message))
+        )
+
     def break_targets(self, numbers: range, outcome: AttemptOutcome = AttemptOutcome.CUT) -> None:
         self.failing = {name_target(number): outcome for number in numbers}
 
@@ -186,27 +208,6 @@
         deltas = [d for effect in self.peer_messages for d in effect.message.evidence]
         self.assertTrue(any(delta.paused for delta in deltas))
 
-    def receive_notice(self, name: str, deltas: tuple[EvidenceDelta, ...] = ()) -> None:
-        """Applies a notice of another host that shares the service."""
-        self.sequence += 1
-        sender = build_membership(build_identity(name, domain="b"), random.Random(1)).me
-        sender = sender.with_status(type(sender.status).ALIVE)
-        message = PeerMessage(
-            MessageKind.NOTICE,
-            sender,
-            self.sequence,
-            0,
-            HostId(""),
-            False,
-            self.harness.state.config,
-            (),
-            deltas,
-        )
-        now = self.harness.clock.monotonic()
-        self.handle_effects(
-            self.harness.apply(PeerMessageReceived(now, sender.peer_address, message))
-        )
-
     def test_a_pause_reported_by_a_peer_applies_here(self) -> None:
         self.run_load(1.0, 35.0)
         delta = EvidenceDelta(ServiceName(SERVICE), name_target(4), 0, 1, False, 0, paused=True)
@@ -232,7 +233,7 @@
 class LongRequestTest(PatternTest):
     def send_one(self, typical_s: float = WORK_S) -> SendToTarget:
         self.run_load(2.0, 20.0, write=False)
-        self.harness.advance(0.5)
+        self.run_load(0.5, 0.0)
         service = self.harness.state.services[ServiceName(SERVICE)]
         service.typical_latency = timedelta(seconds=typical_s)
         effects = self.harness.receive_request("GET", READ_PATH)[1]
@@ -352,6 +353,65 @@
         self.assertEqual(sent, [name_target(150)])
 
 
+class RecoveringTargetsTest(PatternTest):
+    """A third of the targets, of six slots each, hang for longer than a pause lasts."""
+
+    SLOTS = 6
+    HANG_S = 0.6
+
+    def setUp(self) -> None:
+        super().setUp()
+        entries = tuple(replace(build_target_entry(n), slots=self.SLOTS) for n in range(9))
+        now = self.harness.clock.monotonic()
+        self.handle_effects(self.harness.apply(TargetsObserved(now, entries)))
+
+    def handle_effects(self, effects: list[Effect]) -> None:
+        super().handle_effects(effects)
+        for effect in effects:
+            if isinstance(effect, SendToTarget) and effect.target in self.failing:
+                self.sending[effect.request] = (effect, self.now + self.HANG_S)
+
+    def test_a_target_that_failed_last_gets_one_request_at_a_time(self) -> None:
+        self.run_load(2.0, 60.0)
+        self.break_targets(range(3), AttemptOutcome.TIMED_OUT)
+        self.run_load(1.0, 250.0)
+        most: Counter[TargetName] = Counter()
+        for _ in range(60):
+            self.run_load(0.1, 250.0)
+            targets = self.harness.state.services[ServiceName(SERVICE)].targets
+            for name in self.failing:
+                most[name] = max(most[name], len(targets[name].attempts))
+        self.assertTrue(most)
+        self.assertLessEqual(max(most.values()), 1)
+
+
+class FailureDomainTest(PatternTest):
+    """Nine targets of six slots, three of them in the host's own failure domain."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        entries = tuple(replace(build_target_entry(n), slots=6) for n in range(9))
+        now = self.harness.clock.monotonic()
+        self.handle_effects(self.harness.apply(TargetsObserved(now, entries)))
+        self.local = {name_target(number) for number in (0, 3, 6)}
+
+    def count_remote(self, requests_per_s: float) -> float:
+        """Returns the share of requests that go to other failure domains, after a second."""
+        self.run_load(1.0, requests_per_s)
+        start = self.now
+        self.run_load(2.0, requests_per_s)
+        sent = [target for at, target in self.sent if at >= start]
+        return sum(target not in self.local for target in sent) / len(sent)
+
+    def test_requests_stay_in_the_domain_while_half_of_its_slots_are_free(self) -> None:
+        # 18 slots at 0.15 s per request serve 120 requests per second.
+        self.assertLess(self.count_remote(50.0), 0.02)
+
+    def test_other_domains_take_what_the_own_one_has_no_room_for(self) -> None:
+        self.assertGreater(self.count_remote(240.0), 0.4)
+        self.assertEqual(set(self.results), {"answered"})
+
+
 class FloorTest(PatternTest):
     def test_a_service_that_fails_a_sixth_of_its_requests_uses_its_floor(self) -> None:
         self.run_load(2.0, 20.0)
@@ -422,10 +482,19 @@
         return bool(result.failures)
 
     def test_without_pauses_resetting_targets_are_noticed(self) -> None:
-        with inject_fault(_attempts, "pause_target", lambda *arguments: False):
+        # The dates of good answers alone are enough for this pattern.
+        with (
+            inject_fault(_attempts, "pause_target", lambda *arguments: False),
+            inject_fault(_choice, "MAX_SUCCESS_AGE", timedelta(0)),
+        ):
             method = "test_a_third_of_the_targets_reset_all_requests"
             self.assertTrue(self.scenario_fails(ResettingTargetsTest, method))
 
+    def test_without_the_limit_bursts_to_a_recovering_target_are_noticed(self) -> None:
+        with inject_fault(_choice, "_has_failed_last", lambda record: False):
+            method = "test_a_target_that_failed_last_gets_one_request_at_a_time"
+            self.assertTrue(self.scenario_fails(RecoveringTargetsTest, method))
+
     def test_without_spaced_trials_fast_failures_are_noticed(self) -> None:
         with inject_fault(_choice, "MIN_TRIAL_INTERVAL", timedelta(0)):
             method = "test_all_targets_failed_a_moment_ago_and_fail_fast"
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -46,6 +46,8 @@
 STOP_GRACE_S = 6.0
 RECOVERY_S = 6.0
 MIN_SERVED_SHARE = 0.9
+HEARTBEATS_TO_EXPIRY_S = 4.5
+"""Time after which the store removes the entry of a target that has not renewed it."""
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
 
@@ -86,6 +88,7 @@
 
     Attributes:
       rng: Determines faults and requests.
+      rng_of_announcements: Determines restorations of the store and targets that say they leave.
       target_pool: The targets.
       store_links: The proxy to the store of each host.
       config_version: Version of the newest configuration.
@@ -104,6 +107,7 @@
     def __init__(self, seed: int) -> None:
         super().__init__()
         self.rng = random.Random(seed)
+        self.rng_of_announcements = random.Random(f"{seed}/announcements")
         self.target_pool: list[SoakTarget] = []
         self.store_links: dict[str, Proxy] = {}
         self.config_version = 3
@@ -174,7 +178,8 @@
         """Writes a target's entry."""
         address = f"{target.proxy.address[0]}:{target.proxy.address[1]}"
         entry = build_entry(address, **status)
-        entry["born"] += self.target_id_count
+        # Each id is one process, with one start.
+        entry["born"] += int(target.standin.name.partition("-")[2])
         self.store.write("servers", target.standin.name, entry)
 
     async def replace_target(self, target: SoakTarget) -> None:
@@ -320,6 +325,41 @@
     fleet.store.write("op", "config", build_configuration(fleet.config_version))
 
 
+async def _restore_store(fleet: SoakFleet) -> None:
+    """Takes the store back to a copy; operator and targets then write again what was lost."""
+    copy = fleet.store.take_snapshot()
+    await curio.sleep(fleet.rng_of_announcements.uniform(0.5, 3.0))
+    fleet.store.restore(copy)
+    await curio.sleep(fleet.rng_of_announcements.uniform(0.0, 1.5))
+    fleet.store.write("op", "config", build_configuration(fleet.config_version))
+    leaving = {name for name, _ in fleet.drained}
+    for target in fleet.target_pool:
+        state = "draining" if target.standin.name in leaving else "ready"
+        fleet.register(target, state=state)
+    await curio.sleep(HEARTBEATS_TO_EXPIRY_S)
+    registered = {target.standin.name for target in fleet.target_pool}
+    for name in fleet.store.list_keys("servers") - registered:
+        fleet.store.remove("servers", name)
+
+
+async def _announce_leaving(fleet: SoakFleet) -> None:
+    """Lets a target state in its answers that it leaves; later another replaces it."""
+    leaving = {name for name, _ in fleet.drained}
+    staying = [t for t in fleet.target_pool if t.standin.name not in leaving]
+    target = fleet.rng_of_announcements.choice(staying)
+    name = target.standin.name
+    target.standin.is_leaving = True
+    await curio.sleep(DRAIN_LIMIT_S + 2.0)
+    if target.standin.name == name and target.standin.is_leaving:
+        await fleet.replace_target(target)
+
+
+ANNOUNCEMENTS: dict[str, Fault] = {
+    "restore store": _restore_store,
+    "answers that say leaving": _announce_leaving,
+}
+"""Faults in a series of their own, so that the others of a seed stay the same."""
+
 FAULTS: dict[str, tuple[Fault, int]] = {
     "kill host": (_kill_host, 2),
     "kill all hosts": (_kill_all_hosts, 1),
@@ -347,9 +387,16 @@
         await task.join()
 
 
+async def _inject_announcements(fleet: SoakFleet, until: float) -> None:
+    """Starts one announcement after the other."""
+    while time.monotonic() < until:
+        await curio.sleep(fleet.rng_of_announcements.uniform(0.5, 2.0))
+        await _run_fault(fleet, fleet.rng_of_announcements.choice(sorted(ANNOUNCEMENTS)))
+
+
 async def _run_fault(fleet: SoakFleet, name: str) -> None:
     began = time.monotonic()
-    await FAULTS[name][0](fleet)
+    await (ANNOUNCEMENTS[name] if name in ANNOUNCEMENTS else FAULTS[name][0])(fleet)
     fleet.faults.append((began, time.monotonic(), name))
 
 
@@ -491,6 +538,31 @@
     return violations
 
 
+def check_leaving(fleet: SoakFleet) -> list[str]:
+    """Finds requests that a host sent to a target after it had passed on that the target leaves.
+
+    A restart or a freeze of the host in between excuses it.
+    """
+    violations = []
+    told_at: dict[tuple[str, str], float] = {}
+    for call in sorted(fleet.calls, key=lambda call: call.ended_at):
+        target = call.body.decode("ascii", "replace").partition(" ")[0]
+        if call.status != 200:
+            continue
+        learned = told_at.get((call.host, target))
+        if learned is not None and call.sent_at > learned + DRAIN_LIMIT_S:
+            ended = [*fleet.stop_times.get(call.host, ())]
+            ended += [at for host, at in fleet.disrupted if host == call.host]
+            if not any(learned - 1.0 < at < call.ended_at for at in ended):
+                delay_s = call.sent_at - learned
+                violations.append(
+                    f"{call.host} used {target} {delay_s:.1f} s after it said leaving"
+                )
+        if "server-leaving" in call.headers:
+            told_at.setdefault((call.host, target), call.ended_at)
+    return violations
+
+
 def check_stopped(fleet: SoakFleet) -> list[str]:
     """Finds requests that ran but were cut off by a host that was stopped gracefully."""
     run_ids = {attempt for _, attempt in fleet.list_runs()}
@@ -546,7 +618,7 @@
     finally:
         fleet.stop()
     violations = [*fleet.violations, *check_calls(fleet.calls, fleet.list_runs())]
-    violations += check_stopped(fleet)
+    violations += check_stopped(fleet) + check_leaving(fleet)
     timing_violations = [*fleet.timing_violations, *check_drained(fleet)]
     status_counts = Counter(call.status for call in fleet.calls)
     faults = [name for _, _, name in sorted(fleet.faults)]
@@ -558,7 +630,9 @@
     callers = [_Caller(fleet, number) for number in range(CALLERS)]
     faults_end = time.monotonic() + seconds
     tasks = [await curio.spawn(caller.run(faults_end + RECOVERY_S)) for caller in callers]
+    announcing = await curio.spawn(_inject_announcements(fleet, faults_end))
     await _inject_faults(fleet, faults_end)
+    await announcing.join()
     for task in tasks:
         await task.join()
     for ip in sorted(fleet.hosts):
