--- a/endivedrift/cli/_hosts.py
+++ b/endivedrift/cli/_hosts.py
@@ -11,6 +11,7 @@
 from endivedrift.core import Address, Version
 from endivedrift.shell.exchange import ExchangeError, exchange
 
+HTTP_OK = 200
 HOST_TIMEOUT = timedelta(seconds=2)
 
 
@@ -53,6 +54,7 @@
 async def _ask_host(address: Address, path: str) -> HostReport:
     try:
         reply = await exchange(address, "GET", path, b"", HOST_TIMEOUT)
-        return HostReport(address, json.loads(reply.body))
+        body = json.loads(reply.body) if reply.status == HTTP_OK else None
+        return HostReport(address, body if isinstance(body, dict) else None)
     except (ExchangeError, ValueError):
         return HostReport(address, None)
--- a/endivedrift/cli/_publishing.py
+++ b/endivedrift/cli/_publishing.py
@@ -103,7 +103,8 @@
     )
     result = curio.run(_publish, context, request)
     in_force = True
-    if result.outcome is PublishOutcome.ACCEPTED and result.head is not None and wait > 0.0:
+    is_accepted = result.outcome in (PublishOutcome.ACCEPTED, PublishOutcome.UNCHANGED)
+    if is_accepted and result.head is not None and wait > 0.0:
         version = result.head.config.version
         in_force = curio.run(_wait_in_force, context, version, wait, SystemClock())
     _print_result(result, in_force, as_json)
--- a/endivedrift/cli/_watching.py
+++ b/endivedrift/cli/_watching.py
@@ -1,6 +1,7 @@
 """Commands that query running hosts: status and explain."""
 
 from typing import Annotated, Any
+from urllib.parse import urlencode
 
 import curio
 import typer
@@ -46,11 +47,11 @@
 
     Exit status: 0, 4 if no host answers, 6 if no host has a matching entry.
     """
-    query = f"service={subject}" + (f"&subject={target}" if target else "")
-    reports = _ask_fleet(config, f"/audit?{query}")
+    query = {"service": subject, **({"subject": target} if target else {})}
+    reports = _ask_fleet(config, f"/audit?{urlencode(query)}")
     entries = _merge_entries(reports)
     if not entries and not target:
-        entries = _merge_entries(_ask_fleet(config, f"/audit?request={subject}"))
+        entries = _merge_entries(_ask_fleet(config, f"/audit?{urlencode({'request': subject})}"))
     if not entries:
         fail(ExitStatus.NOT_FOUND, "no host has an entry on it")
     if as_json:
--- a/endivedrift/shell/_log.py
+++ b/endivedrift/shell/_log.py
@@ -5,6 +5,7 @@
 the count is written with the next line.
 """
 
+import json
 import logging
 import os
 import sys
@@ -19,8 +20,11 @@
 """Maximum number of lines with the same event in one second. A host normally serves fewer requests
 per second, so that every request is logged."""
 MAX_LINE_BYTES = 4_000
-"""Longer lines are truncated. A pipe accepts writes up to its atomic size (PIPE_BUF, 4096 bytes on
-Linux) completely or not at all, so that no partial line is written."""
+"""Of longer lines only the beginning is written, in a line that says so. A pipe accepts writes up
+to its atomic size (PIPE_BUF, 4096 bytes on Linux) completely or not at all, so that no partial line
+is written."""
+MAX_SHOWN_CHARACTERS = 600
+"""Characters of a line that is too long which are written; each takes up to six bytes in JSON."""
 
 
 class LineWriter:
@@ -38,15 +42,27 @@
 
     def write_line(self, line: str) -> None:
         """Writes a line, or counts it as dropped."""
-        if self.dropped:
-            line = f'{line}\n{{"event": "log: Lines dropped.", "count": {self.dropped}}}'
-        data = line.encode("utf-8", "replace")[:MAX_LINE_BYTES] + b"\n"
         try:
-            os.write(self._descriptor, data)
-            self.dropped = 0
+            if self.dropped:
+                self._write({"event": "log: Lines dropped.", "count": self.dropped})
+                self.dropped = 0
+            data = line.encode("utf-8", "replace")
+            if len(data) <= MAX_LINE_BYTES:
+                os.write(self._descriptor, data + b"\n")
+            else:
+                self._write(
+                    {
+                        "event": "log: Line too long.",
+                        "bytes": len(data),
+                        "begin": line[:MAX_SHOWN_CHARACTERS],
+                    }
+                )
         except OSError:
             self.dropped += 1
 
+    def _write(self, document: dict[str, object]) -> None:
+        os.write(self._descriptor, json.dumps(document).encode() + b"\n")
+
     msg = debug = info = warning = error = critical = fatal = log = write_line
 
 
--- a/endivedrift/shell/_peer_calls.py
+++ b/endivedrift/shell/_peer_calls.py
@@ -13,6 +13,7 @@
 from curio import socket
 
 from endivedrift.core import Address
+from endivedrift.objects import MAX_BODY_BYTES
 from endivedrift.shell._codec import (
     MAC_BYTES,
     Call,
@@ -28,8 +29,10 @@
 
 NONCE_BYTES = 16
 LENGTH_BYTES = 4
-MAX_CALL_BYTES = 9 * 1024 * 1024
-MAX_REPLY_BYTES = 64 * 1024 * 1024
+MAX_ENVELOPE_BYTES = 1024 * 1024
+"""Bytes of a call or reply besides the body of the request or answer that it carries."""
+MAX_CALL_BYTES = MAX_BODY_BYTES + MAX_ENVELOPE_BYTES
+MAX_REPLY_BYTES = MAX_BODY_BYTES + MAX_ENVELOPE_BYTES
 CALL_READ_TIMEOUT = timedelta(seconds=10)
 REPLY_WRITE_TIMEOUT = timedelta(seconds=10)
 CALL_LABEL = b"call"
--- a/endivedrift/shell/_peers.py
+++ b/endivedrift/shell/_peers.py
@@ -34,7 +34,7 @@
 from endivedrift.shell._http import parse_endpoint
 from endivedrift.shell._log import make_logger
 from endivedrift.shell._peer_calls import PeerCallError, call_peer, serve_call
-from endivedrift.shell._requests import fingerprint_request
+from endivedrift.shell._requests import fingerprint_request, read_host
 from endivedrift.shell._serving import ServingContext, serve_request
 from endivedrift.shell._targets import TargetRequest
 
@@ -186,6 +186,7 @@
         head = RequestHead(
             method=call.method,
             path=call.target.partition("?")[0],
+            host=read_host(call.headers),
             caller=call.caller,
             key=call.key,
             fingerprint=fingerprint_request(call.caller, request),
--- a/endivedrift/shell/_report.py
+++ b/endivedrift/shell/_report.py
@@ -56,7 +56,7 @@
         "typical_ms": round(service.typical_latency.total_seconds() * 1000.0, 2),
         "usual_bad_rate": round(service.usual_bad_rate, 4),
         "threshold": round(service.threshold, 2),
-        "floor": service.ejection.floor,
+        "floor": service.floor,
         "healthy": service.healthy_count,
         "targets": {
             name: {
--- a/endivedrift/shell/log_test.py
+++ b/endivedrift/shell/log_test.py
@@ -11,7 +11,13 @@
 
 from endivedrift.core import ManualClock
 from endivedrift.settings import LogSection
-from endivedrift.shell._log import LineWriter, RateLimiter, configure_logs, make_logger
+from endivedrift.shell._log import (
+    MAX_LINE_BYTES,
+    LineWriter,
+    RateLimiter,
+    configure_logs,
+    make_logger,
+)
 
 
 class LogTest(unittest.TestCase):
@@ -38,6 +44,16 @@
         self.assertIn(f'"count": {dropped}', text)
         self.assertEqual(self.writer.dropped, 0)
 
+    def test_a_line_that_is_too_long_stays_json_and_keeps_the_count_of_dropped_lines(self) -> None:
+        self.writer.dropped = 3
+        self.writer.write_line(json.dumps({"event": "Long.", "path": "\u20ac" * 9_000}))
+        lines = os.read(self.reader, 65_536).decode().splitlines()
+        documents = [json.loads(line) for line in lines]
+        self.assertEqual(documents[0], {"event": "log: Lines dropped.", "count": 3})
+        self.assertEqual(documents[1]["event"], "log: Line too long.")
+        self.assertIn("Long.", documents[1]["begin"])
+        self.assertTrue(all(len(line.encode()) <= MAX_LINE_BYTES for line in lines))
+
     def test_lines_beyond_the_rate_limit_of_their_event_are_dropped_and_counted(self) -> None:
         clock = ManualClock()
         limit = RateLimiter(self.writer, clock, lines_per_second=10)
--- a/endivedrift/store/_claims.py
+++ b/endivedrift/store/_claims.py
@@ -80,7 +80,7 @@
             Incarnation(int(row.value["incarnation"])),
             ClaimId(str(row.value["claim"])),
         )
-    except (PlatformError, KeyError, ValueError):
+    except (PlatformError, KeyError, TypeError, ValueError):
         return ClaimResult(ClaimOutcome.UNKNOWN)
     if holder == claim:
         return ClaimResult(ClaimOutcome.CLAIMED)
--- a/endivedrift/store/_http_adapter.py
+++ b/endivedrift/store/_http_adapter.py
@@ -36,7 +36,7 @@
     async def list_rows(self, table: str) -> tuple[Row, ...]:
         """Reads a table; see `TableService`."""
         reply = await _call(self.table, "GET", f"/table/{quote(table)}")
-        return tuple(_decode_row(table, row) for row in _decode(reply)["rows"])
+        return tuple(_decode_row(table, row) for row in _get_list(_decode(reply), "rows"))
 
     async def write_rows(self, writes: tuple[Write, ...]) -> bool:
         """Applies writes in one transaction; see `TableService`."""
@@ -72,7 +72,7 @@
 
     async def list_machines(self) -> tuple[ListedMachine, ...]:
         """Reads the list of machines; see `MachineList`."""
-        entries = _decode(await _call(self.hosts, "GET", "/hosts"))["machines"]
+        entries = _get_list(_decode(await _call(self.hosts, "GET", "/hosts")), "machines")
         try:
             return tuple(
                 ListedMachine(
@@ -113,8 +113,15 @@
     return document
 
 
+def _get_list(document: dict[str, Any], name: str) -> list[Any]:
+    found = document.get(name)
+    if not isinstance(found, list):
+        raise PlatformError(f"the reply has no list {name}", False)
+    return found
+
+
 def _decode_row(table: str, row: dict[str, Any]) -> Row:
     try:
         return Row(table, str(row["key"]), Version(int(row["version"])), dict(row["value"]))
-    except (KeyError, TypeError, ValueError):
+    except (KeyError, TypeError, ValueError, OverflowError):
         raise PlatformError("the reply is not a row", False) from None
--- a/lab/_load.py
+++ b/lab/_load.py
@@ -91,5 +91,8 @@
     lengths = [line for line in lines if line.startswith(b"content-length:")]
     length = int(lengths[0].partition(b":")[2])
     while len(body) < length:
-        body += await sock.recv(65_536)
+        chunk = await sock.recv(65_536)
+        if not chunk:
+            raise OSError("connection closed by peer within a body")
+        body += chunk
     return int(lines[0].split()[1])
--- a/lab/_simulation.py
+++ b/lab/_simulation.py
@@ -188,9 +188,7 @@
         self._introduce_hosts()
         group = objects.upstream_group[objects.service[service].upstream_group]
         self._targets = {TargetName(t.name): _Target(group.slots) for t in group.targets}
-        self._domain_of_target = {TargetName(t.name): t.failure_domain for t in group.targets}
         self._calls: dict[RequestId, tuple[Traffic, float, int]] = {}
-        self._first_host = next(iter(self.hosts.values()))
 
     def slow_all(self, from_s: float, factor: float) -> None:
         """Slows all targets by a factor from a time on."""
--- a/tests/chaos.py
+++ b/tests/chaos.py
@@ -29,7 +29,6 @@
 WORKLOAD_S = 7.0
 FAULT_START_S = 1.0
 FAULT_DURATION_S = 2.5
-CALL_TIMEOUT_S = 5.0
 
 
 @dataclass(frozen=True, slots=True)
