--- a/endivedrift/fleet/__init__.py
+++ b/endivedrift/fleet/__init__.py
@@ -15,7 +15,7 @@
     mark_serving,
     watch_members,
 )
-from endivedrift.fleet._ranking import Ranking, rank_hosts
+from endivedrift.fleet._ranking import Ranking, list_first_of_domains, rank_hosts
 from endivedrift.fleet._receiving import HEARD_WINDOW, receive_message
 from endivedrift.fleet._routes import NamedRoute, RouteTable, build_routes, find_route
 
@@ -32,6 +32,7 @@
     "build_routes",
     "find_member",
     "find_route",
+    "list_first_of_domains",
     "list_usable",
     "mark_serving",
     "rank_hosts",
--- a/endivedrift/fleet/_datagrams.py
+++ b/endivedrift/fleet/_datagrams.py
@@ -4,6 +4,7 @@
 carry evidence or reports on the store.
 """
 
+import heapq
 from dataclasses import replace
 
 from endivedrift.core import (
@@ -145,9 +146,8 @@
 
 
 def _take_updates(view: Membership, room: int) -> tuple[Member, ...]:
-    hosts = sorted(
-        view.remaining_transmissions, key=lambda host: -view.remaining_transmissions[host]
-    )[: max(0, room)]
+    remaining = view.remaining_transmissions
+    hosts = heapq.nlargest(max(0, room), remaining, key=remaining.__getitem__)
     for host in hosts:
         view.remaining_transmissions[host] -= 1
         if view.remaining_transmissions[host] <= 0:
--- a/endivedrift/fleet/_ranking.py
+++ b/endivedrift/fleet/_ranking.py
@@ -8,6 +8,7 @@
 import hashlib
 from collections.abc import Iterable
 from dataclasses import dataclass
+from functools import lru_cache
 
 from endivedrift.core import FailureDomain, HostId, Member, MemberStatus
 
@@ -28,6 +29,26 @@
     primary_count: int
 
 
+def list_first_of_domains(
+    group: str, members: Iterable[Member], count_per_domain: int
+) -> tuple[Member, ...]:
+    """Lists the best hosts of each failure domain.
+
+    Args:
+      group: Hash key of the ranking.
+      members: Usable hosts.
+      count_per_domain: Number of hosts of each domain.
+    Returns:
+      Up to that many hosts of each domain, in the same order as `rank_hosts` prefers them.
+    """
+    first: dict[FailureDomain, list[Member]] = {}
+    for member in _order_members(group, members):
+        chosen = first.setdefault(member.failure_domain, [])
+        if len(chosen) < count_per_domain:
+            chosen.append(member)
+    return tuple(member for chosen in first.values() for member in chosen)
+
+
 def rank_hosts(
     group: str, members: Iterable[Member], min_primary_count: int, min_power: float = 0.0
 ) -> Ranking:
@@ -46,9 +67,21 @@
       The primaries, spread over the failure domains, then a few fallbacks of each domain. Suspected
       hosts rank last in both parts.
     """
+    ordered = _order_members(group, members)
+    interleaved = _interleave_domains(ordered)
+    primaries = interleaved[:min_primary_count] + _select_extra_primaries(
+        interleaved, min_primary_count, min_power
+    )
+    chosen = {member.host for member in primaries}
+    remaining = [member for member in ordered if member.host not in chosen]
+    return Ranking(primaries + _limit_fallbacks(remaining), len(primaries))
+
+
+def _order_members(group: str, members: Iterable[Member]) -> list[Member]:
+    """Orders hosts: suspected ones last, strong ones before weak ones, then by their hash."""
     members = list(members)
     strong_power = STRONG_POWER_SHARE * max((m.power for m in members), default=0.0)
-    ordered = sorted(
+    return sorted(
         members,
         key=lambda m: (
             m.status is not MemberStatus.ALIVE,
@@ -57,13 +90,6 @@
             m.host,
         ),
     )
-    interleaved = _interleave_domains(ordered)
-    primaries = interleaved[:min_primary_count] + _select_extra_primaries(
-        interleaved, min_primary_count, min_power
-    )
-    chosen = {member.host for member in primaries}
-    remaining = [member for member in ordered if member.host not in chosen]
-    return Ranking(primaries + _limit_fallbacks(remaining), len(primaries))
 
 
 def _select_extra_primaries(
@@ -82,6 +108,7 @@
     return added
 
 
+@lru_cache(maxsize=16_384)
 def _weigh(group: str, host: HostId) -> int:
     digest = hashlib.blake2b(f"{group}/{host}".encode(), digest_size=8)
     return int.from_bytes(digest.digest(), "big")
--- a/endivedrift/reducer/_attempts.py
+++ b/endivedrift/reducer/_attempts.py
@@ -422,6 +422,10 @@
         record.last_success_at = event.at
     if event.retry_after is not None:
         record.held_until = max(record.held_until, event.at + event.retry_after)
+        cause = f"wants no request for {event.retry_after.total_seconds():.1f} s"
+        entries.append(
+            AuditEntry(event.at, AuditKind.PAUSED, event.target, cause, service.name, event.request)
+        )
     failure = PauseCause.ANSWERED if status >= SERVER_ERROR else _PAUSE_CAUSES.get(event.outcome)
     if failure is PauseCause.REFUSED and event.retry_after is not None:
         failure = None
--- a/endivedrift/reducer/_discovery.py
+++ b/endivedrift/reducer/_discovery.py
@@ -113,9 +113,13 @@
     era = get_store_era(event.version)
     is_restored = state.targets_version > 0 and get_store_era(state.targets_version) < era
     state.targets_version = max(state.targets_version, event.version)
+    observed = event.entries
+    if event.complete:
+        observed = tuple(e for e in observed if not _departed_before(state, e, era))
     if is_restored:
         state.store_recovered_at = event.at
-        cause = f"was restored from an older copy; its era is {era}"
+        ignored = len(event.entries) - len(observed)
+        cause = f"was restored from an older copy; era {era}, {ignored} departed targets ignored"
         entries.append(AuditEntry(event.at, AuditKind.STORE_CHANGED, "store", cause))
     gone = set(event.gone) & set(state.discovered)
     if event.complete:
@@ -123,9 +127,6 @@
         gone |= set(state.discovered) - {entry.name for entry in event.entries}
     entries += _remove_or_keep_lapsed(state, gone, event.at)
     lost: list[Effect] = [RecordAudit(entry) for entry in entries]
-    observed = event.entries
-    if event.complete:
-        observed = tuple(e for e in observed if not _departed_before(state, e, era))
     return lost + _apply_entries(state, event.at, observed)
 
 
--- a/endivedrift/reducer/_state.py
+++ b/endivedrift/reducer/_state.py
@@ -33,6 +33,7 @@
     NamedRoute,
     RouteTable,
     build_membership,
+    list_first_of_domains,
     list_usable,
     rank_hosts,
 )
@@ -270,9 +271,7 @@
     version, readers = state.readers_cache
     if version != state.membership.version:
         usable = list_usable(state.membership)
-        domains = len({member.failure_domain for member in usable})
-        ranking = rank_hosts(READERS_GROUP_NAME, usable, READERS_PER_DOMAIN * domains)
-        readers = tuple(ranking.hosts[: ranking.primary_count])
+        readers = list_first_of_domains(READERS_GROUP_NAME, usable, READERS_PER_DOMAIN)
         state.readers_cache = (state.membership.version, readers)
     return readers
 
