--- a/tests/announcements_test.py
+++ b/tests/announcements_test.py
@@ -47,6 +47,10 @@
         self.harness = HostHarness(build_discovered_set())
         self.observe(complete=True)
         self.harness.advance(1.0)
+        for _ in range(3):
+            # One request after the other, since a new target gets one at a time.
+            effects = self.harness.receive_request("POST", WRITE_PATH)[1]
+            self.finish(next(effect for effect in effects if isinstance(effect, SendToTarget)))
 
     def observe(
         self,
@@ -98,21 +102,25 @@
             for _ in range(4):
                 effects = self.harness.receive_request("POST", WRITE_PATH)[1]
                 sent += [effect for effect in effects if isinstance(effect, SendToTarget)]
-            targets.update(effect.target for effect in sent)
-            self.harness.advance(0.1)
-            for effect in sent:
-                self.finish(effect)
+            while sent:
+                targets.update(effect.target for effect in sent)
+                effects = self.harness.advance(0.1)
+                for effect in sent:
+                    effects += self.finish(effect)
+                sent = [effect for effect in effects if isinstance(effect, SendToTarget)]
         return targets
 
     def send_to_target(self) -> SendToTarget:
-        """Sends requests until one goes to the target, which is still in progress then."""
-        for _ in range(100):
+        """Sends requests until one goes to the target; only that one is in progress then."""
+        others: list[SendToTarget] = []
+        while len(others) < 6:  # The slots of all three targets.
             effects = self.harness.receive_request("POST", WRITE_PATH)[1]
             sent = next(effect for effect in effects if isinstance(effect, SendToTarget))
             if sent.target == TARGET:
+                for other in others:
+                    self.finish(other)
                 return sent
-            self.finish(sent)
-            self.harness.advance(0.1)
+            others.append(sent)
         raise AssertionError("no request was sent to the target")
 
 
@@ -198,7 +206,10 @@
 
 class RetryAfterTest(AnnouncementTest):
     def hold(self, retry_after: timedelta = RETRY_AFTER) -> None:
-        self.finish(self.send_to_target(), AttemptOutcome.SHED, retry_after=retry_after)
+        effects = self.finish(self.send_to_target(), AttemptOutcome.SHED, retry_after=retry_after)
+        for effect in effects:
+            if isinstance(effect, SendToTarget):
+                self.finish(effect)
 
     def test_a_target_that_wants_no_requests_for_three_seconds_gets_none(self) -> None:
         self.hold()
