--- a/endivedrift/policy/_evidence.py
+++ b/endivedrift/policy/_evidence.py
@@ -190,7 +190,10 @@
 
 
 def take_unsent_evidence(
-    state: ServiceState, refresh: bool = False, changed: Iterable[TargetName] | None = None
+    state: ServiceState,
+    refresh: bool = False,
+    changed: Iterable[TargetName] | None = None,
+    keeps_far: bool = False,
 ) -> tuple[EvidenceDelta, ...]:
     """Returns the evidence not yet sent to other hosts, and marks it as sent.
 
@@ -198,6 +201,7 @@
       state: The service.
       refresh: Whether to repeat the number of requests in progress, since a message may be lost.
       changed: Targets to consider, or None for all.
+      keeps_far: Whether outcomes are kept for `take_far_evidence`, since some hosts get only that.
     Returns:
       The evidence on each target that has something to send.
     """
@@ -221,8 +225,9 @@
                 record.unsent_pause,
             )
             deltas.append(delta)
-            record.unsent_far_good += record.unsent_good
-            record.unsent_far_bad += record.unsent_bad
+            if keeps_far:
+                record.unsent_far_good += record.unsent_good
+                record.unsent_far_bad += record.unsent_bad
             record.unsent_in_flight = False
             record.unsent_pause = False
             record.unsent_good = 0
--- a/endivedrift/reducer/_discovery.py
+++ b/endivedrift/reducer/_discovery.py
@@ -131,9 +131,13 @@
 
 
 def _find_departure(state: HostState, entry: TargetEntry) -> Departure | None:
-    """Returns what is known of the very process of a registration, if it was removed before."""
+    """Returns what is known of the very process of a registration, if it was removed before.
+
+    A registration that does not state the start of its process may be of any.
+    """
     departure = state.departures.get(entry.name)
-    return departure if departure and departure.started_ms == entry.started_ms else None
+    is_same = departure is not None and 0 < departure.started_ms == entry.started_ms
+    return departure if is_same else None
 
 
 def _departed_before(state: HostState, entry: TargetEntry, era: int) -> bool:
@@ -188,10 +192,12 @@
     was delayed or comes from an older copy of the store.
     """
     known = state.discovered.get(entry.name)
-    is_known = known is not None and known.leaving and known.started_ms == entry.started_ms
+    is_same = known is not None and 0 < known.started_ms == entry.started_ms
     departure = _find_departure(state, entry)
     has_left = departure is not None and departure.leaving
-    return replace(entry, leaving=True) if entry.started_ms and (is_known or has_left) else entry
+    if has_left or (known is not None and is_same and known.leaving):
+        return replace(entry, leaving=True)
+    return entry
 
 
 def remove_lapsed_targets(state: HostState, at: Instant) -> list[Effect]:
--- a/endivedrift/reducer/_targets.py
+++ b/endivedrift/reducer/_targets.py
@@ -108,9 +108,11 @@
     effects: list[Effect] = []
     for name in sorted(changed.keys() & state.services.keys()):
         service = state.services[name]
-        deltas = take_unsent_evidence(service, changed=sorted(changed[name]))
+        has_far = _has_far_primaries(state, name)
+        targets = sorted(changed[name])
+        deltas = take_unsent_evidence(service, changed=targets, keeps_far=has_far)
         flagged = [delta for delta in deltas if delta.paused or delta.leaving]
-        far = take_far_evidence(service, flagged) if _has_far_primaries(state, name) else ()
+        far = take_far_evidence(service, flagged) if has_far else ()
         effects += _send_by_domain(state, name, deltas, far)
     return effects
 
@@ -120,8 +122,10 @@
     effects: list[Effect] = []
     for name in sorted(state.active_services & state.services.keys()):
         service = state.services[name]
-        deltas = take_unsent_evidence(service, service.service.share_at_once)
-        far = take_far_evidence(service) if _has_far_primaries(state, name) else ()
+        has_far = _has_far_primaries(state, name)
+        refresh = service.service.share_at_once
+        deltas = take_unsent_evidence(service, refresh, keeps_far=has_far)
+        far = take_far_evidence(service) if has_far else ()
         effects += _send_by_domain(state, name, deltas, far)
     return effects
 
--- a/tests/telling_test.py
+++ b/tests/telling_test.py
@@ -119,6 +119,19 @@
             evidence = self.count_shared_outcomes()
         self.assertGreater(len(set(evidence.values())), 1)
 
+    def test_nothing_is_kept_for_far_hosts_while_there_are_none(self) -> None:
+        entries = tuple(build_target_entry(number) for number in range(3))
+        now = self.network.clock.monotonic()
+        for harness in self.network.hosts.values():
+            harness.apply(TargetsObserved(now, entries, (), True))
+        # Targets whose loss would break the floor are kept for 1.2 s.
+        self.network.run(2.0)
+        self.assertLessEqual(len(self.list_primaries()), _targets.MAX_PRIMARIES_TOLD_ALL)
+        sent, _ = self.send_request()
+        self.finish(sent, AttemptOutcome.CUT)
+        record = self.get_record(self.sender, sent.target)
+        self.assertEqual((record.unsent_far_good, record.unsent_far_bad), (0, 0))
+
     def test_requests_in_progress_are_known_to_all_within_a_second(self) -> None:
         sent, _ = self.send_request()
         self.network.run(1.0)
