--- a/endivedrift/objects/__init__.py
+++ b/endivedrift/objects/__init__.py
@@ -18,6 +18,7 @@
 from endivedrift.objects._constraints import STRICT, Checked, Length, Pattern, Range
 from endivedrift.objects._difference import ChangeKind, ObjectChange, compare_object_sets
 from endivedrift.objects._schema import (
+    MAX_ATTEMPTS,
     MAX_BODY_BYTES,
     MAX_DEADLINE_MS,
     AddressText,
@@ -38,6 +39,7 @@
 
 __all__ = [
     "BOUNDS_RULE_NAME",
+    "MAX_ATTEMPTS",
     "MAX_BODY_BYTES",
     "MAX_DEADLINE_MS",
     "STRICT",
--- a/endivedrift/objects/_schema.py
+++ b/endivedrift/objects/_schema.py
@@ -15,6 +15,7 @@
 
 MAX_BODY_BYTES = 64 * 1024 * 1024
 MAX_DEADLINE_MS = 120_000
+MAX_ATTEMPTS = 10
 
 Name = Annotated[str, Pattern(r"^[A-Za-z0-9][A-Za-z0-9._-]{0,126}$")]
 Milliseconds = Annotated[int, Range(ge=1, le=MAX_DEADLINE_MS)]
@@ -142,7 +143,7 @@
     """
 
     __pydantic_config__: ClassVar[dict[str, Any]] = STRICT
-    max_attempts: Annotated[int, Range(ge=1, le=10)] = 3
+    max_attempts: Annotated[int, Range(ge=1, le=MAX_ATTEMPTS)] = 3
     budget_ratio: Annotated[float, Range(ge=0.0, le=1.0)] = 0.1
     budget_cap: Annotated[int, Range(ge=0, le=10_000)] = 20
 
@@ -212,7 +213,7 @@
     subpaths_only: bool = False
     hosts: tuple[str, ...] = ()
     split: tuple[Share, ...] = ()
-    max_attempts: Annotated[int, Range(ge=0, le=10)] = 0
+    max_attempts: Annotated[int, Range(ge=0, le=MAX_ATTEMPTS)] = 0
     repeatable: bool
     key_required: bool = False
     deadline_ms: Milliseconds
--- a/endivedrift/platform/_configuration.py
+++ b/endivedrift/platform/_configuration.py
@@ -13,7 +13,9 @@
 from endivedrift.core.events import ConfigFetched
 from endivedrift.objects import (
     BOUNDS_RULE_NAME,
+    MAX_ATTEMPTS,
     MAX_BODY_BYTES,
+    MAX_DEADLINE_MS,
     ConnectionLimit,
     FleetBounds,
     ObjectSet,
@@ -127,11 +129,11 @@
         subpaths_only=True,
         hosts=(host_name,),
         split=split,
-        max_attempts=read_integer(action, "maxAttempts"),
+        max_attempts=min(MAX_ATTEMPTS, read_integer(action, "maxAttempts")),
         methods=("*",),
         repeatable=_REPEATABLE_BY_KIND.get(kind, False),
         deadline_ms=timeout_ms,
-        aim_ms=read_milliseconds(rule, "targetLatency"),
+        aim_ms=min(MAX_DEADLINE_MS, read_milliseconds(rule, "targetLatency")),
         queue_wait_ms=max(1, timeout_ms - 1),
         importance=importance.name.lower(),
         request_limit_bytes=max_body_bytes,
--- a/endivedrift/platform/platform_test.py
+++ b/endivedrift/platform/platform_test.py
@@ -61,6 +61,12 @@
         self.assertIsNotNone(find_route(table, "GET", "/a", "other.example"))
         self.assertIsNone(find_route(table, "GET", "/a/b/c", "third.example"))
 
+    def test_more_attempts_than_a_route_allows_are_cut_to_the_most(self) -> None:
+        rule = build_rule("read", "safe", "/stays/", maxAttempts=50)
+        document = build_configuration(listeners=[{"host": LISTENER_HOST, "rules": [rule]}])
+        route = read_objects(document).route[f"read.{LISTENER_HOST}"]
+        self.assertEqual(route.max_attempts, 10)
+
     def test_only_kinds_that_are_known_as_idempotent_are_repeated(self) -> None:
         kinds = ("safe", "download", "unsafe", "odd", "Safe", "")
         rules = [build_rule(f"r{n}", kind, f"/{n}/") for n, kind in enumerate(kinds)]
