--- a/endivedrift/core/events.py
+++ b/endivedrift/core/events.py
@@ -206,9 +206,13 @@
 
 @dataclass(frozen=True, slots=True)
 class StopRequested:
-    """An operator or the platform requested that the process stop."""
+    """An operator or the platform requested that the process stop.
+
+    `serves_until` is when requests that are still in progress are cut off, or None for no limit.
+    """
 
     at: Instant
+    serves_until: Instant | None = None
 
 
 Event: TypeAlias = (
--- a/endivedrift/reducer/_reduce.py
+++ b/endivedrift/reducer/_reduce.py
@@ -176,5 +176,6 @@
     if state.phase is HostPhase.LEAVING:
         return []
     state.phase = HostPhase.LEAVING
+    state.serves_until = event.serves_until
     entry = AuditEntry(event.at, AuditKind.PHASE_CHANGED, state.identity.host, "stop requested")
     return [RecordAudit(entry), *announce_leaving(state.membership, event.at)]
--- a/endivedrift/reducer/_requests.py
+++ b/endivedrift/reducer/_requests.py
@@ -56,6 +56,10 @@
     time_limit = found.route.deadline
     if head.caller_timeout is not None:
         time_limit = min(time_limit, head.caller_timeout)
+    if state.serves_until is not None and event.at + time_limit > state.serves_until:
+        detail = "this host stops before the request would have to end"
+        reason, retry = RefusalReason.STOPPING, timedelta(0)
+        return refuse(state, event.at, event.request, head, reason, detail, retry, key=head.key)
     pending = RequestState(
         head,
         found,
--- a/endivedrift/reducer/_state.py
+++ b/endivedrift/reducer/_state.py
@@ -134,6 +134,7 @@
       phase: Phase of the process from its start to its end.
       config: Object set in force.
       newest_config: Newest object set known to be accepted, in force or not.
+      serves_until: When a stopping host cuts off requests in progress, or None.
       has_read_head: Whether the table service has reported an accepted object set.
       started_at: Time of the first tick, or None before it.
       fetching: Object set that is being fetched, or None.
@@ -169,6 +170,7 @@
     keys: KeyTable
     membership: Membership
     phase: HostPhase = HostPhase.STARTING
+    serves_until: Instant | None = None
     config: ConfigRef = NO_CONFIG
     newest_config: ConfigRef = NO_CONFIG
     has_read_head: bool = False
--- a/endivedrift/shell/_daemon.py
+++ b/endivedrift/shell/_daemon.py
@@ -151,13 +151,16 @@
     limit, the host stops even if requests are in progress.
     """
     _log.info("Leaving.", host=runtime.state.identity.host)
-    await runtime.dispatch(StopRequested(runtime.clock.monotonic()))
+    now = runtime.clock.monotonic()
+    drain_time = timedelta(seconds=settings.limits.drain_s)
+    serves_until = now + settings.limits.leave_wait + drain_time - DRAIN_POLL_PERIOD
+    await runtime.dispatch(StopRequested(now, serves_until))
     async with curio.ignore_after(settings.limits.leave_wait.total_seconds()):
         while await signals.wait() is signal.SIGHUP:
             _log.info("Settings are not reloaded while the host is leaving.")
     await accept_task.cancel()
     await callers.stop_listening()
-    deadline = runtime.clock.monotonic() + timedelta(seconds=settings.limits.drain_s)
+    deadline = runtime.clock.monotonic() + drain_time
     while callers.count_connections() or runtime.state.requests:
         if runtime.clock.monotonic() > deadline:
             _log.warning("The drain time limit passed with requests still in progress.")
--- a/tests/patterns_test.py
+++ b/tests/patterns_test.py
@@ -19,6 +19,7 @@
     RequestId,
     ServiceName,
     TargetName,
+    Verdict,
 )
 from endivedrift.core.effects import (
     AbortAttempt,
@@ -32,6 +33,7 @@
     AttemptFinished,
     AttemptLate,
     PeerMessageReceived,
+    StopRequested,
     StoreRecovered,
     StoreUnavailable,
     TargetsObserved,
@@ -412,6 +414,20 @@
         self.assertEqual(set(self.results), {"answered"})
 
 
+class StoppingHostTest(PatternTest):
+    def test_a_request_that_could_outlast_the_stop_is_refused_at_once(self) -> None:
+        now = self.harness.clock.monotonic()
+        self.harness.apply(StopRequested(now, now + timedelta(seconds=4)))
+        self.run_load(1.4, 20.0)
+        self.assertEqual(set(self.results), {"answered"})
+        # A booking may take 2.5 s, so that one that comes now might be cut off.
+        self.run_load(0.5, 20.0)
+        effects = self.harness.receive_request("POST", WRITE_PATH)[1]
+        refused = next(effect for effect in effects if isinstance(effect, RefuseRequest))
+        self.assertIs(refused.refusal.reason, RefusalReason.STOPPING)
+        self.assertIs(refused.refusal.attempt_verdict, Verdict.NOT_RUN)
+
+
 class FloorTest(PatternTest):
     def test_a_service_that_fails_a_sixth_of_its_requests_uses_its_floor(self) -> None:
         self.run_load(2.0, 20.0)
--- a/tests/platform_path_test.py
+++ b/tests/platform_path_test.py
@@ -8,6 +8,7 @@
 from collections.abc import Awaitable, Callable
 
 import curio
+from curio import socket
 
 from standins.platform_store import StoreFaults
 from tests.platform_builders import LISTENER_HOST, build_configuration, build_entry
@@ -121,6 +122,30 @@
 
         self.run_scenario(scenario)
 
+    def test_a_request_on_a_kept_connection_late_in_a_stop_gets_an_answer(self) -> None:
+        async def scenario(platform_fleet: PlatformFleet) -> None:
+            host = f"{platform_fleet.subnet}.2"
+            document = build_configuration(version=9)
+            for rule in document["listeners"][0]["rules"]:
+                rule["action"]["timeout"] = "2500ms"
+            platform_fleet.store.write("op", "config", document)
+            await curio.sleep(2.0)
+            sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+            await sock.connect((host, FIRST_PORT))
+            first = await send_booking(sock, "k1")
+            self.assertIn(b" 200 ", first.partition(b"\r\n")[0])
+            for target in platform_fleet.targets.values():
+                target.work_s = 2.4
+            platform_fleet.hosts[host].send_signal(signal.SIGTERM)
+            # The host serves callers that know it from a cached answer for 3.3 s, and waits for
+            # further requests on kept connections for half a second more.
+            await curio.sleep(3.5)
+            second = await send_booking(sock, "k2")
+            self.assertRegex(second.partition(b"\r\n")[0], rb" (200|503) ")
+            await sock.close()
+
+        self.run_scenario(scenario)
+
     def test_a_restored_store_is_followed_and_brings_no_target_back(self) -> None:
         async def scenario(platform_fleet: PlatformFleet) -> None:
             host = f"{platform_fleet.subnet}.2"
@@ -154,6 +179,19 @@
         self.run_scenario(scenario)
 
 
+async def send_booking(sock: socket.socket, attempt_id: str) -> bytes:
+    """Sends a booking on an open connection; returns the bytes of its answer, empty if none."""
+    head = (
+        f"POST /book/1 HTTP/1.1\r\nhost: {LISTENER_HOST}\r\ncontent-length: 0\r\n"
+        f"endivedrift-attempt-id: {attempt_id}\r\nendivedrift-deadline-ms: 5000\r\n\r\n"
+    )
+    try:
+        await sock.sendall(head.encode())
+        return bytes(await sock.recv(65_536))
+    except OSError:
+        return b""
+
+
 async def has_ended(process: subprocess.Popen[bytes]) -> bool:
     return process.poll() is not None
 
