--- a/endivedrift/core/__init__.py
+++ b/endivedrift/core/__init__.py
@@ -22,6 +22,7 @@
     Version,
 )
 from endivedrift.core._records import (
+    MAX_SLOTS,
     NO_CONFIG,
     Answer,
     AuditEntry,
@@ -98,6 +99,7 @@
     "MemberStatus",
     "MessageKind",
     "MAX_ERA",
+    "MAX_SLOTS",
     "MAX_STORE_NUMBER",
     "NOT_RUN_OUTCOMES",
     "NO_CONFIG",
--- a/endivedrift/core/_records.py
+++ b/endivedrift/core/_records.py
@@ -146,6 +146,10 @@
     paused: bool = False
 
 
+MAX_SLOTS = 1_000_000
+"""Most slots that a target may register."""
+
+
 @dataclass(frozen=True, slots=True)
 class TargetEntry:
     """The registration of one target.
--- a/endivedrift/objects/_reading.py
+++ b/endivedrift/objects/_reading.py
@@ -10,10 +10,9 @@
 from functools import cache
 from typing import Any
 
-from endivedrift.objects._constraints import Checked, Length, Pattern, Range
+from endivedrift.objects._constraints import Constraint
 
 _Reader = Callable[[Any], Any]
-_CONSTRAINTS = (Checked, Length, Pattern, Range)
 
 
 class FieldError(ValueError):
@@ -49,7 +48,7 @@
         return _build_record_reader(typing.cast(type, hint))
     if typing.get_origin(hint) is typing.Annotated:
         base, *metadata = typing.get_args(hint)
-        checks = [item.check for item in metadata if isinstance(item, _CONSTRAINTS)]
+        checks = [item.check for item in metadata if isinstance(item, Constraint)]
         return _build_checked_reader(build_reader(base), checks)
     if typing.get_origin(hint) is tuple:
         return _build_tuple_reader(build_reader(typing.get_args(hint)[0]))
--- a/endivedrift/objects/_schema.py
+++ b/endivedrift/objects/_schema.py
@@ -17,7 +17,8 @@
 MAX_DEADLINE_MS = 120_000
 MAX_ATTEMPTS = 10
 
-Name = Annotated[str, Pattern(r"^[A-Za-z0-9][A-Za-z0-9._-]{0,126}$")]
+NAME_PATTERN = Pattern(r"^[A-Za-z0-9][A-Za-z0-9._-]{0,126}$")
+Name = Annotated[str, NAME_PATTERN]
 Milliseconds = Annotated[int, Range(ge=1, le=MAX_DEADLINE_MS)]
 Probability = Annotated[float, Range(gt=0.0, lt=1.0)]
 
--- a/endivedrift/objects/reading_test.py
+++ b/endivedrift/objects/reading_test.py
@@ -13,7 +13,7 @@
 from endivedrift.objects._reading import FieldError, build_reader
 from endivedrift.objects._validation import validate_json
 from tests.builders import build_discovered_set, build_object_set
-from tests.fuzzing import fuzz_input
+from tests.fuzzing import fuzz_input, list_paths
 
 SETS = [describe_object_set(build_object_set()), describe_object_set(build_discovered_set())]
 VALUES = st.sampled_from(
@@ -39,21 +39,11 @@
 )
 
 
-def list_paths(document: Any, prefix: tuple[Any, ...] = ()) -> list[tuple[Any, ...]]:
-    items: Any = ()
-    if isinstance(document, dict):
-        items = document.items()
-    elif isinstance(document, list):
-        items = enumerate(document)
-    below = [path for key, value in items for path in list_paths(value, (*prefix, key))]
-    return [prefix, *below] if prefix else below
-
-
 @st.composite
 def draw_changed_sets(draw: st.DrawFn) -> dict[str, Any]:
     """Draws a valid set of which one value was replaced, removed or added."""
     document = copy.deepcopy(draw(st.sampled_from(SETS)))
-    path = draw(st.sampled_from(list_paths(document)))
+    path = draw(st.sampled_from([path for path in list_paths(document) if path]))
     parent: Any = document
     for key in path[:-1]:
         parent = parent[key]
--- a/endivedrift/platform/_entries.py
+++ b/endivedrift/platform/_entries.py
@@ -6,7 +6,7 @@
 
 from datetime import timedelta
 
-from endivedrift.core import FailureDomain, ServiceName, TargetEntry, TargetName
+from endivedrift.core import MAX_SLOTS, FailureDomain, ServiceName, TargetEntry, TargetName
 from endivedrift.platform._values import (
     WireError,
     escape_text,
@@ -17,8 +17,6 @@
     read_name,
 )
 
-MAX_SLOTS = 1_000_000
-
 _IS_LEAVING_BY_STATE = {"ready": False, "draining": True}
 
 
--- a/endivedrift/platform/_values.py
+++ b/endivedrift/platform/_values.py
@@ -12,18 +12,16 @@
 from typing import Any
 
 from endivedrift.core import Address
-from endivedrift.objects import check_address
+from endivedrift.objects import NAME_PATTERN, check_address
 
 MAX_DURATION = timedelta(days=1)
 """Longest duration that is accepted."""
 MAX_INTEGER = 2**53
 """Greatest number that every JSON implementation keeps exact; it also fits the peer messages."""
-MAX_NAME_LENGTH = 127
 MAX_SHOWN_LENGTH = 80
 """Length up to which an invalid value is repeated in the text of an error."""
 
 _DURATION = re.compile(r"^(\d{1,15}(?:\.\d{1,15})?)(ms|s)$", re.ASCII)
-_NAME = re.compile(r"^[A-Za-z0-9][A-Za-z0-9._-]*$", re.ASCII)
 
 
 class WireError(ValueError):
@@ -87,7 +85,7 @@
       WireError: If it is missing, of another type or not such a name.
     """
     value: str = read_field(document, field, str)
-    if len(value) > MAX_NAME_LENGTH or _NAME.fullmatch(value) is None:
+    if NAME_PATTERN.check(value) is not None:
         raise WireError(f"{field}: {_show(value)} is not a name")
     return value
 
--- a/endivedrift/platform/input_test.py
+++ b/endivedrift/platform/input_test.py
@@ -11,7 +11,7 @@
 import tempfile
 import tomllib
 import unittest
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 from pathlib import Path
 from typing import Any
 from unittest import mock
@@ -28,7 +28,7 @@
 from endivedrift.platform._node_file import read_node_file
 from endivedrift.platform._store import StoreError, StoreRow, _read_rows
 from endivedrift.platform._values import MAX_INTEGER, WireError, read_row_value
-from tests.fuzzing import fuzz_input
+from tests.fuzzing import fuzz_input, list_paths
 from tests.platform_builders import (
     BOUNDS,
     LISTENER_HOST,
@@ -90,15 +90,6 @@
     )
 
 
-def list_paths(document: Any, prefix: tuple[Any, ...] = ()) -> Iterator[tuple[Any, ...]]:
-    """Yields the path of each value in a document."""
-    yield prefix
-    items = document.items() if isinstance(document, dict) else ()
-    items = enumerate(document) if isinstance(document, list) else items
-    for key, value in items:
-        yield from list_paths(value, (*prefix, key))
-
-
 def replace_value(document: Any, path: tuple[Any, ...], value: Any) -> Any:
     """Returns a copy of a document in which the value at a path is replaced."""
     if not path:
--- a/endivedrift/reducer/_discovery.py
+++ b/endivedrift/reducer/_discovery.py
@@ -31,11 +31,7 @@
     TargetsObserved,
 )
 from endivedrift.fleet import sample_alive
-from endivedrift.policy import (
-    mark_leaving,
-    register_target,
-    restore_registered_target,
-)
+from endivedrift.policy import mark_leaving, register_target, restore_registered_target
 from endivedrift.reducer._attempts import dispatch_queued
 from endivedrift.reducer._state import Departure, HostState
 
@@ -156,8 +152,8 @@
     entries: list[AuditEntry] = []
     changed_services = set()
     for observed_entry in observed:
-        entry = _keep_leaving(state, observed_entry)
-        departure = _find_departure(state, entry)
+        departure = _find_departure(state, observed_entry)
+        entry = _keep_leaving(state, observed_entry, departure)
         state.departures.pop(entry.name, None)
         state.removal_times.pop(entry.name, None)
         known = state.discovered.get(entry.name)
@@ -185,7 +181,7 @@
         record.held_until = max(record.held_until, departure.held_until)
 
 
-def _keep_leaving(state: HostState, entry: TargetEntry) -> TargetEntry:
+def _keep_leaving(state: HostState, entry: TargetEntry, departure: Departure | None) -> TargetEntry:
     """Marks a registration as leaving if its process has registered as leaving before.
 
     A process that shuts down does not return. A later registration as ready is an older one, which
@@ -193,7 +189,6 @@
     """
     known = state.discovered.get(entry.name)
     is_same = known is not None and 0 < known.started_ms == entry.started_ms
-    departure = _find_departure(state, entry)
     has_left = departure is not None and departure.leaving
     if has_left or (known is not None and is_same and known.leaving):
         return replace(entry, leaving=True)
--- a/endivedrift/settings.py
+++ b/endivedrift/settings.py
@@ -10,13 +10,11 @@
 
 from expression import Error, Ok, Result
 
-from endivedrift.objects import STRICT, AddressText, Length, Pattern, Range
+from endivedrift.objects import STRICT, AddressText, Length, Name, Pattern, Range
 
 MIN_KEY_LENGTH = 16
 LEAVE_MARGIN_S = 1.0
 
-Name = Annotated[str, Pattern(r"^[A-Za-z0-9][A-Za-z0-9._-]{0,126}$")]
-
 
 @dataclass(frozen=True, slots=True)
 class SettingsError:
--- a/endivedrift/shell/_callers.py
+++ b/endivedrift/shell/_callers.py
@@ -33,6 +33,7 @@
 from endivedrift.shell._answers import HttpAnswer, make_refusal
 from endivedrift.shell._entry import ENTRY_PATH, answer_entry
 from endivedrift.shell._http import (
+    EVENTS_PER_TURN,
     READ_BYTES,
     copy_headers,
     find_header,
@@ -52,8 +53,6 @@
 MAX_UNPARSED_BYTES = 131_072
 MAX_PIPELINED_REQUESTS = 16
 """Maximum number of requests of one connection in progress; further ones are not read."""
-EVENTS_PER_TURN = 128
-"""Events of the parser after which other tasks run; tiny chunks take no wait between two events."""
 WRITE_TIMEOUT = timedelta(seconds=30)
 CLOSING_IDLE_TIMEOUT = timedelta(milliseconds=500)
 LISTEN_BACKLOG = 1_024
--- a/endivedrift/shell/_codec.py
+++ b/endivedrift/shell/_codec.py
@@ -16,6 +16,7 @@
 import capnp
 
 from endivedrift.core import (
+    MAX_SLOTS,
     Address,
     Answer,
     CallerName,
@@ -53,7 +54,6 @@
 """Greatest numbers that are accepted. A host that refutes a report counts on from its number, which
 must still fit its field."""
 MAX_POWER_CORES = 1e6
-MAX_SLOTS = 1_000_000
 MICROSECOND = timedelta(microseconds=1)
 MAX_CONFIG_BYTES = 64 * 1024 * 1024
 NO_TIME_MICROS = -1
--- a/endivedrift/shell/_http.py
+++ b/endivedrift/shell/_http.py
@@ -10,6 +10,8 @@
 from endivedrift.core import Address, Headers
 
 READ_BYTES = 65_536
+EVENTS_PER_TURN = 128
+"""Events of the parser after which other tasks run; tiny chunks take no wait between two events."""
 MAX_HEAD_BYTES = 16_384
 
 _HOP_HEADERS = frozenset(
--- a/endivedrift/shell/_targets.py
+++ b/endivedrift/shell/_targets.py
@@ -34,6 +34,7 @@
 from endivedrift.core.events import AttemptFinished
 from endivedrift.shell._conventions import DEFAULT_CONVENTIONS, HttpConventions
 from endivedrift.shell._http import (
+    EVENTS_PER_TURN,
     MAX_HEAD_BYTES,
     READ_BYTES,
     copy_headers,
@@ -50,8 +51,6 @@
 MAX_INFORMATIONAL_RESPONSES = 16
 MAX_FRAMING_BYTES = 256 * 1024
 """Bytes beyond its body that an answer may take, as heads, chunk headers and trailers."""
-EVENTS_PER_TURN = 128
-"""Events of the parser after which other tasks run; tiny chunks take no wait between two events."""
 KEEP_ALIVE_FRACTION = 0.8
 """Fraction of the idle timeout announced by a target during which a connection is reused. The rest
 covers the time that a request takes to reach the target."""
--- a/tests/fuzzing.py
+++ b/tests/fuzzing.py
@@ -6,7 +6,7 @@
 """
 
 import os
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from contextlib import AbstractContextManager
 from typing import Any
 from unittest import mock
@@ -75,6 +75,18 @@
     return chosen(test)
 
 
+def list_paths(document: Any, prefix: tuple[Any, ...] = ()) -> Iterator[tuple[Any, ...]]:
+    """Yields the path of each value in a JSON document, beginning with the document's own."""
+    yield prefix
+    items: Any = ()
+    if isinstance(document, dict):
+        items = document.items()
+    elif isinstance(document, list):
+        items = enumerate(document)
+    for key, value in items:
+        yield from list_paths(value, (*prefix, key))
+
+
 def detects_fault(machine: type[RuleBasedStateMachine]) -> bool:
     """Tells whether a machine finds a violation in the histories of several fixed seeds.
 
