Log attempts that are aborted as late, with their cause

Cause: after SIGTERM a caller got 504 while its target was at work.

Ruled out: an outcome of its own, which would change metrics and pause causes.

Change: an audit entry attempt-aborted with the time that the attempt took, written to the log with the request's id.

--- a/endivedrift/core/_states.py
+++ b/endivedrift/core/_states.py
@@ -149,6 +149,7 @@
     READMITTED = "readmitted"
     PROBATION = "probation"
     PAUSED = "paused"
+    ATTEMPT_ABORTED = "attempt-aborted"
     STORE_CHANGED = "store-changed"
     TARGET_MISSING = "target-missing"
     TARGET_JOINED = "target-joined"
--- a/endivedrift/reducer/_attempts.py
+++ b/endivedrift/reducer/_attempts.py
@@ -218,7 +218,12 @@
         return []
     if not has_faster_target(service, event.target, attempt.started, event.at):
         return []
-    return [AbortAttempt(event.request)]
+    passed = (event.at - attempt.started).total_seconds()
+    cause = f"no answer after {passed:.3f} s, while another target answers in less than half of it"
+    entry = AuditEntry(
+        event.at, AuditKind.ATTEMPT_ABORTED, event.target, cause, service.name, event.request
+    )
+    return [AbortAttempt(event.request), RecordAudit(entry)]
 
 
 def end_with_answer(
--- a/tests/patterns_test.py
+++ b/tests/patterns_test.py
@@ -25,6 +25,7 @@
     AbortAttempt,
     DeliverAnswer,
     Effect,
+    RecordAudit,
     RefuseRequest,
     SendPeerMessage,
     SendToTarget,
@@ -245,7 +246,7 @@
         self.run_load(seconds, 20.0, write=False)
         now = self.harness.clock.monotonic()
         effects = self.harness.apply(AttemptLate(now, sent.request, sent.target))
-        return [type(effect) for effect in effects] == [AbortAttempt]
+        return [type(effect) for effect in effects] == [AbortAttempt, RecordAudit]
 
     def test_a_request_may_take_several_times_the_typical_latency(self) -> None:
         self.assertEqual(self.send_one().late_after, timedelta(seconds=1))
