Abort a late attempt only for a retry that is certain to be sent

An attempt counts as late after four times the typical time (4 x 0.404 s); the decision to abort looked at the retry budget only. The decision to try another target, taken when the attempt had ended, also asks whether the time left is more than the typical time (0.404 s), takes the token that another late attempt may have taken meanwhile, and needs a target with room. Where it said no, a running request was broken off for nothing. The same happened at any time, not only in a stop; only there the users count it as lost.

Change: one predicate for both decisions. The retry's token and a slot at its target are reserved in the step that decides to abort, and given back if the attempt ends otherwise.

That this was the reported request is an inference from its times; there is no log of it.

--- a/endivedrift/reducer/_attempts.py
+++ b/endivedrift/reducer/_attempts.py
@@ -88,6 +88,7 @@
     {AttemptOutcome.NOT_CONNECTED, AttemptOutcome.TIMED_OUT, AttemptOutcome.SHED}
 )
 """Failures not reported to other hosts, since the path or a brief overload may be the cause."""
+_USABLE_STATES = frozenset({TargetState.HEALTHY, TargetState.WARMING, TargetState.PROBATION})
 SERVER_ERROR = 500
 MAX_REUSE_IDLE = timedelta(seconds=10)
 """Idle time after which a connection is not reused: the shortest idle timeout of a target."""
@@ -179,13 +180,19 @@
     pending.may_have_run |= judge_outcome(event.outcome) is Verdict.MAY_HAVE_RUN
     service = state.services.get(pending.service)
     effects: list[Effect] = []
+    reserved = None
     if service is not None:
         effects += _record_attempt(state, service, event)
+        reserved = _release_reservation(state, service, pending, event.request)
     answer = event.answer if event.outcome is AttemptOutcome.ANSWERED else None
     served = answer is not None and answer.status < SERVER_ERROR
-    if not served and service is not None and _may_retry(service, pending, event):
+    is_reserved = reserved is not None
+    if not served and service is not None and _may_retry(service, pending, event, is_reserved):
         pending.failure_answer = answer or pending.failure_answer
-        effects += admit(state, event.at, event.request)
+        if reserved is not None and _is_usable(service, reserved, event.at):
+            effects += _send_to_target(state, service, event.at, event.request, reserved)
+        else:
+            effects += admit(state, event.at, event.request)
     elif answer is not None:
         effects += end_with_answer(state, event.at, event.request, answer)
     else:
@@ -198,10 +205,12 @@
 
 
 def handle_late_attempt(state: HostState, event: AttemptLate) -> list[Effect]:
-    """Aborts a late attempt if another target answers faster.
+    """Aborts a late attempt if another target answers faster and a retry is certain to be sent.
 
     If no other target does, the whole service is slow and a retry would not help. If the target has
-    answered another request well since the attempt began, the request itself takes long.
+    answered another request well since the attempt began, the request itself takes long. The target
+    may be at work on the request, so the retry is taken from the budget, and its room at another
+    target is reserved, before the attempt is aborted.
     """
     pending = state.requests.get(event.request)
     service = state.services.get(pending.service) if pending is not None else None
@@ -209,15 +218,16 @@
         return []
     record = service.targets.get(event.target)
     attempt = record.attempts.get(event.request) if record is not None else None
-    may_retry = pending.route.route.repeatable and pending.attempt_count < _get_max_attempts(
-        service, pending
-    )
-    if record is None or attempt is None or not may_retry or service.retry_budget.tokens < 1.0:
+    if record is None or attempt is None or pending.reserved_target is not None:
+        return []
+    if not pending.route.route.repeatable or not _has_retry_left(service, pending, event.at):
         return []
     if record.last_success_at is not None and record.last_success_at > attempt.started:
         return []
     if not has_faster_target(service, event.target, attempt.started, event.at):
         return []
+    if not _reserve_retry(state, service, event.at, event.request):
+        return []
     passed = (event.at - attempt.started).total_seconds()
     cause = f"no answer after {passed:.3f} s, while another target answers in less than half of it"
     entry = AuditEntry(
@@ -302,20 +312,32 @@
 
 def _start_attempt(
     state: HostState, service: ServiceState, at: Instant, request: RequestId
+) -> list[Effect]:
+    name = _choose_target(state, service, at, state.requests[request])
+    return _send_to_target(state, service, at, request, name) if name is not None else []
+
+
+def _choose_target(
+    state: HostState, service: ServiceState, at: Instant, pending: RequestState
+) -> TargetName | None:
+    return choose_target(
+        service,
+        state.identity.failure_domain,
+        pending.tried_targets,
+        pending.route.route.repeatable,
+        state.random,
+        at,
+        at - pending.arrived,
+    )
+
+
+def _send_to_target(
+    state: HostState, service: ServiceState, at: Instant, request: RequestId, name: TargetName
 ) -> list[Effect]:
     pending = state.requests[request]
     route = pending.route.route
-    home = state.identity.failure_domain
-    waited = at - pending.arrived
-    name = choose_target(
-        service, home, pending.tried_targets, route.repeatable, state.random, at, waited
-    )
-    if name is None:
-        return []
     record = service.targets[name]
-    record.attempts[request] = Attempt(at)
-    record.last_request_at = at
-    _mark_in_flight_changed(state, service, record)
+    _occupy_slot(state, service, record, request, at)
     pending.attempt_count += 1
     pending.tried_targets = pending.tried_targets | {name}
     pending.target = name
@@ -336,6 +358,51 @@
     return [effect]
 
 
+def _occupy_slot(
+    state: HostState, service: ServiceState, record: TargetRecord, request: RequestId, at: Instant
+) -> None:
+    record.attempts[request] = Attempt(at)
+    record.last_request_at = at
+    _mark_in_flight_changed(state, service, record)
+
+
+def _reserve_retry(
+    state: HostState, service: ServiceState, at: Instant, request: RequestId
+) -> bool:
+    """Takes a retry from the budget and occupies a slot for it at another target, if there is one.
+
+    Returns:
+      Whether the retry is reserved.
+    """
+    pending = state.requests[request]
+    name = _choose_target(state, service, at, pending)
+    if name is None or not service.retry_budget.take(at):
+        return False
+    _occupy_slot(state, service, service.targets[name], request, at)
+    pending.reserved_target = name
+    return True
+
+
+def _release_reservation(
+    state: HostState, service: ServiceState, pending: RequestState, request: RequestId
+) -> TargetName | None:
+    """Returns what was reserved for a retry, and names its target, or None if nothing was."""
+    name, pending.reserved_target = pending.reserved_target, None
+    if name is None:
+        return None
+    service.retry_budget.add(1.0)
+    record = service.targets.get(name)
+    if record is not None and record.attempts.pop(request, None) is not None:
+        _mark_in_flight_changed(state, service, record)
+    return name
+
+
+def _is_usable(service: ServiceState, name: TargetName, at: Instant) -> bool:
+    """Tells whether a target still gets requests."""
+    record = service.targets.get(name)
+    return record is not None and record.state in _USABLE_STATES and record.held_until <= at
+
+
 def _get_max_reuse_idle(service: ServiceState, repeatable: bool) -> timedelta:
     """Returns how long a connection may have been idle to be reused for a request."""
     if repeatable:
@@ -400,11 +467,10 @@
 
     Targets that have stated no such time take requests now.
     """
-    states = {TargetState.HEALTHY, TargetState.WARMING, TargetState.PROBATION}
     times = (
         max(at, record.held_until)
         for name, record in service.targets.items()
-        if record.state in states and name not in pending.tried_targets
+        if record.state in _USABLE_STATES and name not in pending.tried_targets
     )
     return min(times, default=None)
 
@@ -454,17 +520,26 @@
     return [RecordAudit(entry) for entry in entries]
 
 
-def _may_retry(service: ServiceState, pending: RequestState, event: AttemptFinished) -> bool:
-    if event.outcome in _FINAL_OUTCOMES or pending.attempt_count >= _get_max_attempts(
-        service, pending
-    ):
-        return False
-    if pending.failed_connections > MAX_FAILED_CONNECTIONS:
+def _may_retry(
+    service: ServiceState, pending: RequestState, event: AttemptFinished, is_reserved: bool
+) -> bool:
+    """Tells whether the request is retried, and takes the retry from the budget.
+
+    The time left for a retry that was reserved was checked before the attempt was aborted.
+    """
+    if event.outcome in _FINAL_OUTCOMES:
         return False
     if pending.may_have_run and not pending.route.route.repeatable:
         return False
-    if event.at + service.typical_latency >= pending.deadline:
+    if not is_reserved and not _has_retry_left(service, pending, event.at):
         return False
-    if not pending.attempt_count:
-        return True
-    return service.retry_budget.take(event.at)
+    return not pending.attempt_count or service.retry_budget.take(event.at)
+
+
+def _has_retry_left(service: ServiceState, pending: RequestState, at: Instant) -> bool:
+    """Tells whether attempts are left, and enough time for one more to be answered."""
+    if pending.attempt_count >= _get_max_attempts(service, pending):
+        return False
+    if pending.failed_connections > MAX_FAILED_CONNECTIONS:
+        return False
+    return at + service.typical_latency < pending.deadline
--- a/endivedrift/reducer/_state.py
+++ b/endivedrift/reducer/_state.py
@@ -62,6 +62,8 @@
       attempt_count: Attempts made, without those that could not connect.
       tried_targets: Targets of its attempts, including attempts that could not connect.
       target: Target of the attempt in progress, or None.
+      reserved_target: Target at which room is kept for the retry that follows the abort of the
+        attempt in progress, or None. The retry has been taken from the retry budget.
       may_have_run: Whether any attempt may have run.
       key: Key whose record this request holds, or None.
       split_service: Service chosen for the request if its route is split, or None.
@@ -76,6 +78,7 @@
     attempt_count: int = 0
     tried_targets: frozenset[TargetName] = frozenset()
     target: TargetName | None = None
+    reserved_target: TargetName | None = None
     may_have_run: bool = False
     key: IdempotencyKey | None = None
     split_service: ServiceName | None = None
--- a/tests/host_test.py
+++ b/tests/host_test.py
@@ -45,6 +45,7 @@
     MachineListRead,
     PeerMessageReceived,
     QueueWaitExpired,
+    StopRequested,
 )
 from endivedrift.fleet import build_membership
 from endivedrift.policy import _ejection
@@ -267,11 +268,13 @@
             self.assertTrue(result.failures)
 
 
-class LateAttemptTest(unittest.TestCase):
-    """A repeatable request that gets no answer is retried at another target before its deadline."""
+class LateAttemptCase(unittest.TestCase):
+    """Sends requests to four targets and reports them as late."""
+
+    slots = 2
 
     def setUp(self) -> None:
-        self.harness = HostHarness(build_object_set(max_attempts=2))
+        self.harness = HostHarness(build_object_set(max_attempts=2, slots=self.slots))
         self.service = self.harness.state.services[ServiceName(SERVICE)]
 
     def send(self, method: str, path: str) -> SendToTarget:
@@ -288,6 +291,10 @@
         now = self.harness.clock.monotonic()
         return self.harness.apply(AttemptLate(now, sent.request, sent.target))
 
+
+class LateAttemptTest(LateAttemptCase):
+    """A repeatable request that gets no answer is retried at another target before its deadline."""
+
     def test_it_is_retried_elsewhere_in_time_when_others_answer(self) -> None:
         stuck, other = self.send("GET", READ_PATH), self.send("GET", READ_PATH)
         self.assertEqual(stuck.late_after, timedelta(seconds=1))
@@ -326,6 +333,96 @@
         self.assertEqual(self.report_late(stuck), [])
 
 
+class AbortedAttemptTest(LateAttemptCase):
+    """An attempt is aborted only for a retry that is certain to be sent.
+
+    Guards against breaking off a request at which its target is at work and then refusing it: a
+    caller got 504 that way after SIGTERM.
+    """
+
+    slots = 1
+
+    def send_late(self, count: int, seconds: float = 1.0) -> list[SendToTarget]:
+        """Sends requests that are still in progress after a time in which another was answered."""
+        sent = [self.send("GET", READ_PATH) for _ in range(count + 1)]
+        self.harness.clock.advance(timedelta(seconds=0.1))
+        self.finish(sent[-1], AttemptOutcome.ANSWERED, 0.1)
+        self.harness.clock.advance(timedelta(seconds=seconds - 0.1))
+        return sent[:-1]
+
+    def is_in_progress_anywhere(self) -> bool:
+        return any(record.attempts for record in self.service.targets.values())
+
+    def test_it_is_not_aborted_when_too_little_time_is_left_for_a_retry(self) -> None:
+        (stuck,) = self.send_late(1, seconds=1.618)
+        self.service.typical_latency = timedelta(milliseconds=404)
+        self.assertEqual(self.report_late(stuck), [])
+
+    def test_it_is_not_aborted_so_late_in_a_stop_either(self) -> None:
+        # The stop itself ends long after the request must have ended, so it is no reason to refuse.
+        now = self.harness.clock.monotonic()
+        self.harness.apply(StopRequested(now, now + timedelta(seconds=5.65)))
+        self.harness.clock.advance(timedelta(seconds=0.5))
+        (stuck,) = self.send_late(1, seconds=1.618)
+        self.service.typical_latency = timedelta(milliseconds=404)
+        self.assertEqual(self.report_late(stuck), [])
+
+    def test_two_do_not_share_one_token_of_the_retry_budget(self) -> None:
+        late = self.send_late(2)
+        self.service.retry_budget.tokens = 1.0
+        aborted = [sent for sent in late if self.report_late(sent)]
+        self.assertEqual(len(aborted), 1)
+        effects = self.finish(aborted[0], AttemptOutcome.TIMED_OUT, 1.0)
+        self.assertEqual(sum(isinstance(effect, SendToTarget) for effect in effects), 1)
+
+    def test_it_is_not_aborted_while_no_other_target_has_room(self) -> None:
+        (stuck,) = self.send_late(1)
+        for _ in range(3):
+            self.send("POST", WRITE_PATH)
+        self.assertEqual(self.report_late(stuck), [])
+
+    def test_the_room_for_its_retry_is_kept_until_it_is_sent(self) -> None:
+        (stuck,) = self.send_late(1)
+        occupied = [self.send("POST", WRITE_PATH) for _ in range(2)]
+        self.assertTrue(self.report_late(stuck))
+        arrived = self.harness.receive_request("POST", WRITE_PATH)[1]
+        self.assertFalse(any(isinstance(effect, SendToTarget) for effect in arrived))
+        effects = self.finish(stuck, AttemptOutcome.TIMED_OUT, 1.0)
+        retry = next(effect for effect in effects if isinstance(effect, SendToTarget))
+        self.assertEqual(retry.request, stuck.request)
+        self.assertNotIn(retry.target, {stuck.target, *(sent.target for sent in occupied)})
+
+    def test_an_answer_that_comes_before_the_abort_returns_token_and_room(self) -> None:
+        (stuck,) = self.send_late(1)
+        tokens = self.service.retry_budget.tokens
+        self.assertTrue(self.report_late(stuck))
+        effects = self.finish(stuck, AttemptOutcome.ANSWERED, 1.0)
+        self.assertTrue(any(isinstance(effect, DeliverAnswer) for effect in effects))
+        self.assertEqual(self.service.retry_budget.tokens, tokens)
+        self.assertFalse(self.is_in_progress_anywhere())
+
+    def test_a_caller_that_leaves_before_the_retry_returns_token_and_room(self) -> None:
+        (stuck,) = self.send_late(1)
+        tokens = self.service.retry_budget.tokens
+        self.assertTrue(self.report_late(stuck))
+        self.finish(stuck, AttemptOutcome.CANCELLED, 1.0)
+        self.assertEqual(self.service.retry_budget.tokens, tokens)
+        self.assertFalse(self.is_in_progress_anywhere())
+
+    def test_the_retry_goes_elsewhere_if_the_chosen_target_has_left(self) -> None:
+        (stuck,) = self.send_late(1)
+        self.assertTrue(self.report_late(stuck))
+        chosen = next(
+            name
+            for name, record in self.service.targets.items()
+            if stuck.request in record.attempts and name != stuck.target
+        )
+        del self.service.targets[chosen]
+        effects = self.finish(stuck, AttemptOutcome.TIMED_OUT, 1.0)
+        retry = next(effect for effect in effects if isinstance(effect, SendToTarget))
+        self.assertNotIn(retry.target, {stuck.target, chosen})
+
+
 class ProbationTest(unittest.TestCase):
     """A failed request in probation ejects the target again and is recorded in the audit trail."""
 
