Finish requests that arrive after a second signal, as a stopping host promises

A stopping host takes a request if it ends before the limit of its stop. After a second SIGTERM it waited only for drain_s from that moment, less than the limit it had stated: a booking of 2.4 s on a kept connection, sent 0.4 s after the first signal, was cut off without an answer.

Ruled out: refusing what comes after the second signal (the time that the platform allows for the stop has not changed).

Change: one limit for the whole stop, whatever signals come.

--- a/endivedrift/shell/_daemon.py
+++ b/endivedrift/shell/_daemon.py
@@ -147,20 +147,20 @@
     """Drains the host: new entry answers omit it, and requests in progress are finished.
 
     The host still accepts connections until cached entry answers that name it have expired. A
-    second signal ends this wait early; requests in progress are still finished. After the drain
-    limit, the host stops even if requests are in progress.
+    second signal ends this wait early; requests in progress are still finished, and so are those
+    that arrive later on open connections. After the time limit of both parts of the stop, the host
+    stops even if requests are in progress.
     """
     _log.info("Leaving.", host=runtime.state.identity.host)
     now = runtime.clock.monotonic()
     drain_time = timedelta(seconds=settings.limits.drain_s)
-    serves_until = now + settings.limits.leave_wait + drain_time - DRAIN_POLL_PERIOD
-    await runtime.dispatch(StopRequested(now, serves_until))
+    deadline = now + settings.limits.leave_wait + drain_time
+    await runtime.dispatch(StopRequested(now, deadline - DRAIN_POLL_PERIOD))
     async with curio.ignore_after(settings.limits.leave_wait.total_seconds()):
         while await signals.wait() is signal.SIGHUP:
             _log.info("Settings are not reloaded while the host is leaving.")
     await accept_task.cancel()
     await callers.stop_listening()
-    deadline = runtime.clock.monotonic() + drain_time
     while callers.count_connections() or runtime.state.requests:
         if runtime.clock.monotonic() > deadline:
             _log.warning("The drain time limit passed with requests still in progress.")
--- a/tests/platform_path_test.py
+++ b/tests/platform_path_test.py
@@ -122,7 +122,17 @@
 
         self.run_scenario(scenario)
 
-    def test_a_request_on_a_kept_connection_late_in_a_stop_gets_an_answer(self) -> None:
+    def book_during_stop(self, second_signal_after_s: float | None, sent_after_s: float) -> bytes:
+        """Sends a booking of 2.4 s on a kept connection of a stopping host.
+
+        Args:
+          second_signal_after_s: Time from the first to a second SIGTERM, or None for only one.
+          sent_after_s: Time from the latest signal to the request.
+        Returns:
+          The status line of its answer, empty if the connection was closed without one.
+        """
+        status_lines: list[bytes] = []
+
         async def scenario(platform_fleet: PlatformFleet) -> None:
             host = f"{platform_fleet.subnet}.2"
             document = build_configuration(version=9)
@@ -137,14 +147,24 @@
             for target in platform_fleet.targets.values():
                 target.work_s = 2.4
             platform_fleet.hosts[host].send_signal(signal.SIGTERM)
-            # The host serves callers that know it from a cached answer for 3.3 s, and waits for
-            # further requests on kept connections for half a second more.
-            await curio.sleep(3.5)
+            if second_signal_after_s is not None:
+                await curio.sleep(second_signal_after_s)
+                platform_fleet.hosts[host].send_signal(signal.SIGTERM)
+            await curio.sleep(sent_after_s)
             second = await send_booking(sock, "k2")
-            self.assertRegex(second.partition(b"\r\n")[0], rb" (200|503) ")
+            status_lines.append(second.partition(b"\r\n")[0])
             await sock.close()
 
         self.run_scenario(scenario)
+        return status_lines[0]
+
+    def test_a_request_on_a_kept_connection_late_in_a_stop_gets_an_answer(self) -> None:
+        # The host serves callers that know it from a cached answer for 3.3 s, and waits for
+        # further requests on kept connections for half a second more.
+        self.assertRegex(self.book_during_stop(None, 3.5), rb" (200|503) ")
+
+    def test_a_second_signal_cuts_off_no_request_that_came_after_it(self) -> None:
+        self.assertRegex(self.book_during_stop(0.1, 0.3), rb" (200|503) ")
 
     def test_a_restored_store_is_followed_and_brings_no_target_back(self) -> None:
         async def scenario(platform_fleet: PlatformFleet) -> None:
