Let a stopping host finish attempts that are late

Cause: the same class as the reported 504: after SIGTERM a host may break off a late attempt for a retry; if the retry fails, the caller gets an own refusal of the host in place of the answer that the first target was working on. Reserving the retry makes sure that it is sent, not that it is answered.

Ruled out: keeping the first attempt beside the retry, which doubles the load of late requests (docs/DESIGN.md).

Change: no attempt is aborted while the host is leaving. Few requests are concerned: the entry answer drops the host at once.

A request at a silent target of a stopping host now waits for its time-out.

--- a/endivedrift/reducer/_attempts.py
+++ b/endivedrift/reducer/_attempts.py
@@ -14,6 +14,7 @@
     AttemptOutcome,
     AuditEntry,
     AuditKind,
+    HostPhase,
     Instant,
     KeyPhase,
     LeavingSource,
@@ -210,8 +211,11 @@
     If no other target does, the whole service is slow and a retry would not help. If the target has
     answered another request well since the attempt began, the request itself takes long. The target
     may be at work on the request, so the retry is taken from the budget, and its room at another
-    target is reserved, before the attempt is aborted.
+    target is reserved, before the attempt is aborted. A stopping host aborts nothing: if the retry
+    failed, it would have refused a request that a target was working on.
     """
+    if state.phase is HostPhase.LEAVING:
+        return []
     pending = state.requests.get(event.request)
     service = state.services.get(pending.service) if pending is not None else None
     if pending is None or service is None or pending.target != event.target:
--- a/tests/host_test.py
+++ b/tests/host_test.py
@@ -367,6 +367,13 @@
         self.service.typical_latency = timedelta(milliseconds=404)
         self.assertEqual(self.report_late(stuck), [])
 
+    def test_it_is_not_aborted_in_a_stop_for_a_retry_that_may_fail(self) -> None:
+        # Guards against an own refusal in place of the answer that a target is working on.
+        now = self.harness.clock.monotonic()
+        self.harness.apply(StopRequested(now, now + timedelta(seconds=5.65)))
+        (stuck,) = self.send_late(1)
+        self.assertEqual(self.report_late(stuck), [])
+
     def test_two_do_not_share_one_token_of_the_retry_budget(self) -> None:
         late = self.send_late(2)
         self.service.retry_budget.tokens = 1.0
