Log what request an attempt carried, and whether the target that cut it off has ended

Cause: one request ended 24 targets. The log shows the path but no body, so repeats of a request cannot be told from others on its path; and it shows a cut attempt in the same words for a target that ended and for one that resets connections all the time (i-ccfbb45073 cut every request after 1 to 3 ms and lived).

Ruled out: the store as the source (the registration of an ended target lapses 3.4 s later); the next attempt's failed connection (there may be none); health checks (they lie, and cost).

Change: a digest of host name, caller, method, path, query and body in the head of a request and in its log line. After an attempt that was cut off, a connection is tried for at most 100 ms: refused means that the process has ended. One that is accepted is kept for the next request, which needs a new one anyway. AttemptFinished.target_ended.

--- a/endivedrift/core/_records.py
+++ b/endivedrift/core/_records.py
@@ -13,6 +13,7 @@
     HostId,
     IdempotencyKey,
     Incarnation,
+    RequestDigest,
     RequestId,
     ServiceName,
     TargetName,
@@ -24,6 +25,8 @@
 Headers: TypeAlias = tuple[tuple[bytes, bytes], ...]
 """Pairs of lower-case header name and value, in the order in which they were received."""
 
+NO_DIGEST = RequestDigest(b"")
+
 
 @dataclass(frozen=True, slots=True)
 class RequestHead:
@@ -39,6 +42,8 @@
       caller_timeout: Time for which the caller still waits, or None if it set no limit, so that
         only the route's deadline applies.
       forwarded: Whether another host forwarded the request because this host owns its key.
+      digest: Digest of host name, caller, method, path, query and body, by which a request is
+        recognised when it comes again. Empty if it is not known.
     """
 
     method: str
@@ -49,6 +54,7 @@
     fingerprint: bytes = b""
     caller_timeout: timedelta | None = None
     forwarded: bool = False
+    digest: RequestDigest = NO_DIGEST
 
 
 @dataclass(frozen=True, slots=True)
--- a/endivedrift/core/events.py
+++ b/endivedrift/core/events.py
@@ -46,6 +46,8 @@
 
     `answer` is set only for the outcome ANSWERED. `leaving` tells whether the target stated that it
     is shutting down, `retry_after` for how long it wants no further request from this host.
+    `target_ended` tells whether the target refused connections right after it had cut off the
+    attempt, as a process does that has ended.
     """
 
     at: Instant
@@ -57,6 +59,7 @@
     leaving: bool = False
     load: TargetLoad | None = None
     retry_after: timedelta | None = None
+    target_ended: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/endivedrift/shell/_peers.py
+++ b/endivedrift/shell/_peers.py
@@ -34,7 +34,7 @@
 from endivedrift.shell._http import parse_endpoint
 from endivedrift.shell._log import make_logger
 from endivedrift.shell._peer_calls import PeerCallError, call_peer, serve_call
-from endivedrift.shell._requests import fingerprint_request, read_host
+from endivedrift.shell._requests import digest_request, fingerprint_request, read_host
 from endivedrift.shell._serving import ServingContext, serve_request
 from endivedrift.shell._targets import TargetRequest
 
@@ -183,15 +183,17 @@
     async def _serve_forwarded(self, call: ForwardedRequest) -> Answer | Refusal:
         target = call.target.encode("latin-1")
         request = TargetRequest(call.method, target, call.headers, call.body)
+        host = read_host(call.headers)
         head = RequestHead(
             method=call.method,
             path=call.target.partition("?")[0],
-            host=read_host(call.headers),
+            host=host,
             caller=call.caller,
             key=call.key,
             fingerprint=fingerprint_request(call.caller, request),
             caller_timeout=call.timeout,
             forwarded=True,
+            digest=digest_request(host, call.caller, request),
         )
         request_id = self._runtime.new_request_id()
         return (await serve_request(self._context, request_id, head, request)).result
--- a/endivedrift/shell/_request_log.py
+++ b/endivedrift/shell/_request_log.py
@@ -32,6 +32,7 @@
     fields: dict[str, object] = {
         "request": request,
         "caller_id": (caller_request_id or b"").decode("latin-1"),
+        "digest": head.digest.hex(),
         "path": f"{head.method} {head.host}{head.path}",
         "service": service,
         "took_ms": round(duration.total_seconds() * 1000.0, 1),
@@ -55,6 +56,8 @@
         f"{finished.target} {finished.outcome.value} "
         f"{finished.latency.total_seconds() * 1000.0:.1f} ms"
     )
+    if finished.target_ended:
+        text += ", target ended"
     if finished.load is None:
         return text
     return f"{text}, load {finished.load.running}+{finished.load.waiting}/{finished.load.slots}"
--- a/endivedrift/shell/_requests.py
+++ b/endivedrift/shell/_requests.py
@@ -5,7 +5,7 @@
 
 import h11
 
-from endivedrift.core import CallerName, Headers, IdempotencyKey, RequestHead
+from endivedrift.core import CallerName, Headers, IdempotencyKey, RequestDigest, RequestHead
 from endivedrift.policy import MAX_KEY_LENGTH
 from endivedrift.shell._conventions import HttpConventions
 from endivedrift.shell._http import find_header, strip_hop_headers
@@ -22,13 +22,30 @@
 
 def fingerprint_request(caller: CallerName | None, request: TargetRequest) -> bytes:
     """Returns a digest that detects a different request with the same idempotency key."""
+    return _digest_parts(
+        (caller or "").encode(), request.method.encode(), request.target, request.body
+    )
+
+
+def digest_request(host: str, caller: CallerName | None, request: TargetRequest) -> RequestDigest:
+    """Returns a digest that is the same each time a caller sends the same request to a host name.
+
+    Headers are left out, since some of them differ each time.
+    """
+    return RequestDigest(
+        _digest_parts(
+            host.encode(),
+            (caller or "").encode(),
+            request.method.encode(),
+            request.target,
+            request.body,
+        )
+    )
+
+
+def _digest_parts(*parts: bytes) -> bytes:
     digest = hashlib.blake2b(digest_size=FINGERPRINT_BYTES)
-    for part in (
-        (caller or "").encode(),
-        request.method.encode(),
-        request.target,
-        request.body,
-    ):
+    for part in parts:
         digest.update(len(part).to_bytes(8, "big"))
         digest.update(part)
     return digest.digest()
@@ -51,16 +68,18 @@
     caller = find_header(headers, conventions.caller_header) if conventions.caller_header else None
     key = find_header(headers, conventions.key_header) if conventions.key_header else None
     account = CallerName(caller.decode("latin-1")) if caller else None
+    host = read_host(headers)
     return RequestHead(
         method=target_request.method,
         path=target_request.target.decode("ascii").partition("?")[0],
-        host=read_host(headers),
+        host=host,
         caller=account,
         key=_read_key(key) if key is not None else None,
         fingerprint=fingerprint_request(account, target_request) if key is not None else b"",
         caller_timeout=_read_caller_timeout(
             conventions, find_header(headers, conventions.deadline_header)
         ),
+        digest=digest_request(host, account, target_request),
     )
 
 
--- a/endivedrift/shell/_targets.py
+++ b/endivedrift/shell/_targets.py
@@ -51,6 +51,9 @@
 MAX_INFORMATIONAL_RESPONSES = 16
 MAX_FRAMING_BYTES = 256 * 1024
 """Bytes beyond its body that an answer may take, as heads, chunk headers and trailers."""
+END_CHECK_TIMEOUT = timedelta(milliseconds=100)
+"""Limit on the connection that shows whether a target has ended. A process that has ended refuses
+it within a round trip; one that does not answer at all may live."""
 KEEP_ALIVE_FRACTION = 0.8
 """Fraction of the idle timeout announced by a target during which a connection is reused. The rest
 covers the time that a request takes to reach the target."""
@@ -96,6 +99,7 @@
     leaving: bool = False
     load: TargetLoad | None = None
     retry_after: timedelta | None = None
+    target_ended: bool = False
 
 
 class TargetPool:
@@ -128,17 +132,21 @@
         """
         started = self._clock.monotonic()
         attempt_result = await self._connect_and_exchange(effect, request, started, is_aborted)
-        now = self._clock.monotonic()
+        latency = self._clock.monotonic() - started
+        target_ended = False
+        if attempt_result.outcome is AttemptOutcome.CUT:
+            target_ended = await self._refuses_connections(effect)
         return AttemptFinished(
-            now,
+            self._clock.monotonic(),
             effect.request,
             effect.target,
             attempt_result.outcome,
-            now - started,
+            latency,
             attempt_result.answer,
             attempt_result.leaving,
             attempt_result.load,
             attempt_result.retry_after,
+            target_ended,
         )
 
     async def close(self) -> None:
@@ -239,16 +247,36 @@
             await _close(connection.sock)
         return None
 
+    async def _refuses_connections(self, effect: SendToTarget) -> bool:
+        """Tells whether a target refuses connections; if it accepts one, that is kept for later."""
+        try:
+            connection = await self._connect(effect.address, END_CHECK_TIMEOUT.total_seconds())
+        except ConnectionRefusedError:
+            return True
+        except (OSError, curio.TaskTimeout):
+            return False
+        self._idle.setdefault(effect.address, deque()).append(connection)
+        return False
+
     async def _open(self, effect: SendToTarget, remaining: float) -> _Connection | None:
-        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         limit = min(remaining, effect.connect_timeout.total_seconds())
         try:
-            async with curio.timeout_after(limit):
-                await sock.connect(parse_endpoint(effect.address).to_sockaddr())
+            return await self._connect(effect.address, limit)
         except (OSError, curio.TaskTimeout):
-            await _close(sock)
             return None
+
+    async def _connect(self, address: Address, limit: float) -> _Connection:
+        """Opens a connection within `limit` seconds.
+
+        Raises:
+          OSError: If the target refuses it or cannot be reached.
+          curio.TaskTimeout: If the target does not answer in time.
+        """
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        try:
+            async with curio.timeout_after(limit):
+                await sock.connect(parse_endpoint(address).to_sockaddr())
         except BaseException:
             await _close(sock)
             raise
--- a/endivedrift/shell/targets_test.py
+++ b/endivedrift/shell/targets_test.py
@@ -259,3 +259,54 @@
         with inject_fault(_targets._AnswerReader, "_is_trustworthy", lambda *arguments: True):
             finished, _ = run_attempts(answer)
         self.assertIs(finished[0].outcome, AttemptOutcome.ANSWERED)
+
+
+class EndedTargetTest(unittest.TestCase):
+    """A cut attempt tells whether its target ended, or lives and only cut the connection."""
+
+    def run_cut_attempt(self, ends: bool) -> tuple[AttemptFinished, int]:
+        """Runs a cut attempt, then one more; returns the first and the number of connections."""
+
+        async def run() -> tuple[AttemptFinished, int]:
+            listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+            listener.bind(("127.0.0.1", 0))
+            listener.listen(8)
+            ip, port = listener.getsockname()
+            accepted = 0
+
+            async def cut_off_first() -> None:
+                nonlocal accepted
+                while True:
+                    sock, _ = await listener.accept()
+                    accepted += 1
+                    await sock.recv(65_536)
+                    if accepted == 1 and ends:
+                        await listener.close()
+                        await sock.close()
+                        return
+                    if accepted > 1:
+                        await sock.sendall(write_answer())
+                    await sock.close()
+
+            await curio.spawn(cut_off_first(), daemon=True)
+            pool = TargetPool(SystemClock())
+            request = TargetRequest("GET", b"/", ((b"host", b"x"),), b"")
+            effect = build_effect(Address(f"{ip}:{port}"), 5.0)
+            first = await pool.attempt(effect, request, never_abort)
+            await pool.attempt(effect, request, never_abort)
+            await pool.close()
+            return first, accepted
+
+        result: tuple[AttemptFinished, int] = curio.run(run)
+        return result
+
+    def test_a_target_that_refuses_connections_has_ended(self) -> None:
+        first, _ = self.run_cut_attempt(ends=True)
+        self.assertIs(first.outcome, AttemptOutcome.CUT)
+        self.assertTrue(first.target_ended)
+
+    def test_a_target_that_accepts_them_lives_and_the_connection_is_used(self) -> None:
+        first, accepted = self.run_cut_attempt(ends=False)
+        self.assertIs(first.outcome, AttemptOutcome.CUT)
+        self.assertFalse(first.target_ended)
+        self.assertEqual(accepted, 2)
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -18,6 +18,7 @@
     Member,
     MessageKind,
     PeerMessage,
+    RequestDigest,
     RequestHead,
     RequestId,
     ServiceName,
@@ -199,6 +200,7 @@
         caller_timeout: float | None = None,
         forwarded: bool = False,
         caller: str | None = None,
+        digest: bytes = b"",
     ) -> tuple[RequestId, list[Effect]]:
         """Applies the arrival of a request and returns its id and effects."""
         self.request_count += 1
@@ -213,6 +215,7 @@
                 timedelta(seconds=caller_timeout) if caller_timeout is not None else None
             ),
             forwarded=forwarded,
+            digest=RequestDigest(digest),
         )
         event = RequestArrived(self.clock.monotonic(), self.clock.wall(), request, head)
         return request, self.apply(event)
