--- /dev/null
+++ b/tests/crashing_targets.py
@@ -0,0 +1,450 @@
+"""A simulated fleet whose targets end when they run certain requests, driven by a virtual clock.
+
+Each host has a monotonic clock of its own, since real hosts have. Datagrams take 1 ms. Attempts are
+never reported late, so that no host aborts one.
+"""
+
+import heapq
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from datetime import datetime, timedelta
+from enum import Enum
+from functools import partial
+from typing import TypeAlias
+
+from endivedrift.core import (
+    AttemptOutcome,
+    Instant,
+    ManualClock,
+    PeerMessage,
+    Refusal,
+    RequestId,
+    ServiceName,
+    TargetName,
+    Verdict,
+)
+from endivedrift.core.effects import (
+    DeliverAnswer,
+    Effect,
+    QueueRequest,
+    RefuseRequest,
+    SendToTarget,
+)
+from endivedrift.core.events import (
+    AttemptFinished,
+    PeerMessageReceived,
+    QueueWaitExpired,
+    TargetsObserved,
+    Ticked,
+)
+from endivedrift.reducer import list_primaries
+from tests.builders import (
+    READ_PATH,
+    SERVICE,
+    WRITE_PATH,
+    HostHarness,
+    build_answer,
+    build_discovered_set,
+    build_target_entry,
+    name_target,
+)
+from tests.network import Network
+
+DOMAINS = 3
+SLOTS = 2
+TICK = timedelta(milliseconds=100)
+DATAGRAM_DELAY = timedelta(milliseconds=1)
+FAST_FAILURE = timedelta(milliseconds=1)
+"""Time in which a refused connection, a refusal, or the end of a target's process is noticed."""
+CRASH_AFTER = timedelta(milliseconds=60)
+RESTART_AFTER = timedelta(seconds=2)
+ANSWER_AFTER_S = (0.15, 0.4)
+MAX_CLOCK_OFFSET_S = 10_000.0
+QUARANTINED = "quarantined"
+
+
+class Action(Enum):
+    """What a target does with a request."""
+
+    ANSWER = "answer"
+    CUT = "cut"
+    CRASH = "crash"
+
+
+@dataclass(frozen=True, slots=True)
+class Behaviour:
+    """What targets do with the requests of a digest.
+
+    Attributes:
+      action: What they do.
+      after: Time after which they do it, or None for the usual time.
+      status: Status of an answer.
+    """
+
+    action: Action
+    after: timedelta | None = None
+    status: int = 200
+
+
+ANSWERED = Behaviour(Action.ANSWER)
+DEADLY = Behaviour(Action.CRASH, CRASH_AFTER)
+CUTTING = Behaviour(Action.CUT, CRASH_AFTER)
+
+
+@dataclass(slots=True)
+class SentRequest:
+    """A request of a caller and its result.
+
+    Attributes:
+      host: The host at which it arrived.
+      digest: Its content.
+      arrived: When it arrived.
+      ended: When it was answered or refused, or None.
+      status: Status of the answer, or 0.
+      refusal: Why it got no answer, or None.
+      cut_count: Number of its attempts that a target cut off.
+    """
+
+    host: str
+    digest: bytes
+    arrived: timedelta
+    ended: timedelta | None = None
+    status: int = 0
+    refusal: Refusal | None = None
+    cut_count: int = 0
+
+    @property
+    def is_quarantined(self) -> bool:
+        """Whether it was refused as quarantined."""
+        return self.refusal is not None and self.refusal.reason.value == QUARANTINED
+
+    @property
+    def is_quarantined_at_once(self) -> bool:
+        """Whether it was refused as quarantined on arrival, not run, with a time for a retry."""
+        return (
+            self.is_quarantined
+            and self.refusal is not None
+            and self.refusal.attempt_verdict is Verdict.NOT_RUN
+            and self.refusal.retry_after is not None
+            and self.ended == self.arrived
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class Run:
+    """An attempt that reached a running target."""
+
+    at: timedelta
+    sent: SentRequest
+    harness: HostHarness
+    request: RequestId
+    target: TargetName
+
+
+@dataclass(frozen=True, slots=True)
+class TargetEnd:
+    """The end of the process of a target, with the digests of the requests that it was running."""
+
+    at: timedelta
+    target: TargetName
+    digests: frozenset[bytes]
+
+
+@dataclass(slots=True)
+class SimulatedTarget:
+    """A target with two slots; `born` identifies its process."""
+
+    number: int
+    born: int = 1
+    is_up: bool = True
+    running: list[Run] = field(default_factory=list)
+
+
+class HostClock(ManualClock):
+    """The clock of a host: one that the whole fleet shares, with an offset."""
+
+    def __init__(self, shared: ManualClock, offset: timedelta) -> None:
+        super().__init__()
+        self.shared = shared
+        self.offset = offset
+
+    def monotonic(self) -> Instant:
+        """Returns the time of the shared clock with this host's offset."""
+        return self.shared.monotonic() + self.offset
+
+    def wall(self) -> datetime:
+        """Returns the date and time in UTC."""
+        return self.shared.wall()
+
+
+Callback: TypeAlias = Callable[[], object]
+
+
+class CrashingFleet(Network):
+    """Hosts that share simulated targets, of which some requests end the process.
+
+    Attributes:
+      behaviours: What targets do with the requests of a digest, if they don't answer them.
+      targets: The targets by name.
+      sent: All requests that arrived.
+      runs: All attempts that reached a running target.
+      ends: All ends of a target's process.
+      traffic: The source of randomness for requests and targets.
+    """
+
+    def __init__(self, count: int, targets: int, seed: int = 1) -> None:
+        """Starts hosts and targets, which all hosts know.
+
+        Args:
+          count: The number of hosts.
+          targets: The number of targets.
+          seed: The seed of requests, answers, losses and clocks.
+        """
+        self.traffic = random.Random(seed)
+        self.behaviours: dict[bytes, Behaviour] = {}
+        self.targets = {name_target(n): SimulatedTarget(n) for n in range(targets)}
+        self.sent: list[SentRequest] = []
+        self.runs: list[Run] = []
+        self.ends: list[TargetEnd] = []
+        self._open: dict[tuple[str, RequestId], SentRequest] = {}
+        self._queued: dict[tuple[str, RequestId], Instant] = {}
+        self._agenda: list[tuple[timedelta, int, Callback]] = []
+        self._agenda_count = 0
+        super().__init__(count, DOMAINS, build_discovered_set(max_attempts=3))
+        self.rng = random.Random(seed)
+
+    @property
+    def now(self) -> timedelta:
+        """Time of the simulation."""
+        return self.clock.monotonic()
+
+    def schedule(self, delay: timedelta, callback: Callback) -> None:
+        """Calls a function after a time; of several at the same time the first scheduled first."""
+        self._agenda_count += 1
+        heapq.heappush(self._agenda, (self.now + delay, self._agenda_count, callback))
+
+    def run(self, seconds: float) -> None:
+        """Advances the clock from one event to the next; every host ticks ten times a second."""
+        end = self.now + timedelta(seconds=seconds)
+        while self._agenda and self._agenda[0][0] <= end:
+            at, _, callback = heapq.heappop(self._agenda)
+            self.clock.advance(at - self.now)
+            callback()
+        self.clock.advance(end - self.now)
+
+    def start_host(self, name: str) -> None:
+        """Starts a host, or restarts it with a new incarnation, and tells it all targets."""
+        for key in [key for key in self._open if key[0] == name]:
+            del self._open[key]
+        shared = self.clock
+        offset = timedelta(seconds=self.traffic.uniform(0.0, MAX_CLOCK_OFFSET_S))
+        self.clock = HostClock(shared, offset)
+        super().start_host(name)
+        self.clock = shared
+        harness = self.hosts[name]
+        entries = tuple(build_target_entry(t.number, born=t.born) for t in self.targets.values())
+        now = harness.clock.monotonic()
+        self.handle_effects(name, harness.apply(TargetsObserved(now, entries, (), True)))
+        self.schedule(TICK * self.traffic.random(), partial(self._tick, name, harness))
+
+    def _tick(self, name: str, harness: HostHarness) -> None:
+        if self.hosts[name] is not harness:
+            return
+        self.schedule(TICK, partial(self._tick, name, harness))
+        if name not in self.stopped:
+            clock = harness.clock
+            self.handle_effects(name, harness.apply(Ticked(clock.monotonic(), clock.wall())))
+
+    def deliver(self, sender: str, receiver: str, message: PeerMessage) -> None:
+        """Delivers a datagram a little later unless the network drops it."""
+        if receiver in self.hosts and self.is_delivered(sender, receiver):
+            self.schedule(DATAGRAM_DELAY, partial(self._receive, sender, receiver, message))
+
+    def _receive(self, sender: str, receiver: str, message: PeerMessage) -> None:
+        if receiver in self.stopped:
+            return
+        harness = self.hosts[receiver]
+        address = self.hosts[sender].state.identity.peer_address
+        event = PeerMessageReceived(harness.clock.monotonic(), address, message)
+        self.handle_effects(receiver, harness.apply(event))
+
+    def send(self, digest: bytes, host: str | None = None, write: bool = False) -> SentRequest:
+        """Sends a request.
+
+        Args:
+          digest: Its content.
+          host: Its host, or None for any; half of those requests arrive at the service's primaries.
+          write: Whether the request must not be repeated, so that it gets a single attempt.
+        Returns:
+          The request, whose result is set when it ends.
+        """
+        name = host or self._choose_host()
+        sent = SentRequest(name, digest, self.now)
+        self.sent.append(sent)
+        harness = self.hosts[name]
+        request = RequestId(f"{harness.state.identity.host}-{harness.request_count + 1}")
+        self._open[name, request] = sent
+        method, path = ("POST", WRITE_PATH) if write else ("GET", READ_PATH)
+        self.handle_effects(name, harness.receive_request(method, path, digest=digest)[1])
+        return sent
+
+    def _choose_host(self) -> str:
+        if self.traffic.random() < 0.5:
+            primaries = list_primaries(self.hosts["h0"].state, ServiceName(SERVICE))
+            return str(self.traffic.choice(primaries).host)
+        return self.traffic.choice(list(self.hosts))
+
+    def handle_effects(self, sender: str, effects: list[Effect]) -> None:
+        """Carries out the effects that a host returned."""
+        super().handle_effects(sender, effects)
+        for effect in effects:
+            if isinstance(effect, SendToTarget):
+                self._start_attempt(sender, effect)
+            elif isinstance(effect, QueueRequest):
+                self._queued[sender, effect.request] = effect.until
+                delay = effect.until - self.hosts[sender].clock.monotonic()
+                self.schedule(delay, partial(self._expire, sender, effect))
+            elif isinstance(effect, DeliverAnswer | RefuseRequest):
+                self._end_request(sender, effect)
+
+    def _end_request(self, host: str, effect: DeliverAnswer | RefuseRequest) -> None:
+        sent = self._open.pop((host, effect.request))
+        sent.ended = self.now
+        if isinstance(effect, DeliverAnswer):
+            sent.status = effect.answer.status
+        else:
+            sent.refusal = effect.refusal
+
+    def _expire(self, host: str, effect: QueueRequest) -> None:
+        if self._queued.get((host, effect.request)) != effect.until:
+            return
+        del self._queued[host, effect.request]
+        if (host, effect.request) in self._open:
+            harness = self.hosts[host]
+            event = QueueWaitExpired(harness.clock.monotonic(), effect.request)
+            self.handle_effects(host, harness.apply(event))
+
+    def _start_attempt(self, host: str, effect: SendToTarget) -> None:
+        self._queued.pop((host, effect.request), None)
+        harness = self.hosts[host]
+        target = self.targets[effect.target]
+        sent = self._open[host, effect.request]
+        run = Run(self.now, sent, harness, effect.request, effect.target)
+        if not target.is_up or len(target.running) >= SLOTS:
+            outcome = AttemptOutcome.SHED if target.is_up else AttemptOutcome.NOT_CONNECTED
+            self.schedule(FAST_FAILURE, partial(self._report, run, outcome))
+            return
+        self.runs.append(run)
+        target.running.append(run)
+        behaviour = self.behaviours.get(sent.digest, ANSWERED)
+        usual = timedelta(seconds=self.traffic.uniform(*ANSWER_AFTER_S))
+        due = behaviour.after if behaviour.after is not None else usual
+        left = effect.deadline - harness.clock.monotonic()
+        if left < due:
+            self.schedule(left, partial(self._finish, target, run, AttemptOutcome.TIMED_OUT))
+        elif behaviour.action is Action.CRASH:
+            self.schedule(due, partial(self._crash, target, run))
+        elif behaviour.action is Action.CUT:
+            self.schedule(due, partial(self._finish, target, run, AttemptOutcome.CUT))
+        else:
+            finish = partial(self._finish, target, run, AttemptOutcome.ANSWERED, behaviour.status)
+            self.schedule(due, finish)
+
+    def _crash(self, target: SimulatedTarget, run: Run) -> None:
+        if run in target.running:
+            self.end_target(name_target(target.number))
+
+    def end_target(self, name: TargetName) -> None:
+        """Ends the process of a target, which cuts off all its requests, and restarts it later."""
+        target = self.targets[name]
+        target.is_up = False
+        cut, target.running = target.running, []
+        self.ends.append(TargetEnd(self.now, name, frozenset(run.sent.digest for run in cut)))
+        for run in cut:
+            report = partial(self._report, run, AttemptOutcome.CUT, target_ended=True)
+            self.schedule(FAST_FAILURE, report)
+        self.schedule(RESTART_AFTER, partial(self._restart_target, target))
+
+    def _restart_target(self, target: SimulatedTarget) -> None:
+        target.is_up = True
+        target.born = max(target.born + 1, round(self.now / timedelta(milliseconds=1)))
+        entry = build_target_entry(target.number, born=target.born)
+        for name, harness in self.hosts.items():
+            if name not in self.stopped:
+                event = TargetsObserved(harness.clock.monotonic(), (entry,))
+                self.handle_effects(name, harness.apply(event))
+
+    def _finish(
+        self, target: SimulatedTarget, run: Run, outcome: AttemptOutcome, status: int = 0
+    ) -> None:
+        if run in target.running:
+            target.running.remove(run)
+            self._report(run, outcome, status)
+
+    def _report(
+        self, run: Run, outcome: AttemptOutcome, status: int = 0, target_ended: bool = False
+    ) -> None:
+        """Reports the end of an attempt to its host, unless that has been restarted since."""
+        host = run.sent.host
+        if self.hosts[host] is not run.harness:
+            return
+        run.sent.cut_count += outcome is AttemptOutcome.CUT
+        event = AttemptFinished(
+            run.harness.clock.monotonic(),
+            run.request,
+            run.target,
+            outcome,
+            self.now - run.at,
+            build_answer(status) if outcome is AttemptOutcome.ANSWERED else None,
+            target_ended=target_ended,
+        )
+        self.handle_effects(host, run.harness.apply(event))
+
+    def send_deadly(self, digest: bytes, seconds: float, hosts: tuple[str, ...] = ()) -> None:
+        """Schedules arrivals of a request that ends targets, twice a second at random hosts.
+
+        Every third time it arrives at four hosts at the same moment, as a caller's retries may.
+
+        Args:
+          digest: Its content.
+          seconds: For how long it arrives.
+          hosts: Hosts at which it arrives in addition each time.
+        """
+        self.behaviours[digest] = DEADLY
+        for number in range(round(2 * seconds)):
+            delay = timedelta(seconds=(number + self.traffic.random()) / 2)
+            for _ in range(4 if number % 3 == 2 else 1):
+                self.schedule(delay, partial(self.send, digest))
+            for host in hosts:
+                self.schedule(delay, partial(self.send, digest, host))
+
+    def send_innocent(
+        self, per_s: float, seconds: float, popular: tuple[bytes, ...] = (), share: float = 0.5
+    ) -> None:
+        """Schedules requests at a steady rate at random hosts, which targets answer.
+
+        Args:
+          per_s: The rate.
+          seconds: For how long they arrive.
+          popular: Digests that a share of the requests have; all others have one of their own.
+          share: That share.
+        """
+        for number in range(round(per_s * seconds)):
+            digest = b"unique %d %d" % (self._agenda_count, number)
+            if popular and self.traffic.random() < share:
+                digest = self.traffic.choice(popular)
+            self.schedule(timedelta(seconds=number / per_s), partial(self.send, digest))
+
+    def list_ends(self, digest: bytes) -> list[timedelta]:
+        """Returns when processes ended that were running a request of a digest."""
+        return [end.at for end in self.ends if digest in end.digests]
+
+    def get_third_end(self, digest: bytes) -> timedelta | None:
+        """Returns when the third process ended that was running a request, or None before."""
+        ends = self.list_ends(digest)
+        return ends[2] if len(ends) > 2 else None
+
+    def list_quarantined(self) -> list[SentRequest]:
+        """Returns the requests that were refused as quarantined."""
+        return [sent for sent in self.sent if sent.is_quarantined]
