Keep a request that has ended three targets from all others, in the whole fleet

Each arrival was a new request to a host, and each of its up to three attempts went to another target. Nothing related the end of a target to what it was running, in a host or between hosts.

Ruled out: fewer retries (each arrival still ends a target, and innocent requests need them); counting cut attempts (targets that reset all connections for seconds are common and live); a limit by path (innocent requests share it); a row in the store (a write for each suspicion, and hosts that cannot reach the store would not know).

Change: the reducer notes for each request digest at which target processes it was cut off by their end. From the third on it is refused at once, 503, not run, with the time until the quarantine ends: ten minutes, doubled by each further end. An answer shows that a request is harmless: ends before it, and for ten seconds after it, do not count. Hosts tell all others at the next tick and repeat to two others every half second, so that word that is late or lost is made up for; a host that has an answer to a reported request says so. Records merge in any order. Reports of new or suspected requests, and quarantines in /state.

A fleet whose processes all end at once forgets what it knew.

--- a/endivedrift/core/_records.py
+++ b/endivedrift/core/_records.py
@@ -200,6 +200,36 @@
     gone: tuple[TargetName, ...] = ()
 
 
+@dataclass(frozen=True, slots=True)
+class TargetEnd:
+    """The end of a target process while it worked on some request.
+
+    Attributes:
+      target: The target.
+      started_ms: Start of the process in Unix milliseconds, or 0 if it is not known.
+      age: Time since the end.
+    """
+
+    target: TargetName
+    started_ms: int
+    age: timedelta
+
+
+@dataclass(frozen=True, slots=True)
+class SuspectReport:
+    """What a host knows of a request that was in progress at a target that ended.
+
+    Attributes:
+      digest: Digest of the request.
+      ends: The ended targets.
+      answer_age: Time since a target last answered the request, or None if none is known to have.
+    """
+
+    digest: RequestDigest
+    ends: tuple[TargetEnd, ...]
+    answer_age: timedelta | None = None
+
+
 @dataclass(frozen=True, slots=True)
 class PeerMessage:
     """One datagram between two hosts.
@@ -218,6 +248,7 @@
       members: Membership updates on other hosts.
       evidence: Outcomes that the sender has seen at targets.
       store_update: Report on the store, from a host that reads it.
+      suspects: Reports on requests during which targets ended.
     """
 
     kind: MessageKind
@@ -230,6 +261,7 @@
     members: tuple[Member, ...] = ()
     evidence: tuple[EvidenceDelta, ...] = ()
     store_update: StoreUpdate | None = None
+    suspects: tuple[SuspectReport, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/endivedrift/fleet/__init__.py
+++ b/endivedrift/fleet/__init__.py
@@ -1,6 +1,11 @@
 """Cooperation of hosts: membership, routes, and the assignment of services to hosts."""
 
-from endivedrift.fleet._datagrams import sample_alive, send_evidence, send_store_update
+from endivedrift.fleet._datagrams import (
+    sample_alive,
+    send_evidence,
+    send_store_update,
+    send_suspects,
+)
 from endivedrift.fleet._membership import (
     MemberRecord,
     Membership,
@@ -41,5 +46,6 @@
     "sample_alive",
     "send_evidence",
     "send_store_update",
+    "send_suspects",
     "watch_members",
 ]
--- a/endivedrift/fleet/_datagrams.py
+++ b/endivedrift/fleet/_datagrams.py
@@ -19,6 +19,7 @@
     MessageKind,
     PeerMessage,
     StoreUpdate,
+    SuspectReport,
 )
 from endivedrift.core.effects import Effect, SendPeerMessage
 from endivedrift.fleet._membership import Membership
@@ -46,6 +47,13 @@
     )
 
 
+def send_suspects(
+    view: Membership, receivers: list[Member], reports: tuple[SuspectReport, ...]
+) -> list[Effect]:
+    """Sends reports on requests during which targets ended."""
+    return _send_each(view, receivers, replace(_build_notice(view, NO_CONFIG), suspects=reports))
+
+
 def _build_notice(view: Membership, config: ConfigRef) -> PeerMessage:
     """Builds a NOTICE without addresses and membership updates, for hosts that know the sender."""
     sender = replace(
--- a/endivedrift/reducer/_attempts.py
+++ b/endivedrift/reducer/_attempts.py
@@ -57,6 +57,12 @@
     store_answer,
     update_typical_latency,
 )
+from endivedrift.reducer._quarantine import (
+    QUARANTINED_DETAIL,
+    QUARANTINED_RETRY_DELAY,
+    is_quarantined,
+    judge_attempt,
+)
 from endivedrift.reducer._refusals import refuse
 from endivedrift.reducer._state import (
     HostState,
@@ -120,6 +126,8 @@
         return end_with_refusal(state, at, request, RefusalReason.NO_TARGET, detail, timedelta(0))
     if at >= pending.deadline:
         return end_with_refusal(state, at, request, RefusalReason.DEADLINE, "no time is left")
+    if is_quarantined(state, pending.head.digest, at):
+        return _end_quarantined(state, at, request)
     if not pending.attempt_count:
         _add_retry_budget(state, service)
     service.limit_per_target = get_limit_per_target(state, pending.service)
@@ -143,6 +151,9 @@
         if at >= queued_request.give_up_at:
             effects += refuse_queued(state, service, at, queued_request.request)
             continue
+        if is_quarantined(state, pending.head.digest, at):
+            effects += _end_quarantined(state, at, queued_request.request)
+            continue
         sent = _start_attempt(state, service, at, queued_request.request)
         if not sent:
             requeue_request(service, pending.route.route.queue_priority, queued_request)
@@ -162,6 +173,12 @@
     return end_with_refusal(state, at, request, RefusalReason.QUEUE_WAIT, detail, retry)
 
 
+def _end_quarantined(state: HostState, at: Instant, request: RequestId) -> list[Effect]:
+    """Refuses a request that has been quarantined since it arrived."""
+    reason, detail = RefusalReason.QUARANTINED, QUARANTINED_DETAIL
+    return end_with_refusal(state, at, request, reason, detail, QUARANTINED_RETRY_DELAY)
+
+
 def finish_attempt(state: HostState, event: AttemptFinished) -> list[Effect]:
     """Records the end of an attempt and answers, retries or refuses its request.
 
@@ -180,15 +197,20 @@
         pending.failed_connections += 1
     pending.may_have_run |= judge_outcome(event.outcome) is Verdict.MAY_HAVE_RUN
     service = state.services.get(pending.service)
-    effects: list[Effect] = []
+    effects = judge_attempt(state, pending, event)
+    may_run_again = not is_quarantined(state, pending.head.digest, event.at)
     reserved = None
     if service is not None:
         effects += _record_attempt(state, service, event)
         reserved = _release_reservation(state, service, pending, event.request)
     answer = event.answer if event.outcome is AttemptOutcome.ANSWERED else None
     served = answer is not None and answer.status < SERVER_ERROR
-    is_reserved = reserved is not None
-    if not served and service is not None and _may_retry(service, pending, event, is_reserved):
+    if (
+        not served
+        and may_run_again
+        and service is not None
+        and _may_retry(service, pending, event, is_reserved=reserved is not None)
+    ):
         pending.failure_answer = answer or pending.failure_answer
         if reserved is not None and _is_usable(service, reserved, event.at):
             effects += _send_to_target(state, service, event.at, event.request, reserved)
@@ -196,6 +218,8 @@
             effects += admit(state, event.at, event.request)
     elif answer is not None:
         effects += end_with_answer(state, event.at, event.request, answer)
+    elif not may_run_again:
+        effects += _end_quarantined(state, event.at, event.request)
     else:
         detail = f"target {event.target}: {event.outcome.value}"
         reason = _REFUSAL_REASONS[event.outcome]
--- a/endivedrift/reducer/_reduce.py
+++ b/endivedrift/reducer/_reduce.py
@@ -41,6 +41,7 @@
 )
 from endivedrift.reducer._keyed import apply_claim_result, finish_forward
 from endivedrift.reducer._periodic import handle_tick
+from endivedrift.reducer._quarantine import apply_suspect_reports
 from endivedrift.reducer._relaying import announce_changes, apply_store_update
 from endivedrift.reducer._requests import expire_queued, handle_disconnect, start_request
 from endivedrift.reducer._state import HostState
@@ -163,6 +164,8 @@
         effects += note_accepted_config(state, event.at, config, sender.peer_address)
     if event.message.store_update is not None:
         effects += apply_store_update(state, event.at, sender, event.message)
+    if event.message.suspects:
+        effects += apply_suspect_reports(state, event.at, sender, event.message.suspects)
     return effects + apply_evidence(state, event.at, sender.host, event.message.evidence)
 
 
--- a/endivedrift/reducer/_requests.py
+++ b/endivedrift/reducer/_requests.py
@@ -15,6 +15,7 @@
 from endivedrift.policy import TokenBucket, advance_date, remove_queued_request
 from endivedrift.reducer._attempts import admit, end_with_refusal, refuse_queued
 from endivedrift.reducer._keyed import start_keyed_request
+from endivedrift.reducer._quarantine import refuse_quarantined
 from endivedrift.reducer._refusals import refuse
 from endivedrift.reducer._state import MAX_CALLER_BUCKETS, HostState, RequestState
 
@@ -67,6 +68,9 @@
         event.at + time_limit,
         split_service=_choose_split_service(state, found),
     )
+    refusal = refuse_quarantined(state, event.at, event.request, pending)
+    if refusal:
+        return refusal
     state.requests[event.request] = pending
     if head.key is not None and not found.route.repeatable:
         return start_keyed_request(state, event.at, event.request, head.key)
--- a/endivedrift/reducer/_state.py
+++ b/endivedrift/reducer/_state.py
@@ -21,6 +21,7 @@
     Instant,
     ListedMachine,
     Member,
+    RequestDigest,
     RequestHead,
     RequestId,
     RouteName,
@@ -38,7 +39,7 @@
     rank_hosts,
 )
 from endivedrift.objects import ObjectSet
-from endivedrift.policy import KeyTable, ServiceState, TokenBucket
+from endivedrift.policy import KeyTable, Quarantine, ServiceState, TokenBucket
 
 MAX_CALLER_BUCKETS = 4_096
 READERS_GROUP_NAME = "store readers"
@@ -166,6 +167,9 @@
         route divide by weight, by route.
       next_evidence_at: When evidence is next sent to other hosts.
       next_cleanup_at: When expired key records are next dropped.
+      quarantine: Requests during which targets ended.
+      unsent_suspects: Those of them of which the other hosts are told at the next tick.
+      next_suspects_at: When reports on them are next repeated to a few hosts.
     """
 
     identity: HostIdentity
@@ -206,6 +210,9 @@
     split_positions: dict[RouteName, float] = field(default_factory=dict)
     next_evidence_at: Instant = Instant(0)
     next_cleanup_at: Instant = Instant(0)
+    quarantine: Quarantine = field(default_factory=Quarantine)
+    unsent_suspects: set[RequestDigest] = field(default_factory=set)
+    next_suspects_at: Instant = Instant(0)
 
 
 def build_host(
--- a/endivedrift/shell/_codec.py
+++ b/endivedrift/shell/_codec.py
@@ -34,8 +34,11 @@
     PeerMessage,
     Refusal,
     RefusalReason,
+    RequestDigest,
     ServiceName,
     StoreUpdate,
+    SuspectReport,
+    TargetEnd,
     TargetEntry,
     TargetName,
     Verdict,
@@ -55,6 +58,7 @@
 must still fit its field."""
 MAX_POWER_CORES = 1e6
 MICROSECOND = timedelta(microseconds=1)
+MAX_DIGEST_BYTES = 64
 MAX_CONFIG_BYTES = 64 * 1024 * 1024
 NO_TIME_MICROS = -1
 
@@ -296,6 +300,9 @@
         struct.leaving = delta.leaving
         struct.running = delta.running
         struct.paused = delta.paused
+    suspects = datagram.init("suspects", len(message.suspects))
+    for struct, report in zip(suspects, message.suspects, strict=True):
+        _set_suspect(struct, report)
     if message.store_update is not None:
         _set_store_update(datagram.init("storeUpdate"), message.store_update)
     return datagram.to_bytes_packed()
@@ -326,6 +333,7 @@
         store_update=(
             _get_store_update(datagram.storeUpdate) if datagram._has("storeUpdate") else None
         ),
+        suspects=tuple(_get_suspect(report) for report in _get_bounded(datagram.suspects)),
     )
 
 
@@ -354,6 +362,32 @@
     )
 
 
+def _set_suspect(struct: Any, report: SuspectReport) -> None:
+    struct.digest = report.digest
+    ends = struct.init("ends", len(report.ends))
+    for target, end in zip(ends, report.ends, strict=True):
+        target.target = end.target
+        target.born = end.started_ms
+        target.ageMicros = end.age // MICROSECOND
+    age = report.answer_age
+    struct.answerAgeMicros = NO_TIME_MICROS if age is None else age // MICROSECOND
+
+
+def _get_suspect(struct: Any) -> SuspectReport:
+    digest = bytes(struct.digest)
+    if not 0 < len(digest) <= MAX_DIGEST_BYTES:
+        raise ValueError("the digest of a request is empty or too long")
+    age = struct.answerAgeMicros
+    return SuspectReport(
+        digest=RequestDigest(digest),
+        ends=tuple(
+            TargetEnd(TargetName(end.target), end.born, _get_duration(end.ageMicros))
+            for end in _get_bounded(struct.ends)
+        ),
+        answer_age=None if age == NO_TIME_MICROS else _get_duration(age),
+    )
+
+
 def _set_member(struct: Any, member: Member) -> None:
     struct.host = member.host
     struct.incarnation = member.incarnation
--- a/endivedrift/shell/_report.py
+++ b/endivedrift/shell/_report.py
@@ -4,7 +4,7 @@
 
 from endivedrift.core import Instant
 from endivedrift.fleet import HEARD_WINDOW, MemberRecord
-from endivedrift.policy import ServiceState
+from endivedrift.policy import Quarantine, ServiceState, compute_quarantine_end
 from endivedrift.reducer import list_primaries
 from endivedrift.shell._runtime import Runtime
 
@@ -24,6 +24,7 @@
         "wanted_version": state.newest_config.version,
         "requests": len(state.requests),
         "keys": len(state.keys.records),
+        "quarantined": _describe_quarantine(state.quarantine, now),
         "members": [_describe_member(record, now) for record in state.membership.records.values()],
         "services": {
             name: {
@@ -35,6 +36,19 @@
     }
 
 
+def _describe_quarantine(quarantine: Quarantine, now: Instant) -> dict[str, Any]:
+    """Returns the quarantined requests by digest, with the targets that ended under each."""
+    described = {}
+    for digest, suspect in quarantine.suspects.items():
+        until = compute_quarantine_end(quarantine, digest, now)
+        if until is not None:
+            described[digest.hex()] = {
+                "ended": [end.target for end in suspect.list_counted_ends()],
+                "seconds_left": round((until - now).total_seconds(), 1),
+            }
+    return described
+
+
 def _describe_member(record: MemberRecord, now: Instant) -> dict[str, Any]:
     member = record.member
     heard = record.last_heard is not None and now - record.last_heard < HEARD_WINDOW
--- a/endivedrift/shell/codec_test.py
+++ b/endivedrift/shell/codec_test.py
@@ -25,8 +25,11 @@
     PeerMessage,
     Refusal,
     RefusalReason,
+    RequestDigest,
     ServiceName,
     StoreUpdate,
+    SuspectReport,
+    TargetEnd,
     TargetName,
     Verdict,
 )
@@ -80,8 +83,14 @@
     entries = (build_target_entry(1), build_target_entry(2))
     update = StoreUpdate(9, 7, timedelta(seconds=1), entries, (TargetName("t3"),))
     members = (me, sender)
+    ends = (TargetEnd(TargetName("t4"), 1_700_000_000_000, timedelta(milliseconds=20)),)
+    suspects = (
+        SuspectReport(RequestDigest(b"0123456789abcdef"), ends),
+        SuspectReport(RequestDigest(b"fedcba9876543210"), (), timedelta(seconds=2)),
+    )
+    config = build_ref(1)
     return PeerMessage(
-        kind, sender, 5, 1, HostId("h1"), True, build_ref(1), members, (delta,), update
+        kind, sender, 5, 1, HostId("h1"), True, config, members, (delta,), update, suspects
     )
 
 
--- a/endivedrift/shell/peer.capnp
+++ b/endivedrift/shell/peer.capnp
@@ -51,6 +51,20 @@
   gone @4 :List(Text);
 }
 
+# The end of a target process while it worked on a request.
+struct TargetEnd {
+  target @0 :Text;
+  born @1 :Int64;  # Start of the process, in Unix milliseconds; 0 if it is not known.
+  ageMicros @2 :Int64;
+}
+
+# A report on a request that was in progress at targets that ended.
+struct Suspect {
+  digest @0 :Data;
+  ends @1 :List(TargetEnd);
+  answerAgeMicros @2 :Int64;  # -1 if no target is known to have answered it.
+}
+
 # Body of a UDP datagram, in the packed encoding.
 struct Datagram {
   kind @0 :Kind;
@@ -64,6 +78,7 @@
   members @8 :List(Member);
   evidence @9 :List(Evidence);
   storeUpdate @10 :StoreUpdate;
+  suspects @11 :List(Suspect);
 }
 
 struct Header {
