Let a stand-in target end when a certain request begins to run

Cause: no stand-in ended as a process, so the case of a request that ends each target that begins to run it could not be tested on real hosts.

PlatformFleet then closes the address and all connections, starts another target with a new id at the same address 1.5 s later, and removes the old entry 3.4 s after the end. For that, serve_http and Proxy.serve share serve_connections, which closes the listener first and then the open connections when it is cancelled; before, connections outlived it. PlatformFleet takes the numbers of hosts and targets.

--- a/standins/_http_server.py
+++ b/standins/_http_server.py
@@ -3,12 +3,14 @@
 import contextlib
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
+from functools import partial
 from typing import TypeAlias
 
-import curio
 import h11
 from curio import socket
 
+from standins.tasks import serve_connections
+
 MAX_HEAD_BYTES = 65_536
 
 
@@ -46,21 +48,14 @@
 
 
 async def serve_http(ip: str, port: int, handler: Handler) -> None:
-    """Accepts and serves connections until cancelled."""
-    listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    listener.bind((ip, port))
-    listener.listen(1024)
-    async with listener:
-        while True:
-            sock, _ = await listener.accept()
-            await curio.spawn(_serve_connection(sock, handler), daemon=True)
+    """Serves connections until cancelled; then the address refuses them and open ones close."""
+    await serve_connections((ip, port), partial(_serve_connection, handler=handler))
 
 
 async def _serve_connection(sock: socket.socket, handler: Handler) -> None:
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     http = h11.Connection(h11.SERVER, max_incomplete_event_size=MAX_HEAD_BYTES)
-    with contextlib.suppress(OSError, h11.RemoteProtocolError):
+    try:
         while True:
             request = await _read_request(sock, http)
             if request is None:
@@ -69,8 +64,11 @@
             if reply.drop or not await _send_reply(sock, http, request, reply):
                 break
             http.start_next_cycle()
-    with contextlib.suppress(OSError):
-        await sock.close()
+    except (OSError, h11.RemoteProtocolError):
+        pass
+    finally:
+        with contextlib.suppress(OSError):
+            await sock.close()
 
 
 async def _read_request(sock: socket.socket, http: h11.Connection) -> StandinRequest | None:
--- a/standins/proxy.py
+++ b/standins/proxy.py
@@ -9,6 +9,8 @@
 import curio
 from curio import socket
 
+from standins.tasks import serve_connections
+
 READ_BYTES = 65_536
 FAULT_POLL_S = 0.02
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
@@ -45,15 +47,8 @@
     _open_sockets: set[socket.socket] = field(default_factory=set)
 
     async def serve(self) -> None:
-        """Accepts and relays connections until cancelled."""
-        listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        listener.bind(self.address)
-        listener.listen(1_024)
-        async with listener:
-            while True:
-                client_sock, _ = await listener.accept()
-                await curio.spawn(self._relay_connection(client_sock), daemon=True)
+        """Relays connections until cancelled; then refuses them and resets the open ones."""
+        await serve_connections(self.address, self._relay_connection)
 
     def set_fault(self, fault: LinkFault) -> None:
         """Activates a fault; RESET also resets the open connections."""
@@ -65,6 +60,7 @@
     async def _relay_connection(self, client_sock: socket.socket) -> None:
         upstream_sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self._open_sockets |= {client_sock, upstream_sock}
+        upstream_task: curio.Task | None = None
         try:
             if self.fault is LinkFault.RESET:
                 return
@@ -74,10 +70,11 @@
                 self._copy(client_sock, upstream_sock, LinkFault.SILENT), daemon=True
             )
             await self._copy(upstream_sock, client_sock, LinkFault.NO_ANSWERS)
-            await upstream_task.cancel()
         except OSError:
             pass
         finally:
+            if upstream_task is not None:
+                await upstream_task.cancel()
             self._open_sockets -= {client_sock, upstream_sock}
             for sock in (client_sock, upstream_sock):
                 _prepare_reset(sock)
--- a/tests/platform_path.py
+++ b/tests/platform_path.py
@@ -1,5 +1,6 @@
 """A small fleet on the platform's interface: real hosts with stand-ins for store and targets."""
 
+import itertools
 import os
 import secrets
 import subprocess
@@ -23,48 +24,72 @@
 FIRST_PORT = 21_000
 WAIT_TIMEOUT_S = 20.0
 STORE_PORT = 20_900
+TARGET_AWAY_S = 1.5
+"""Time from the end of a target to the start of the next one at its address."""
+ENTRY_EXPIRY_S = 3.4
+"""Time after which the platform removes the entry of a target that has ended."""
 CALL_TIMEOUT = timedelta(seconds=5)
 
 
 class PlatformFleet:
-    """Runs a store, two targets and two hosts, each host on a loopback address of its own.
+    """Runs a store, targets and hosts, each host on a loopback address of its own.
+
+    A target that a deadly request ends is away for a while, then another runs at its address.
 
     Attributes:
       subnet: The first three numbers of all addresses; random, so that runs don't share addresses.
       store: The store.
-      targets: The targets by id.
+      targets: The targets by id, including those that have ended.
       directory: Holds node files and logs of the hosts.
       hosts: The processes of the hosts by address.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, host_count: int = 2, target_count: int = 2) -> None:
+        self.host_count = host_count
         self.subnet = f"127.{1 + os.getpid() % 250}.{secrets.randbelow(250)}"
         self.store = StoreStandin()
-        self.targets = {name: PlatformTargetStandin(name) for name in ("i-1", "i-2")}
+        names = [f"i-{1 + number}" for number in range(target_count)]
+        self.targets = {name: PlatformTargetStandin(name) for name in names}
         self.directory = Path(tempfile.mkdtemp(prefix="endivedrift-"))
         self.hosts: dict[str, subprocess.Popen[bytes]] = {}
 
     async def start(self) -> None:
-        """Starts store, targets and hosts and waits until both hosts are ready."""
+        """Starts store, targets and hosts and waits until all hosts are ready."""
         await curio.spawn(
             serve_http(f"{self.subnet}.1", STORE_PORT, self.store.handle), daemon=True
         )
         self.store.write("op", "config", build_configuration())
         for number, (name, target) in enumerate(self.targets.items()):
-            await curio.spawn(
-                serve_http(f"{self.subnet}.1", 20_000 + number, target.handle), daemon=True
-            )
-            address = f"{self.subnet}.1:{20_000 + number}"
-            self.store.write("servers", name, build_entry(address))
-        for ip in (f"{self.subnet}.2", f"{self.subnet}.3"):
-            self.start_host(ip)
+            self.store.write("servers", name, build_entry(f"{self.subnet}.1:{20_000 + number}"))
+            await curio.spawn(self._run_targets(target, 20_000 + number), daemon=True)
+        for number in range(self.host_count):
+            self.start_host(f"{self.subnet}.{2 + number}")
         for ip in self.hosts:
             await self.poll_until(partial(self.is_ready, ip))
 
+    async def _run_targets(self, target: PlatformTargetStandin, port: int) -> None:
+        """Runs one target after the other at an address, each until a request ends it."""
+        ip, first_name = f"{self.subnet}.1", target.name
+        for restarts in itertools.count(1):
+            serving = await curio.spawn(serve_http(ip, port, target.handle), daemon=True)
+            await target.end.wait()
+            await serving.cancel()
+            await curio.spawn(self.expire(target.name), daemon=True)
+            await curio.sleep(TARGET_AWAY_S)
+            name = f"{first_name}-{restarts}"
+            target = self.targets[name] = PlatformTargetStandin(name)
+            entry = build_entry(f"{ip}:{port}")
+            self.store.write("servers", name, {**entry, "born": entry["born"] + restarts})
+
+    async def expire(self, name: str) -> None:
+        """Removes the entry of a target that has just ended when it would lapse."""
+        await curio.sleep(ENTRY_EXPIRY_S)
+        self.store.remove("servers", name)
+
     def start_host(self, ip: str) -> None:
         """Starts or restarts a host."""
         node_file = self.directory / f"{ip}.toml"
-        seeds = [f"{self.subnet}.2", f"{self.subnet}.3"]
+        seeds = [f"{self.subnet}.{2 + number}" for number in range(self.host_count)]
         text = build_node_file(ip, f"{self.subnet}.1:{STORE_PORT}", seeds, FIRST_PORT)
         node_file.write_text(text, "utf-8")
         self.launch(ip, node_file)
