Count at most two ends against a request each time it arrives

Cause: in a fleet in which twenty deadly requests end 67 targets, a harmless request whose three attempts were all cut off beside them within a second was quarantined by itself; had it come again, it would have been refused for ten minutes.

Ruled out: four ends in place of three (the deadly one would end one more target each time); a shorter quarantine.

Change: of the attempts of one arrival, two ends count.

--- a/endivedrift/reducer/_quarantine.py
+++ b/endivedrift/reducer/_quarantine.py
@@ -43,6 +43,9 @@
 """Time for which reports on requests that are not quarantined are repeated."""
 MAX_REPORTS_PER_DATAGRAM = 16
 """Limit that keeps the reports in one datagram, at up to 400 bytes each."""
+MAX_ENDS_PER_ARRIVAL = 2
+"""Ends that count against a request each time it arrives. While another request ends targets, all
+attempts of a harmless one may be cut off beside it within a second."""
 QUARANTINED_RETRY_DELAY = timedelta(minutes=1)
 """Least time after which a caller may retry a request that is quarantined while it waits. New ones
 are told how long the quarantine lasts."""
@@ -96,6 +99,9 @@
         return [_audit(event.at, AuditKind.REQUEST_CLEARED, digest, cause, event.request)]
     if not event.target_ended:
         return []
+    pending.ended_targets += 1
+    if pending.ended_targets > MAX_ENDS_PER_ARRIVAL:
+        return []
     service = state.services.get(pending.service)
     record = service.targets.get(event.target) if service is not None else None
     started_ms = record.entry.started_ms if record is not None and record.entry is not None else 0
--- a/endivedrift/reducer/_state.py
+++ b/endivedrift/reducer/_state.py
@@ -69,6 +69,7 @@
       key: Key whose record this request holds, or None.
       split_service: Service chosen for the request if its route is split, or None.
       failed_connections: Attempts for which no connection could be opened.
+      ended_targets: Targets that ended while they worked on it.
       failure_answer: A target's server error, which is delivered if no other attempt succeeds.
     """
 
@@ -84,6 +85,7 @@
     key: IdempotencyKey | None = None
     split_service: ServiceName | None = None
     failed_connections: int = 0
+    ended_targets: int = 0
     failure_answer: Answer | None = None
 
     @property
