Let the fleet of the tests count what a deadly request does

Cause: the test and the soak need the same rule: which arrivals came too late after the third end.

Change: PlatformFleet records each end of a target (ends), lists the late arrivals (list_later_arrivals) and holds the figures of the rule. The check is the same as before.

--- a/standins/platform_target.py
+++ b/standins/platform_target.py
@@ -13,7 +13,7 @@
 """Time for which such a request runs until its target ends."""
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(frozen=True, order=True, slots=True)
 class DeadlyArrival:
     """The arrival of a deadly request; `at` is in seconds of the monotonic clock."""
 
@@ -36,7 +36,7 @@
       deadly_arrivals: The deadly requests received, whether they ran or not.
       end: Set when a deadly request ends the target. Whoever serves it then closes its address and
         connections.
-      ended: Path of the deadly request that ended it, and the time of the end; None before.
+      ended_by: Path of the deadly request that ended it, empty before.
     """
 
     name: str
@@ -47,7 +47,7 @@
     received: int = 0
     deadly_arrivals: list[DeadlyArrival] = field(default_factory=list)
     end: curio.Event = field(default_factory=curio.Event)
-    ended: tuple[str, float] | None = None
+    ended_by: str = ""
 
     async def handle(self, request: StandinRequest) -> StandinReply:
         """Handles one request; one for another instance is refused with status 421."""
@@ -77,8 +77,7 @@
 
     async def _end(self, path: str) -> None:
         await curio.sleep(END_AFTER_S)
-        if self.ended is None:
-            self.ended = (path, time.monotonic())
-            await self.end.set()
+        self.ended_by = self.ended_by or path
+        await self.end.set()
         # Whoever serves this target cancels this task: a request that ended it gets no answer.
         await curio.Event().wait()
--- a/tests/crashing_request_test.py
+++ b/tests/crashing_request_test.py
@@ -8,17 +8,12 @@
 import curio
 
 from endivedrift.shell.exchange import ExchangeError
-from standins.platform_target import DeadlyArrival
-from tests.platform_path import PlatformFleet
+from tests.platform_path import MAX_LATER_ARRIVALS, SPREAD_S, TOLERATED_ENDS, PlatformFleet
 
 HOSTS = 3
 TARGETS = 6
 DEADLY_CALLS = 15
 DEADLY_PAUSE_S = 0.55
-TOLERATED_ENDS = 3
-SPREAD_S = 3.0
-"""Time from the third end within which all hosts must know of it."""
-MAX_LATER_ARRIVALS = 3
 AFTERMATH_S = 4.0
 FINAL_CALLS = 12
 
@@ -39,14 +34,13 @@
             curio.run(scenario.run)
         finally:
             scenario.fleet.stop()
-        ends = scenario.list_ends()
+        ends = scenario.fleet.ends
         deadly_statuses = [status for status, _ in scenario.deadly]
         self.assertGreaterEqual(len(ends), TOLERATED_ENDS, deadly_statuses)
-        third_end = ends[TOLERATED_ENDS - 1]
-        later = [a.at - third_end for a in scenario.list_arrivals() if a.at > third_end + SPREAD_S]
+        later = [round(delay_s, 1) for delay_s, _ in scenario.fleet.list_later_arrivals(path)]
         figures = (
             f"{len(ends)} targets ended; arrivals more than {SPREAD_S} s after the third end, in"
-            f" seconds after it: {[round(delay_s, 1) for delay_s in later]}; answers to the deadly"
+            f" seconds after it: {later}; answers to the deadly"
             f" request: {deadly_statuses}; to others: {count_statuses(scenario.innocent)}, at the"
             f" end: {count_statuses(scenario.final)}"
         )
@@ -112,14 +106,6 @@
         else:
             replies.append((reply.status, reply.body))
 
-    def list_ends(self) -> list[float]:
-        """Returns the times at which targets ended."""
-        return sorted(t.ended[1] for t in self.fleet.targets.values() if t.ended is not None)
-
-    def list_arrivals(self) -> list[DeadlyArrival]:
-        """Returns the arrivals of the deadly request at targets."""
-        return [a for target in self.fleet.targets.values() for a in target.deadly_arrivals]
-
 
 def count_statuses(replies: list[tuple[int, bytes]]) -> dict[int, int]:
     """Returns how often each status occurs."""
--- a/tests/platform_path.py
+++ b/tests/platform_path.py
@@ -6,6 +6,7 @@
 import subprocess
 import sys
 import tempfile
+import time
 from collections.abc import Awaitable, Callable
 from datetime import timedelta
 from functools import partial
@@ -17,7 +18,7 @@
 from endivedrift.shell.exchange import ExchangeError, HttpReply, exchange
 from standins._http_server import serve_http
 from standins.platform_store import StoreStandin
-from standins.platform_target import PlatformTargetStandin
+from standins.platform_target import DeadlyArrival, PlatformTargetStandin
 from tests.platform_builders import LISTENER_HOST, build_configuration, build_entry, build_node_file
 
 ROOT = Path(__file__).resolve().parent.parent
@@ -28,6 +29,12 @@
 """Time from the end of a target to the start of the next one at its address."""
 ENTRY_EXPIRY_S = 3.4
 """Time after which the platform removes the entry of a target that has ended."""
+TOLERATED_ENDS = 3
+"""Number of targets that a request ends before it is kept from them."""
+SPREAD_S = 3.0
+"""Time from the last of these ends within which all hosts must know of it."""
+MAX_LATER_ARRIVALS = 3
+"""Limit on arrivals of the request at targets after that time, over the whole fleet."""
 CALL_TIMEOUT = timedelta(seconds=5)
 
 
@@ -40,6 +47,7 @@
       subnet: The first three numbers of all addresses; random, so that runs don't share addresses.
       store: The store.
       targets: The targets by id, including those that have ended.
+      ends: Path and time of each end of a target by a deadly request.
       directory: Holds node files and logs of the hosts.
       hosts: The processes of the hosts by address.
     """
@@ -50,6 +58,7 @@
         self.store = StoreStandin()
         names = [f"i-{1 + number}" for number in range(target_count)]
         self.targets = {name: PlatformTargetStandin(name) for name in names}
+        self.ends: list[tuple[str, float]] = []
         self.directory = Path(tempfile.mkdtemp(prefix="endivedrift-"))
         self.hosts: dict[str, subprocess.Popen[bytes]] = {}
 
@@ -73,19 +82,36 @@
         for restarts in itertools.count(1):
             serving = await curio.spawn(serve_http(ip, port, target.handle), daemon=True)
             await target.end.wait()
-            await serving.cancel()
-            await curio.spawn(self.expire(target.name), daemon=True)
-            await curio.sleep(TARGET_AWAY_S)
+            await self.end_target(serving, target)
             name = f"{first_name}-{restarts}"
             target = self.targets[name] = PlatformTargetStandin(name)
             entry = build_entry(f"{ip}:{port}")
             self.store.write("servers", name, {**entry, "born": entry["born"] + restarts})
 
-    async def expire(self, name: str) -> None:
-        """Removes the entry of a target that has just ended when it would lapse."""
+    async def end_target(self, serving: curio.Task, target: PlatformTargetStandin) -> None:
+        """Closes address and connections of a target that ends; waits until another may start."""
+        await serving.cancel()
+        self.ends.append((target.ended_by, time.monotonic()))
+        await curio.spawn(self._remove_entry(target.name), daemon=True)
+        await curio.sleep(TARGET_AWAY_S)
+
+    async def _remove_entry(self, name: str) -> None:
         await curio.sleep(ENTRY_EXPIRY_S)
         self.store.remove("servers", name)
 
+    def list_later_arrivals(self, path: str) -> list[tuple[float, DeadlyArrival]]:
+        """Returns the arrivals of a deadly request at targets after it should be kept from them.
+
+        Returns:
+          Each later than `SPREAD_S` after the last tolerated end, with the time after that end.
+        """
+        ends = sorted(at for ended_by, at in self.ends if ended_by == path)
+        if len(ends) < TOLERATED_ENDS:
+            return []
+        arrivals = [a for t in self.targets.values() for a in t.deadly_arrivals if a.path == path]
+        delays = sorted((a.at - ends[TOLERATED_ENDS - 1], a) for a in arrivals)
+        return [(delay_s, arrival) for delay_s, arrival in delays if delay_s > SPREAD_S]
+
     def start_host(self, ip: str) -> None:
         """Starts or restarts a host."""
         node_file = self.directory / f"{ip}.toml"
