Send requests that end their targets in the soak

Cause: the rule for such requests must also hold while hosts are killed, frozen and stopped and links are harmed.

Change: a caller with a random generator of its own sends one deadly request again and again at random hosts, then another. While a target is gone, its proxy refuses connections. Checked from what targets see: at most three arrivals later than 3 s after the third end, hosts less than 3 s after a kill, either end of a freeze, or SIGTERM excused (LATE). No request of another path is refused as quarantined (BROKEN); for that, every fourth path of a caller is one that others use too. The series excuses no drain from its check.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -23,11 +23,11 @@
 
 from standins._http_server import StandinReply, StandinRequest, serve_http
 from standins.platform_store import StoreFaults
-from standins.platform_target import PlatformTargetStandin
+from standins.platform_target import DEADLY_PART, PlatformTargetStandin
 from standins.proxy import LinkFault, Proxy
 from standins.tasks import run_together
 from tests.platform_builders import LISTENER_HOST, build_configuration, build_entry, build_node_file
-from tests.platform_path import FIRST_PORT, STORE_PORT, PlatformFleet
+from tests.platform_path import FIRST_PORT, MAX_LATER_ARRIVALS, SPREAD_S, STORE_PORT, PlatformFleet
 
 ZONES = ("rabat-a", "fes-a")
 HOSTS = 6
@@ -89,15 +89,15 @@
     Attributes:
       rng: Determines faults and requests.
       rng_of_announcements: Determines restorations of the store and targets that say they leave.
+      rng_of_deadly: Determines requests that end their targets.
       target_pool: The targets.
       store_links: The proxy to the store of each host.
       config_version: Version of the newest configuration.
-      target_id_count: Number of target ids used so far.
-      past_runs: Target and attempt of what ran at targets that have been replaced.
       calls: The calls of all callers.
       faults: Start, end and name of each fault.
       stop_times: Times of SIGTERM by host.
       disrupted: Host and time of each kill, and of both ends of each freeze.
+      deadly_series: The same of each request that ends its targets, which excuses nothing.
       drained: Target id and time of each drain.
       violations: Violated guarantees without a time limit.
       timing_violations: Violated guarantees with a time limit.
@@ -105,16 +105,16 @@
     """
 
     def __init__(self, seed: int) -> None:
-        super().__init__()
+        super().__init__(HOSTS, 0)
         self.rng = random.Random(seed)
         self.rng_of_announcements = random.Random(f"{seed}/announcements")
+        self.rng_of_deadly = random.Random(f"{seed}/deadly")
         self.target_pool: list[SoakTarget] = []
         self.store_links: dict[str, Proxy] = {}
         self.config_version = 3
-        self.target_id_count = 0
-        self.past_runs: list[tuple[str, str]] = []
         self.calls: list[Call] = []
         self.faults: list[tuple[float, float, str]] = []
+        self.deadly_series: list[tuple[float, float, str]] = []
         self.stop_times: dict[str, list[float]] = {}
         self.disrupted: list[tuple[str, float]] = []
         self.drained: list[tuple[str, float]] = []
@@ -124,23 +124,19 @@
 
     async def start(self) -> None:
         """Starts store, targets and hosts and waits until all hosts are ready."""
-        await curio.spawn(
-            serve_http(f"{self.subnet}.1", STORE_PORT, self.store.handle), daemon=True
-        )
+        outside = f"{self.subnet}.1"
+        await curio.spawn(serve_http(outside, STORE_PORT, self.store.handle), daemon=True)
         self.store.write("op", "config", build_configuration(self.config_version))
         for number in range(TARGETS):
-            ip = f"{self.subnet}.1"
-            proxy = Proxy((ip, PROXY_PORT + number), (ip, TARGET_PORT + number))
-            target = SoakTarget(number, PlatformTargetStandin(self.create_target_id()), proxy)
+            proxy = Proxy((outside, PROXY_PORT + number), (outside, TARGET_PORT + number))
+            target = SoakTarget(number, self.create_standin(), proxy)
             self.target_pool.append(target)
-            await curio.spawn(serve_http(ip, TARGET_PORT + number, target.handle), daemon=True)
-            await curio.spawn(proxy.serve(), daemon=True)
+            await curio.spawn(serve_http(outside, TARGET_PORT + number, target.handle), daemon=True)
+            await curio.spawn(self._run_target(target), daemon=True)
             self.register(target)
         for number in range(HOSTS):
             ip = f"{self.subnet}.{2 + number}"
-            link = Proxy(
-                (f"{self.subnet}.1", STORE_PROXY_PORT + number), (f"{self.subnet}.1", STORE_PORT)
-            )
+            link = Proxy((outside, STORE_PROXY_PORT + number), (outside, STORE_PORT))
             self.store_links[ip] = link
             await curio.spawn(link.serve(), daemon=True)
             self.start_host(ip)
@@ -169,10 +165,22 @@
             process.kill()
             process.wait()
 
-    def create_target_id(self) -> str:
-        """Returns an unused target id."""
-        self.target_id_count += 1
-        return f"i-{self.target_id_count}"
+    def create_standin(self) -> PlatformTargetStandin:
+        """Returns a target with an unused id."""
+        name = f"i-{1 + len(self.targets)}"
+        self.targets[name] = PlatformTargetStandin(name)
+        return self.targets[name]
+
+    async def _run_target(self, target: SoakTarget) -> None:
+        """Serves a target's proxy; after a request has ended the target, another starts there."""
+        while True:
+            serving = await curio.spawn(target.proxy.serve(), daemon=True)
+            while not (ended := target.standin).ended_by:
+                await curio.sleep(0.01)
+            await self.end_target(serving, ended)
+            if target.standin is ended:
+                target.standin = self.create_standin()
+                self.register(target)
 
     def register(self, target: SoakTarget, **status: str) -> None:
         """Writes a target's entry."""
@@ -184,21 +192,20 @@
 
     async def replace_target(self, target: SoakTarget) -> None:
         """Drains and removes a target, then starts another with a new id at its address."""
-        name = target.standin.name
+        leaving, name = target.standin, target.standin.name
         self.register(target, state="draining")
         self.drained.append((name, time.monotonic()))
         await curio.sleep(DRAIN_LIMIT_S + 1.0)
-        self.past_runs += [(name, attempt) for attempt in target.standin.ran]
         self.store.remove("servers", name)
-        target.standin = PlatformTargetStandin(self.create_target_id())
+        if target.standin is not leaving:
+            return
+        target.standin = self.create_standin()
         await curio.sleep(0.2)
         self.register(target)
 
     def list_runs(self) -> list[tuple[str, str]]:
         """Returns target and attempt of every request that ran."""
-        return self.past_runs + [
-            (t.standin.name, a) for t in self.target_pool for a in t.standin.ran
-        ]
+        return [(name, attempt) for name, t in self.targets.items() for attempt in t.ran]
 
 
 Fault = Callable[[SoakFleet], Awaitable[None]]
@@ -400,13 +407,28 @@
     fleet.faults.append((began, time.monotonic(), name))
 
 
+async def _send_deadly_requests(fleet: SoakFleet, until: float) -> None:
+    """Sends requests that end their targets, each of them again and again at random hosts."""
+    rng = fleet.rng_of_deadly
+    caller = _Caller(fleet, 2 * CALLERS, rng)
+    while time.monotonic() < until:
+        began = time.monotonic()
+        path = f"/{rng.choice(('book', 'stays'))}{DEADLY_PART}{caller.count}"
+        for _ in range(rng.randint(16, 24)):
+            await curio.sleep(rng.uniform(0.1, 0.7))
+            if time.monotonic() < until:
+                await caller.call(path)
+                await caller.close()
+        fleet.deadly_series.append((began, time.monotonic(), "request that ends its targets"))
+
+
 class _Caller:
     """Sends requests over one connection to one host until the host closes it."""
 
-    def __init__(self, fleet: SoakFleet, number: int) -> None:
+    def __init__(self, fleet: SoakFleet, number: int, rng: random.Random | None = None) -> None:
         self.fleet = fleet
         self.number = number
-        self.rng = random.Random(f"{fleet.rng.random()}/{number}")
+        self.rng = rng or random.Random(f"{fleet.rng.random()}/{number}")
         self.count = 0
         self.host = ""
         self.sock: socket.socket | None = None
@@ -419,11 +441,12 @@
             await curio.sleep(self.rng.uniform(0.0, 0.06))
         await self.close()
 
-    async def call(self) -> Call:
-        """Sends one request and records its answer."""
+    async def call(self, path: str = "") -> Call:
+        """Sends one request and records its answer; every fourth path is one that others use."""
         self.count += 1
-        unsafe = self.rng.random() < 0.5
-        path = f"/{'book' if unsafe else 'stays'}/{self.number}-{self.count}"
+        name = f"{self.number}-{self.count}" if self.count % 4 else "popular"
+        path = path or f"/{'book' if self.rng.random() < 0.5 else 'stays'}/{name}"
+        unsafe = path.startswith("/book/")
         attempt = f"c{self.number}-{self.count}"
         call = Call(attempt, unsafe, path, self.host, time.monotonic())
         self.fleet.calls.append(call)
@@ -489,7 +512,7 @@
     """Finds violations in the answers that callers got and the requests that targets ran.
 
     An unsafe request runs at most once; a request refused with a status that says so has not run;
-    each answer belongs to its own request; each route is found.
+    each answer belongs to its own request; each route is found; only a deadly one is quarantined.
     """
     counts = Counter(attempt for _, attempt in runs)
     known = {call.attempt_id for call in calls}
@@ -506,6 +529,8 @@
             expected = f" {method} {call.path} {5 if call.is_unsafe else 0}".encode()
             if not signature.endswith(f".{call.attempt_id}") or not call.body.endswith(expected):
                 violations.append(f"{call.attempt_id} got {call.body!r}, {signature!r}")
+        if b'"quarantined"' in call.body and DEADLY_PART not in call.path:
+            violations.append(f"{call.attempt_id} to {call.path} was refused as quarantined")
         if call.status == 404:
             violations.append(f"{call.attempt_id} was answered 404")
     return violations
@@ -563,6 +588,26 @@
     return violations
 
 
+def check_deadly(fleet: SoakFleet) -> list[str]:
+    """Finds requests that came to targets more often than allowed after they had ended some.
+
+    What came by way of a host less than `SPREAD_S` after its disruption or stop is left out.
+    """
+    hosts = {call.attempt_id: call.host for call in fleet.calls}
+    excuses = [(host, at) for host, stops in fleet.stop_times.items() for at in stops]
+    excuses += fleet.disrupted
+    violations = []
+    for path in sorted({path for path, _ in fleet.ends}):
+        later = [
+            f"{delay_s:.1f} s by {hosts[a.attempt_id]}"
+            for delay_s, a in fleet.list_later_arrivals(path)
+            if not any(h == hosts[a.attempt_id] and 0 <= a.at - t < SPREAD_S for h, t in excuses)
+        ]
+        if len(later) > MAX_LATER_ARRIVALS:
+            violations.append(f"{path} came after its third end to targets: {', '.join(later)}")
+    return violations
+
+
 def check_stopped(fleet: SoakFleet) -> list[str]:
     """Finds requests that ran but were cut off by a host that was stopped gracefully."""
     run_ids = {attempt for _, attempt in fleet.list_runs()}
@@ -619,9 +664,9 @@
         fleet.stop()
     violations = [*fleet.violations, *check_calls(fleet.calls, fleet.list_runs())]
     violations += check_stopped(fleet) + check_leaving(fleet)
-    timing_violations = [*fleet.timing_violations, *check_drained(fleet)]
+    timing_violations = [*fleet.timing_violations, *check_drained(fleet), *check_deadly(fleet)]
     status_counts = Counter(call.status for call in fleet.calls)
-    faults = [name for _, _, name in sorted(fleet.faults)]
+    faults = [name for _, _, name in sorted(fleet.faults + fleet.deadly_series)]
     return SoakResult(seed, faults, status_counts, violations, timing_violations)
 
 
@@ -631,8 +676,10 @@
     faults_end = time.monotonic() + seconds
     tasks = [await curio.spawn(caller.run(faults_end + RECOVERY_S)) for caller in callers]
     announcing = await curio.spawn(_inject_announcements(fleet, faults_end))
+    sending = await curio.spawn(_send_deadly_requests(fleet, faults_end))
     await _inject_faults(fleet, faults_end)
     await announcing.join()
+    await sending.join()
     for task in tasks:
         await task.join()
     for ip in sorted(fleet.hosts):
