Review tests: requests that a stopping host loses, and faults beside them

Stop: a large answer is truncated when the host stops listening or a further request arrives while it is written; pipelined requests that were received are dropped, or run after the end was announced; what is in progress at the end of the stop, and what waits behind it on its connection, is closed without an answer. Beside it: a reserved retry is sent after its deadline, the check for an ended target outlasts the deadline, a full memory ends a small answer.

--- /dev/null
+++ b/endivedrift/shell/callers_test.py
@@ -0,0 +1,172 @@
+"""A stopping host sends each answer completely, and answers each request that it has received.
+
+Guards against requests that are lost around a stop on a connection with pipelined requests, or
+while an answer is being written to a caller that reads slowly.
+"""
+
+import socket as stdlib_socket
+import unittest
+from collections.abc import Awaitable, Callable
+from dataclasses import replace
+from datetime import timedelta
+from random import Random
+from typing import Any
+
+import curio
+from curio import socket
+
+from endivedrift.core import Address, SystemClock
+from endivedrift.core.events import StopRequested
+from endivedrift.reducer import build_host
+from endivedrift.settings import LimitsSection
+from endivedrift.shell._callers import MAX_PIPELINED_REQUESTS, CallerServer
+from endivedrift.shell._metrics import Metrics
+from endivedrift.shell._runtime import Runtime
+from endivedrift.shell._serving import ServingContext
+from endivedrift.shell._targets import TargetPool
+from standins._http_server import StandinReply, StandinRequest, serve_http
+from tests.builders import SECRET, build_config_fetched, build_identity, build_object_set
+
+LARGE_BODY = b"z" * 6_000_000
+WRITE = b"POST /stays/w HTTP/1.1\r\nhost: x\r\ncontent-length: 4\r\n\r\n"
+
+
+def write_read(name: str) -> bytes:
+    return f"GET /rooms/{name} HTTP/1.1\r\nhost: x\r\n\r\n".encode()
+
+
+class Served:
+    """One stopping host in this process, its target, and a connection of a caller."""
+
+    def __init__(self) -> None:
+        self.ran: list[str] = []
+        self.work_s: dict[str, float] = {}
+
+    async def start(self) -> None:
+        ip = f"127.{Random().randrange(1, 250)}.{Random().randrange(250)}.1"
+        objects = build_object_set(targets=2, slots=40, queue_length=40)
+        group = objects.upstream_group["group"]
+        targets = tuple(
+            replace(target, address=f"{ip}:{9000 + n}") for n, target in enumerate(group.targets)
+        )
+        read = replace(objects.route["read"], answer_limit_bytes=2 * len(LARGE_BODY))
+        objects = replace(
+            objects,
+            upstream_group={"group": replace(group, targets=targets)},
+            route={**objects.route, "read": read},
+        )
+        for number in range(2):
+            await curio.spawn(serve_http(ip, 9000 + number, self.handle), daemon=True)
+        clock = SystemClock()
+        state = build_host(build_identity(), SECRET, 1)
+        self.runtime = Runtime(state, clock, Metrics())
+        claims: Any = None
+        context = ServingContext(self.runtime, TargetPool(clock), claims, SECRET)
+        self.server = CallerServer(context, Address(f"{ip}:9100"), LimitsSection())
+        await self.runtime.dispatch(build_config_fetched(clock, objects))  # type: ignore[arg-type]
+        await curio.spawn(self.server.accept(), daemon=True)
+        self.caller = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self.caller.setsockopt(stdlib_socket.SOL_SOCKET, stdlib_socket.SO_RCVBUF, 65_536)
+        await self.caller.connect((ip, 9100))
+
+    async def handle(self, request: StandinRequest) -> StandinReply:
+        name = request.path.rpartition("/")[2]
+        self.ran.append(name)
+        await curio.sleep(self.work_s.get(name, 0.01))
+        echo = {"x-request-id": request.headers.get("x-request-id", "")}
+        return StandinReply(200, echo, LARGE_BODY if name == "large" else name.encode())
+
+    async def request_stop(self) -> None:
+        now = self.runtime.clock.monotonic()
+        await self.runtime.dispatch(StopRequested(now, now + timedelta(seconds=5.65)))
+
+    async def receive_all(self) -> bytes:
+        """Reads until the host closes the connection, or sends nothing for a while."""
+        received = bytearray()
+        try:
+            while data := await curio.timeout_after(1.5, self.caller.recv, 65_536):
+                received += data
+        except (curio.TaskTimeout, OSError):
+            pass
+        return bytes(received)
+
+
+class StoppingTest(unittest.TestCase):
+    def run_scenario(self, scenario: Callable[[Served], Awaitable[bytes]]) -> tuple[Served, bytes]:
+        served = Served()
+
+        async def run() -> bytes:
+            await served.start()
+            return await scenario(served)
+
+        return served, curio.run(run)
+
+    def receive_large(self, disturb: Callable[[Served], Awaitable[None]] | None) -> bytes:
+        """Reads a large answer slowly; `disturb` is called while the host is writing it."""
+
+        async def scenario(served: Served) -> bytes:
+            await served.request_stop()
+            await served.caller.sendall(write_read("large"))
+            await curio.sleep(0.6)
+            if disturb is not None:
+                await disturb(served)
+                await curio.sleep(0.2)
+            return await served.receive_all()
+
+        return self.run_scenario(scenario)[1].partition(b"\r\n\r\n")[2]
+
+    def test_a_large_answer_is_sent_completely(self) -> None:
+        self.assertEqual(len(self.receive_large(None)), len(LARGE_BODY))
+
+    def test_a_large_answer_is_sent_completely_though_the_host_stops_listening(self) -> None:
+        async def stop_listening(served: Served) -> None:
+            await served.server.stop_listening()
+
+        self.assertEqual(len(self.receive_large(stop_listening)), len(LARGE_BODY))
+
+    def test_a_large_answer_is_sent_completely_though_a_further_request_arrives(self) -> None:
+        async def send_another(served: Served) -> None:
+            await served.caller.sendall(write_read("another"))
+
+        body = self.receive_large(send_another)[: len(LARGE_BODY)]
+        self.assertEqual(len(body), len(LARGE_BODY))
+
+    def test_requests_beyond_the_pipelining_limit_are_answered(self) -> None:
+        count = MAX_PIPELINED_REQUESTS + 1
+
+        async def scenario(served: Served) -> bytes:
+            served.work_s["r0"] = 0.5
+            await served.caller.sendall(b"".join(write_read(f"r{n}") for n in range(count)))
+            await curio.sleep(0.1)
+            await served.request_stop()
+            return await served.receive_all()
+
+        _, received = self.run_scenario(scenario)
+        self.assertEqual(received.count(b"HTTP/1.1 "), count)
+
+    def test_a_read_behind_a_write_is_answered(self) -> None:
+        async def scenario(served: Served) -> bytes:
+            served.work_s["w"] = 0.3
+            await served.caller.sendall(WRITE + b"body" + write_read("r"))
+            await curio.sleep(0.1)
+            await served.request_stop()
+            return await served.receive_all()
+
+        _, received = self.run_scenario(scenario)
+        self.assertEqual(received.count(b"HTTP/1.1 "), 2)
+
+    def test_no_request_runs_that_arrives_after_the_end_was_announced(self) -> None:
+        # The caller takes it as not sent after the announcement, and sends it again elsewhere.
+        async def scenario(served: Served) -> bytes:
+            served.work_s["r"] = 0.3
+            await served.caller.sendall(write_read("r") + WRITE)
+            await curio.sleep(0.1)
+            await served.request_stop()
+            await curio.sleep(0.5)
+            await served.caller.sendall(b"body")
+            return await served.receive_all()
+
+        served, received = self.run_scenario(scenario)
+        first = received.partition(b"\r\n\r\n")[0]
+        if b"connection: close" in first:
+            self.assertNotIn("w", served.ran)
--- a/endivedrift/shell/targets_test.py
+++ b/endivedrift/shell/targets_test.py
@@ -5,6 +5,7 @@
 """
 
 import contextlib
+import socket as stdlib_socket
 import unittest
 from datetime import timedelta
 
@@ -310,3 +311,83 @@
         self.assertIs(first.outcome, AttemptOutcome.CUT)
         self.assertFalse(first.target_ended)
         self.assertEqual(accepted, 2)
+
+
+class EndCheckTest(unittest.TestCase):
+    """The check whether a target has ended takes no time that its request does not have."""
+
+    def test_it_ends_by_the_deadline_of_the_request(self) -> None:
+        # A host that stops waits 50 ms beyond the latest deadline, less than the check may take.
+        async def run() -> timedelta:
+            listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+            listener.bind(("127.0.0.1", 0))
+            listener.listen(0)
+            address = listener.getsockname()
+            waiting: list[stdlib_socket.socket] = []
+
+            async def fill_backlog_and_cut() -> None:
+                sock, _ = await listener.accept()
+                await sock.recv(65_536)
+                # Connections beyond the backlog get no reply, like those to a machine that is gone.
+                for _ in range(4):
+                    filling = stdlib_socket.socket()
+                    filling.setblocking(False)
+                    filling.connect_ex(address)
+                    waiting.append(filling)
+                await curio.sleep(0.28)
+                await sock.close()
+
+            cutting = await curio.spawn(fill_backlog_and_cut(), daemon=True)
+            effect = build_effect(Address(f"{address[0]}:{address[1]}"), 0.3)
+            request = TargetRequest("GET", b"/", ((b"host", b"x"),), b"")
+            finished = await TargetPool(SystemClock()).attempt(effect, request, never_abort)
+            self.assertIs(finished.outcome, AttemptOutcome.CUT)
+            await cutting.join()
+            for filling in waiting:
+                filling.close()
+            await listener.close()
+            return finished.at - effect.deadline
+
+        self.assertLess(curio.run(run), timedelta(milliseconds=25))
+
+
+class SharedBufferTest(unittest.TestCase):
+    """Large answers that are being read end no other request."""
+
+    def test_a_small_answer_is_read_while_others_fill_the_memory(self) -> None:
+        async def run() -> tuple[AttemptFinished, AttemptFinished]:
+            large, small = SlowTarget(b"x" * 95, 0.3), SlowTarget(b"y" * 20, 0.0)
+            pool = TargetPool(SystemClock())
+            pool._buffered.limit = 100
+            request = TargetRequest("GET", b"/", ((b"host", b"x"),), b"")
+            tasks = []
+            for target in (large, small):
+                await curio.spawn(target.serve(), daemon=True)
+                effect = build_effect(target.address, 5.0)
+                tasks.append(await curio.spawn(pool.attempt(effect, request, never_abort)))
+                await curio.sleep(0.1)
+            return await tasks[0].join(), await tasks[1].join()
+
+        large, small = curio.run(run)
+        self.assertIs(large.outcome, AttemptOutcome.ANSWERED)
+        self.assertIs(small.outcome, AttemptOutcome.ANSWERED)
+
+
+class SlowTarget:
+    """Sends all but the last byte of an answer, and that after a pause."""
+
+    def __init__(self, body: bytes, pause_s: float) -> None:
+        self.answer, self.pause_s = write_answer(body), pause_s
+        self.listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self.listener.bind(("127.0.0.1", 0))
+        self.listener.listen(8)
+        ip, port = self.listener.getsockname()
+        self.address = Address(f"{ip}:{port}")
+
+    async def serve(self) -> None:
+        sock, _ = await self.listener.accept()
+        await sock.recv(65_536)
+        with contextlib.suppress(OSError):
+            await sock.sendall(self.answer[:-1])
+            await curio.sleep(self.pause_s)
+            await sock.sendall(self.answer[-1:])
--- a/tests/host_test.py
+++ b/tests/host_test.py
@@ -429,6 +429,15 @@
         retry = next(effect for effect in effects if isinstance(effect, SendToTarget))
         self.assertNotIn(retry.target, {stuck.target, chosen})
 
+    def test_a_retry_is_not_sent_when_its_time_has_passed_meanwhile(self) -> None:
+        # The target would count as broken for a connection that was not even tried.
+        (stuck,) = self.send_late(1, seconds=1.99)
+        self.service.typical_latency = timedelta(milliseconds=5)
+        self.assertTrue(self.report_late(stuck))
+        self.harness.clock.advance(timedelta(milliseconds=20))
+        effects = self.finish(stuck, AttemptOutcome.TIMED_OUT, 2.01)
+        self.assertEqual([e for e in effects if isinstance(e, SendToTarget)], [])
+
 
 class ProbationTest(unittest.TestCase):
     """A failed request in probation ejects the target again and is recorded in the audit trail."""
--- a/tests/platform_path_test.py
+++ b/tests/platform_path_test.py
@@ -166,6 +166,50 @@
     def test_a_second_signal_cuts_off_no_request_that_came_after_it(self) -> None:
         self.assertRegex(self.book_during_stop(0.1, 0.3), rb" (200|503) ")
 
+    def read_at_end_of_stop(self, paths: tuple[str, ...], work_s: float) -> bytes:
+        """Pipelines reads and stops the host; returns what it sends until it ends.
+
+        Args:
+          paths: Paths of the reads. The first takes `work_s`, the others no time.
+          work_s: Work of the first read, whose route allows 9 s.
+        """
+        received = bytearray()
+
+        async def scenario(platform_fleet: PlatformFleet) -> None:
+            host = f"{platform_fleet.subnet}.2"
+            document = build_configuration(version=9)
+            for rule in document["listeners"][0]["rules"]:
+                rule["action"]["timeout"] = "9s"
+            platform_fleet.store.write("op", "config", document)
+            await curio.sleep(2.0)
+            sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+            await sock.connect((host, FIRST_PORT))
+            for number, path in enumerate(paths):
+                for target in platform_fleet.targets.values():
+                    target.work_s = 0.0 if number else work_s
+                await sock.sendall(build_read(path, f"r{number}", 1500 if number else 9000))
+                await curio.sleep(0.2)
+                if not number:
+                    platform_fleet.hosts[host].send_signal(signal.SIGTERM)
+                    await curio.sleep(0.3)
+            try:
+                while data := await sock.recv(65_536):
+                    received.extend(data)
+            except OSError:
+                pass
+            await sock.close()
+
+        self.run_scenario(scenario)
+        return bytes(received)
+
+    def test_a_request_still_in_progress_at_the_end_of_a_stop_gets_an_answer(self) -> None:
+        received = self.read_at_end_of_stop(("/stays/1",), 8.0)
+        self.assertTrue(received.startswith(b"HTTP/1.1 "), "closed without an answer")
+
+    def test_a_request_pipelined_behind_one_that_outlasts_the_stop_gets_an_answer(self) -> None:
+        received = self.read_at_end_of_stop(("/stays/1", "/stays/2"), 8.0)
+        self.assertEqual(received.count(b"HTTP/1.1 "), 2)
+
     def test_a_restored_store_is_followed_and_brings_no_target_back(self) -> None:
         async def scenario(platform_fleet: PlatformFleet) -> None:
             host = f"{platform_fleet.subnet}.2"
@@ -212,6 +256,13 @@
         return b""
 
 
+def build_read(path: str, attempt_id: str, deadline_ms: int) -> bytes:
+    return (
+        f"GET {path} HTTP/1.1\r\nhost: {LISTENER_HOST}\r\n"
+        f"endivedrift-attempt-id: {attempt_id}\r\nendivedrift-deadline-ms: {deadline_ms}\r\n\r\n"
+    ).encode()
+
+
 async def has_ended(process: subprocess.Popen[bytes]) -> bool:
     return process.poll() is not None
 
