Send an answer completely though the host stops listening or a request arrives while it is written

Cause: an answer that announces the end of its connection did so before it was written. A wakeup during the write (the host stops listening, a further request arrives) made the task of the connection see the announcement, end and close the socket. Callers saw the head of a valid answer and a part of its body.

Ruled out: setting `close_announced` after the write (a request that arrives meanwhile would be started behind the announcement).

Change: the task that finds the announcement starts no further request, and ends as after a final request: it waits for the answers, then shuts down the sending side and waits for the caller.

--- a/endivedrift/shell/_callers.py
+++ b/endivedrift/shell/_callers.py
@@ -266,6 +266,9 @@
 
     async def _accept_request(self, connection: _Connection) -> bool:
         """Reads one request, starts serving it, and tells whether another one may follow."""
+        await self._await_bytes(connection)
+        if connection.close_announced:
+            return False
         request = await self._await_request(connection)
         request_id = self._runtime.new_request_id()
         headers = copy_headers(request.headers)
@@ -321,11 +324,10 @@
             raise _RequestRefusedError(make_refusal(RefusalReason.BAD_REQUEST, detail))
 
     async def _await_request(self, connection: _Connection) -> h11.Request:
-        """Waits for a request head: up to the idle limit for its first byte, up to `head_ms` after.
+        """Waits for a request head.
 
         The whole request, with its body, must be complete `head_ms` after reading begins.
         """
-        await self._await_bytes(connection)
         limit = timedelta(milliseconds=self._get_limits().head_ms)
         connection.read_deadline = self._runtime.clock.monotonic() + limit
         event = await self._next_event_before_deadline(connection)
@@ -334,11 +336,10 @@
         return event
 
     async def _await_bytes(self, connection: _Connection) -> None:
-        """Waits until bytes arrive or the caller disconnects.
+        """Waits until bytes arrive, the caller disconnects, or an answer announces the end.
 
         Raises:
           curio.TaskTimeout: If the connection was idle for too long.
-          _ConnectionEndedError: If an answer announced the end of the connection.
         """
         idle = timedelta(milliseconds=self._get_limits().idle_ms)
         while (
@@ -353,8 +354,6 @@
             limit = CLOSING_IDLE_TIMEOUT if connection.is_closing else idle
             async with curio.timeout_after(limit.total_seconds()):
                 await connection.wakeup.wait()
-        if connection.close_announced:
-            raise _ConnectionEndedError
 
     async def _read_body(
         self, connection: _Connection, headers: Headers, named_route: NamedRoute | None
