Answer requests that a host has received before it announces the end of their connection

Cause: a stopping host announced the end of a connection with the last answer due, counting only requests it had started. The 17th pipelined read and a read behind a write had been received and were closed without an answer. A write whose body came after the announcement ran; a caller that takes it as not sent sends it again, and it runs twice.

Ruled out: refusing what was received (a caller would have to send it again, though the host may still serve it).

Change: an answer announces the end only if no bytes are unparsed and no request is being read, or if its request is the last by its own words.

A caller that never stops pipelining keeps its connection until the end of the stop.

--- a/endivedrift/shell/_callers.py
+++ b/endivedrift/shell/_callers.py
@@ -105,6 +105,7 @@
       wakeup: Set when bytes arrive, an answer was sent, or the connection must end.
       read_resumed: Set when the parser needs more bytes, so that reading continues.
       unparsed_bytes: Bytes given to the parser since it last asked for more.
+      is_reading: Whether a request is being read, from its first byte until it is in `exchanges`.
       is_ended: Whether the caller closed the connection, or it can no longer be used.
       is_closing: Whether the host wants to close the connection.
       close_announced: Whether an answer with `Connection: close` was sent.
@@ -118,6 +119,7 @@
     wakeup: curio.Event = field(default_factory=curio.Event)
     read_resumed: curio.Event = field(default_factory=curio.Event)
     unparsed_bytes: int = 0
+    is_reading: bool = False
     is_ended: bool = False
     is_closing: bool = False
     close_announced: bool = False
@@ -269,6 +271,7 @@
         await self._await_bytes(connection)
         if connection.close_announced:
             return False
+        connection.is_reading = True
         request = await self._await_request(connection)
         request_id = self._runtime.new_request_id()
         headers = copy_headers(request.headers)
@@ -281,6 +284,7 @@
         caller_request_id = find_header(headers, self._context.conventions.request_id_header)
         exchange = _Exchange(http, request_id, caller_request_id, method)
         connection.exchanges.append(exchange)
+        connection.is_reading = False
         is_final = http.their_state is not h11.DONE
         if not is_final:
             self._start_next_parser(connection)
@@ -489,12 +493,17 @@
             await connection.wakeup.set()
 
     def _is_last(self, connection: _Connection, exchange: _Exchange) -> bool:
-        """Tells whether the connection ends after this answer, which must be the last one due."""
+        """Tells whether the connection ends after this answer, which must be the last one due.
+
+        A request that has arrived, even in part, is answered before the host ends the connection.
+        """
         if exchange is not connection.exchanges[-1]:
             return False
-        leaving = self._runtime.state.phase is HostPhase.LEAVING
-        is_final = exchange.http.their_state is not h11.DONE
-        return connection.is_closing or leaving or is_final
+        if exchange.http.their_state is not h11.DONE:
+            return True
+        if connection.is_reading or connection.unparsed_bytes:
+            return False
+        return connection.is_closing or self._runtime.state.phase is HostPhase.LEAVING
 
     async def _send_answer(
         self, connection: _Connection, exchange: _Exchange, is_last: bool
