Answer requests that are still in progress at the end of a stop

Cause: at the time limit of a stop the host closed connections with requests in progress. Their callers got no byte, nor did those whose finished answers waited behind such a request on their connection. A request that arrived before the stop may have a deadline beyond its end.

Ruled out: shortening the deadlines of attempts at the start of the stop (a target is told the deadline with the request); cancelling the tasks alone (a cancelled request has no answer).

Change: 200 ms before the limit the host ends what is in progress. The reducer judges it as for a caller that has gone: 502 and "may have run" for a request at a target, 503 and "not run" for one in the queue; one whose key is being claimed, or that its owner serves, counts as may have run. Each connection then ends with the last answer due, and requests received but not started are not run. New requests are refused if they could last beyond 250 ms before the limit, before 50 ms.

A connection on which only part of a request has arrived at the limit is closed without an answer, and an answer that takes longer than 200 ms to write is cut.

--- a/endivedrift/shell/_callers.py
+++ b/endivedrift/shell/_callers.py
@@ -108,6 +108,7 @@
       is_reading: Whether a request is being read, from its first byte until it is in `exchanges`.
       is_ended: Whether the caller closed the connection, or it can no longer be used.
       is_closing: Whether the host wants to close the connection.
+      must_finish: Whether the host closes it without answering requests it has not started.
       close_announced: Whether an answer with `Connection: close` was sent.
       is_writing: Whether a task is sending answers.
       read_deadline: When the request that is being read must be complete.
@@ -122,6 +123,7 @@
     is_reading: bool = False
     is_ended: bool = False
     is_closing: bool = False
+    must_finish: bool = False
     close_announced: bool = False
     is_writing: bool = False
     read_deadline: Instant = Instant(0)
@@ -183,6 +185,11 @@
             connection.is_closing = True
             await connection.wakeup.set()
 
+    def finish_connections(self) -> None:
+        """Ends each connection with the answers to the requests in progress on it."""
+        for connection in self._connections.values():
+            connection.must_finish = True
+
     def count_connections(self) -> int:
         """Returns the number of open connections."""
         return len(self._connections)
@@ -280,6 +287,8 @@
         path = request.target.decode("ascii").partition("?")[0]
         named_route = find_route(self._runtime.state.routes, method, path, read_host(headers))
         body = await self._read_body(connection, headers, named_route)
+        if connection.close_announced:
+            return False
         http = connection.http
         caller_request_id = find_header(headers, self._context.conventions.request_id_header)
         exchange = _Exchange(http, request_id, caller_request_id, method)
@@ -410,6 +419,8 @@
     ) -> None:
         try:
             exchange.answer = await self._build_answer(exchange, request, headers, body)
+            # A cancellation that came too late to be delivered must not interrupt the write.
+            await curio.check_cancellation()
         except curio.CancelledError:
             pass
         finally:
@@ -456,7 +467,8 @@
         connection.is_closing = True
         with contextlib.suppress(OSError, h11.LocalProtocolError, curio.TaskTimeout):
             await self._await_answers(connection)
-            await self._send_answer(connection, exchange, is_last=True)
+            if not connection.close_announced:
+                await self._send_answer(connection, exchange, is_last=True)
             await self._close_gracefully(connection)
 
     async def _close_gracefully(self, connection: _Connection) -> None:
@@ -495,11 +507,12 @@
     def _is_last(self, connection: _Connection, exchange: _Exchange) -> bool:
         """Tells whether the connection ends after this answer, which must be the last one due.
 
-        A request that has arrived, even in part, is answered before the host ends the connection.
+        A request that has arrived, even in part, is answered before the host ends the connection,
+        unless the time for that has passed.
         """
         if exchange is not connection.exchanges[-1]:
             return False
-        if exchange.http.their_state is not h11.DONE:
+        if connection.must_finish or exchange.http.their_state is not h11.DONE:
             return True
         if connection.is_reading or connection.unparsed_bytes:
             return False
--- a/endivedrift/shell/_daemon.py
+++ b/endivedrift/shell/_daemon.py
@@ -29,13 +29,16 @@
 from endivedrift.shell._operators import OperatorServer
 from endivedrift.shell._peers import PeerTransport
 from endivedrift.shell._runtime import Runtime
-from endivedrift.shell._serving import ServingContext
+from endivedrift.shell._serving import ServingContext, end_requests
 from endivedrift.shell._signals import SignalInbox
 from endivedrift.shell._targets import TargetPool
 
 TICK_PERIOD = timedelta(milliseconds=100)
 POOL_CLEANING_PERIOD = timedelta(seconds=5)
 DRAIN_POLL_PERIOD = timedelta(milliseconds=50)
+FLUSH_TIME = timedelta(milliseconds=200)
+"""Time at the end of a stop in which the answers to requests that were still in progress are sent.
+"""
 INCARNATION_RANDOM_BITS = 20
 EXIT_FAILED = 1
 
@@ -148,23 +151,30 @@
 
     The host still accepts connections until cached entry answers that name it have expired. A
     second signal ends this wait early; requests in progress are still finished, and so are those
-    that arrive later on open connections. After the time limit of both parts of the stop, the host
-    stops even if requests are in progress.
+    that arrive later on open connections. Shortly before the time limit of both parts of the stop,
+    requests still in progress are ended with an answer, and at the limit the host stops.
     """
     _log.info("Leaving.", host=runtime.state.identity.host)
     now = runtime.clock.monotonic()
     drain_time = timedelta(seconds=settings.limits.drain_s)
     deadline = now + settings.limits.leave_wait + drain_time
-    await runtime.dispatch(StopRequested(now, deadline - DRAIN_POLL_PERIOD))
+    flush_at = deadline - FLUSH_TIME
+    await runtime.dispatch(StopRequested(now, flush_at - DRAIN_POLL_PERIOD))
     async with curio.ignore_after(settings.limits.leave_wait.total_seconds()):
         while await signals.wait() is signal.SIGHUP:
             _log.info("Settings are not reloaded while the host is leaving.")
     await accept_task.cancel()
     await callers.stop_listening()
+    is_flushing = False
     while callers.count_connections() or runtime.state.requests:
-        if runtime.clock.monotonic() > deadline:
+        now = runtime.clock.monotonic()
+        if now > deadline:
             _log.warning("The drain time limit passed with requests still in progress.")
             return
+        if now >= flush_at and not is_flushing:
+            is_flushing = True
+            callers.finish_connections()
+            await end_requests(runtime)
         await curio.sleep(DRAIN_POLL_PERIOD.total_seconds())
 
 
--- a/endivedrift/shell/_runtime.py
+++ b/endivedrift/shell/_runtime.py
@@ -54,12 +54,14 @@
       effects: Effects that the task has not taken yet.
       ready: Set when an effect was posted.
       task: Task that serves the request; it is cancelled when the request is abandoned.
+      must_answer: Whether the task returns a result even if it is cancelled.
       attempts: Attempts at targets made so far.
     """
 
     effects: deque[RequestEffect] = field(default_factory=deque)
     ready: curio.Event = field(default_factory=curio.Event)
     task: curio.Task | None = None
+    must_answer: bool = False
     attempts: list[AttemptFinished] = field(default_factory=list)
 
     async def take(self) -> RequestEffect:
--- a/endivedrift/shell/_serving.py
+++ b/endivedrift/shell/_serving.py
@@ -9,8 +9,10 @@
     ClaimOutcome,
     ForwardOutcome,
     Refusal,
+    RefusalReason,
     RequestHead,
     RequestId,
+    Verdict,
 )
 from endivedrift.core.effects import (
     AbortAttempt,
@@ -85,21 +87,55 @@
         await runtime.dispatch(RequestArrived(clock.monotonic(), clock.wall(), request_id, head))
         while True:
             effect = await mailbox.take()
-            match effect:
-                case DeliverAnswer():
-                    answer = _strip_attempt_id(context.conventions, effect.answer)
-                    return ServedRequest(answer, tuple(mailbox.attempts))
-                case RefuseRequest():
-                    return ServedRequest(effect.refusal, tuple(mailbox.attempts))
+            served = _read_result(context, mailbox, effect)
+            if served is not None:
+                return served
             await _perform_effect(context, mailbox, effect, request, head)
     except curio.CancelledError:
         async with curio.disable_cancellation():
             await _report_cancellation(runtime, request_id)
-        raise
+        if not mailbox.must_answer:
+            raise
+        return _find_result(context, mailbox)
     finally:
         del runtime.mailboxes[request_id]
 
 
+async def end_requests(runtime: Runtime) -> None:
+    """Ends all requests in progress; each gets a result that tells whether it may have run."""
+    for request_id, mailbox in list(runtime.mailboxes.items()):
+        await runtime.dispatch(QueueWaitExpired(runtime.clock.monotonic(), request_id))
+        if request_id in runtime.state.requests and mailbox.task is not None:
+            mailbox.must_answer = True
+            await mailbox.task.cancel(blocking=False)
+
+
+def _read_result(
+    context: ServingContext, mailbox: Mailbox, effect: RequestEffect
+) -> ServedRequest | None:
+    match effect:
+        case DeliverAnswer():
+            answer = _strip_attempt_id(context.conventions, effect.answer)
+            return ServedRequest(answer, tuple(mailbox.attempts))
+        case RefuseRequest():
+            return ServedRequest(effect.refusal, tuple(mailbox.attempts))
+    return None
+
+
+def _find_result(context: ServingContext, mailbox: Mailbox) -> ServedRequest:
+    """Returns the result of a request that was ended.
+
+    The reducer has none for a request whose key is being claimed or that its owner serves.
+    """
+    for effect in mailbox.effects:
+        served = _read_result(context, mailbox, effect)
+        if served is not None:
+            return served
+    verdict = Verdict.MAY_HAVE_RUN
+    refusal = Refusal(RefusalReason.TARGET_CUT, verdict, verdict, None, "this host stops")
+    return ServedRequest(refusal, tuple(mailbox.attempts))
+
+
 def _strip_attempt_id(conventions: HttpConventions, answer: Answer) -> Answer:
     """Removes the attempt's id from the answer, unless callers choose the request ids."""
     if conventions.keeps_request_ids:
--- a/endivedrift/shell/callers_test.py
+++ b/endivedrift/shell/callers_test.py
@@ -15,14 +15,14 @@
 import curio
 from curio import socket
 
-from endivedrift.core import Address, SystemClock
+from endivedrift.core import Address, ServiceName, SystemClock
 from endivedrift.core.events import StopRequested
 from endivedrift.reducer import build_host
 from endivedrift.settings import LimitsSection
 from endivedrift.shell._callers import MAX_PIPELINED_REQUESTS, CallerServer
 from endivedrift.shell._metrics import Metrics
 from endivedrift.shell._runtime import Runtime
-from endivedrift.shell._serving import ServingContext
+from endivedrift.shell._serving import ServingContext, end_requests
 from endivedrift.shell._targets import TargetPool
 from standins._http_server import StandinReply, StandinRequest, serve_http
 from tests.builders import SECRET, build_config_fetched, build_identity, build_object_set
@@ -170,3 +170,54 @@
         first = received.partition(b"\r\n\r\n")[0]
         if b"connection: close" in first:
             self.assertNotIn("w", served.ran)
+
+    def test_a_write_in_progress_at_the_end_of_a_stop_is_answered_as_one_that_may_have_run(
+        self,
+    ) -> None:
+        async def scenario(served: Served) -> bytes:
+            served.work_s["w"] = 3.0
+            await served.caller.sendall(WRITE + b"body")
+            await curio.sleep(0.1)
+            await served.request_stop()
+            served.server.finish_connections()
+            await end_requests(served.runtime)
+            return await served.receive_all()
+
+        served, received = self.run_scenario(scenario)
+        self.assertEqual(served.ran, ["w"])
+        self.assertTrue(received.startswith(b"HTTP/1.1 502 "), received[:80])
+        self.assertIn(b"x-verdict: may-have-run", received)
+        self.assertEqual(served.runtime.state.requests, {})
+
+    def test_a_queued_request_at_the_end_of_a_stop_is_answered_as_not_run(self) -> None:
+        async def scenario(served: Served) -> bytes:
+            for record in served.runtime.state.services[ServiceName("rooms")].targets.values():
+                record.held_until = served.runtime.clock.monotonic() + timedelta(seconds=0.4)
+            await served.caller.sendall(write_read("r"))
+            await curio.sleep(0.1)
+            await served.request_stop()
+            served.server.finish_connections()
+            await end_requests(served.runtime)
+            return await served.receive_all()
+
+        served, received = self.run_scenario(scenario)
+        self.assertEqual(served.ran, [])
+        self.assertTrue(received.startswith(b"HTTP/1.1 503 "), received[:80])
+        self.assertIn(b"x-verdict: not-run", received)
+        self.assertEqual(served.runtime.state.requests, {})
+
+    def test_no_request_runs_that_is_complete_after_the_connections_were_finished(self) -> None:
+        async def scenario(served: Served) -> bytes:
+            served.work_s["r"] = 0.3
+            await served.caller.sendall(write_read("r") + WRITE)
+            await curio.sleep(0.1)
+            await served.request_stop()
+            served.server.finish_connections()
+            await curio.sleep(0.5)
+            await served.caller.sendall(b"body")
+            return await served.receive_all()
+
+        served, received = self.run_scenario(scenario)
+        self.assertIn(b"connection: close", received)
+        self.assertEqual(received.count(b"HTTP/1.1 "), 1)
+        self.assertEqual(served.ran, ["r"])
