End the check whether a target has ended by the deadline of its request

Cause: the check after a cut connection took up to 100 ms whatever time was left, so an attempt ended after its request's deadline. A stopping host may have closed the caller's connection by then, and others got their answer late.

Ruled out: dropping the check when less than 100 ms are left (a process that has ended refuses within a round trip).

Change: the check lasts at most until the deadline of the request, and is not made if that has passed.

--- a/endivedrift/shell/_targets.py
+++ b/endivedrift/shell/_targets.py
@@ -249,8 +249,11 @@
 
     async def _refuses_connections(self, effect: SendToTarget) -> bool:
         """Tells whether a target refuses connections; if it accepts one, that is kept for later."""
+        limit = min(END_CHECK_TIMEOUT, effect.deadline - self._clock.monotonic())
+        if limit <= timedelta(0):
+            return False
         try:
-            connection = await self._connect(effect.address, END_CHECK_TIMEOUT.total_seconds())
+            connection = await self._connect(effect.address, limit.total_seconds())
         except ConnectionRefusedError:
             return True
         except (OSError, curio.TaskTimeout):
