Refuse a reserved retry whose deadline has passed

Cause: the time left for a reserved retry was checked before the attempt was aborted, not when it had ended. If the deadline passed between, the retry was given out; it ended as not connected, and the target counted as broken though no connection was tried.

Ruled out: requiring the typical latency again, as for other retries (the reservation promises the retry once the attempt is aborted).

Change: past the deadline a reserved retry goes through `admit`, which refuses it with the reason deadline, or delivers an earlier answer of a target.

The token that such a retry took from the budget is not returned.

--- a/endivedrift/reducer/_attempts.py
+++ b/endivedrift/reducer/_attempts.py
@@ -212,7 +212,8 @@
         and _may_retry(service, pending, event, is_reserved=reserved is not None)
     ):
         pending.failure_answer = answer or pending.failure_answer
-        if reserved is not None and _is_usable(service, reserved, event.at):
+        in_time = event.at < pending.deadline
+        if reserved is not None and in_time and _is_usable(service, reserved, event.at):
             effects += _send_to_target(state, service, event.at, event.request, reserved)
         else:
             effects += admit(state, event.at, event.request)
