Read small answers also while large ones fill the memory for answers

All answers that a host reads at one time share 32 MB. While large ones fill them, each further answer was ended and refused 502, though its target had answered, also after SIGTERM.

Ruled out: waiting until there is room (two answers that each hold half of it would wait for one another); a larger share.

Change: answers of up to 64 KB are read regardless. The size of an answer is bounded as before.

A route may still allow larger answers (64 MB) than the memory that all share.

--- a/endivedrift/shell/_targets.py
+++ b/endivedrift/shell/_targets.py
@@ -48,6 +48,8 @@
 MAX_BUFFERED_BYTES = 32 * 1024 * 1024
 """Limit on the answers that a host holds in memory at one time while it reads them. A body takes up
 to three times its size until it is sent, and the smallest hosts have 200 MB."""
+SMALL_ANSWER_BYTES = 65_536
+"""Size up to which an answer is read even while others fill that memory."""
 MAX_INFORMATIONAL_RESPONSES = 16
 MAX_FRAMING_BYTES = 256 * 1024
 """Bytes beyond its body that an answer may take, as heads, chunk headers and trailers."""
@@ -382,7 +384,10 @@
             self.body += event.data
             self.budget.used += len(event.data)
             is_over_limit = len(self.body) > self.effect.answer_limit_bytes
-            if is_over_limit or self.budget.used > self.budget.limit:
+            is_out_of_memory = (
+                self.budget.used > self.budget.limit and len(self.body) > SMALL_ANSWER_BYTES
+            )
+            if is_over_limit or is_out_of_memory:
                 return _AttemptResult(AttemptOutcome.TOO_LARGE)
         elif isinstance(event, h11.EndOfMessage) and self.response is not None:
             if self.connection.http.trailing_data[0] and not self._has_proof_header():
