Tell fleets apart by the address of the store without its port

Cause: the soak gives each host a proxy of its own to the store, on one address with different ports. The key with which hosts authenticate messages was derived from address and port, so no host of the soak ever accepted a message of another, since the soak was written: it tested hosts that each work alone.

Ruled out: the datagrams themselves (they decode; two hosts with one store address quarantined the request together); the quarantine in the soak only (a real deployment may reach its store through different ports as well).

Change: the key names the store's address only. Hosts of the build before do not hear hosts of this one; during a rolling upgrade both read the store themselves.

--- a/endivedrift/platform/_node_file.py
+++ b/endivedrift/platform/_node_file.py
@@ -160,9 +160,10 @@
         ),
         platform=PlatformSection(table=store, objects=store, hosts=store),
         # The platform provides no secret, so the key only separates fleets of different stores.
+        # The port is left out, since hosts may reach one store through different ports.
         fleet=FleetSection(
             deployment=DEPLOYMENT,
-            key=f"{DEPLOYMENT} at {store}",
+            key=f"{DEPLOYMENT} at {store.rpartition(':')[0]}",
             seeds=_read_seeds(document, peer_port),
         ),
         limits=LimitsSection(
