Read the rate limit that a target states, and log it with the attempt

Ruled out: telling it from the users' record alone; it names the first time, not what each host was told.

Change: the platform's header (with and without the prefix) is read from answers that are the target's own, into the event of the attempt; the request's log line has it. An unreadable value is unknown, not no limit. Nothing is decided by it yet.

Conclusion: later logs tell what each host was told.

--- a/endivedrift/core/__init__.py
+++ b/endivedrift/core/__init__.py
@@ -25,6 +25,7 @@
 from endivedrift.core._records import (
     MAX_SLOTS,
     NO_CONFIG,
+    NO_RATE_LIMIT,
     Answer,
     AuditEntry,
     ConfigRef,
@@ -106,6 +107,7 @@
     "MAX_STORE_NUMBER",
     "NOT_RUN_OUTCOMES",
     "NO_CONFIG",
+    "NO_RATE_LIMIT",
     "PauseCause",
     "PeerMessage",
     "Refusal",
--- a/endivedrift/core/_records.py
+++ b/endivedrift/core/_records.py
@@ -1,5 +1,6 @@
 """The immutable records of which events, effects and peer messages are composed."""
 
+import math
 from dataclasses import dataclass, field, replace
 from datetime import datetime, timedelta
 from typing import TypeAlias
@@ -26,6 +27,8 @@
 """Pairs of lower-case header name and value, in the order in which they were received."""
 
 NO_DIGEST = RequestDigest(b"")
+NO_RATE_LIMIT = math.inf
+"""Requests a second that a target takes which states no limit."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/endivedrift/core/events.py
+++ b/endivedrift/core/events.py
@@ -47,7 +47,9 @@
     `answer` is set only for the outcome ANSWERED. `leaving` tells whether the target stated that it
     is shutting down, `retry_after` for how long it wants no further request from this host.
     `target_ended` tells whether the target refused connections right after it had cut off the
-    attempt, as a process does that has ended.
+    attempt, as a process does that has ended. `rate_limit` is the number of requests a second that
+    the target takes from all hosts together, as its answer states: NO_RATE_LIMIT if it states none,
+    None if nothing is known, since there was no answer or its statement could not be read.
     """
 
     at: Instant
@@ -60,6 +62,7 @@
     load: TargetLoad | None = None
     retry_after: timedelta | None = None
     target_ended: bool = False
+    rate_limit: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/endivedrift/platform/_headers.py
+++ b/endivedrift/platform/_headers.py
@@ -11,6 +11,9 @@
 LEAVING_HEADERS = (b"server-leaving", b"endivedrift-server-leaving")
 """Names of the header in all answers of a target that is shutting down. The platform names it
 without the prefix of its other headers, and may send either."""
+RATE_LIMIT_HEADERS = (b"server-limit", b"endivedrift-server-limit")
+"""Names of the header in the answers of a target that takes only so many requests a second from all
+hosts together. It has no prefix either."""
 STORE_ERA_HEADERS = (b"store-era", b"endivedrift-store-era")
 """Names of the header in all answers of the store that counts how often it was restored."""
 
@@ -51,6 +54,7 @@
     expected_target_header=b"endivedrift-expect-instance",
     load_header=b"endivedrift-server-load",
     leaving_headers=LEAVING_HEADERS,
+    rate_limit_headers=RATE_LIMIT_HEADERS,
     proof_header=b"endivedrift-server-signature",
     caller_header=None,
     key_header=None,
--- a/endivedrift/shell/_conventions.py
+++ b/endivedrift/shell/_conventions.py
@@ -27,6 +27,8 @@
       load_header: A target's running requests, waiting requests and slots, separated by commas.
       leaving_headers: Headers of an answer, besides the one that its upstream group names, which
         state that the target is shutting down unless their value is 0.
+      rate_limit_headers: Headers of an answer that state how many requests a second the target
+        takes from all hosts together, as long as its answers have one of them.
       proof_header: Header that proves that an answer comes from the target itself. Of the answers
         without it, only server errors are passed on; others are treated as malformed.
       caller_header: Name of the caller's account.
@@ -41,6 +43,7 @@
     expected_target_header: bytes | None
     load_header: bytes | None
     leaving_headers: tuple[bytes, ...]
+    rate_limit_headers: tuple[bytes, ...]
     proof_header: bytes | None
     caller_header: bytes | None
     key_header: bytes | None
@@ -63,6 +66,7 @@
     expected_target_header=None,
     load_header=None,
     leaving_headers=(),
+    rate_limit_headers=(b"x-rate-limit",),
     proof_header=None,
     caller_header=b"x-caller",
     key_header=b"idempotency-key",
--- a/endivedrift/shell/_request_log.py
+++ b/endivedrift/shell/_request_log.py
@@ -2,7 +2,7 @@
 
 from datetime import timedelta
 
-from endivedrift.core import Answer, RequestHead, RequestId
+from endivedrift.core import NO_RATE_LIMIT, Answer, RequestHead, RequestId
 from endivedrift.core.events import AttemptFinished
 from endivedrift.shell._log import make_logger
 from endivedrift.shell._serving import ServedRequest
@@ -51,13 +51,16 @@
 
 
 def _describe_attempt(finished: AttemptFinished) -> str:
-    """Formats target, outcome and latency of an attempt, and the load that the target reported."""
+    """Formats target, outcome and latency of an attempt, and the load and limit it reported."""
     text = (
         f"{finished.target} {finished.outcome.value} "
         f"{finished.latency.total_seconds() * 1000.0:.1f} ms"
     )
     if finished.target_ended:
         text += ", target ended"
-    if finished.load is None:
-        return text
-    return f"{text}, load {finished.load.running}+{finished.load.waiting}/{finished.load.slots}"
+    if finished.load is not None:
+        load = finished.load
+        text += f", load {load.running}+{load.waiting}/{load.slots}"
+    if finished.rate_limit is not None and finished.rate_limit != NO_RATE_LIMIT:
+        text += f", limit {finished.rate_limit:g}/s"
+    return text
--- a/endivedrift/shell/_targets.py
+++ b/endivedrift/shell/_targets.py
@@ -20,6 +20,7 @@
 from curio import socket
 
 from endivedrift.core import (
+    NO_RATE_LIMIT,
     Address,
     Answer,
     AttemptOutcome,
@@ -73,7 +74,7 @@
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 """Statuses that tell a caller that its request did not run."""
 
-_SECONDS = re.compile(rb"\d{1,15}(\.\d{1,15})?")
+_DECIMAL = re.compile(rb"\d{1,15}(\.\d{1,15})?")
 
 
 @dataclass(frozen=True, slots=True)
@@ -101,7 +102,7 @@
     leaving: bool = False
     load: TargetLoad | None = None
     retry_after: timedelta | None = None
-    target_ended: bool = False
+    rate_limit: float | None = None
 
 
 class TargetPool:
@@ -149,6 +150,7 @@
             attempt_result.load,
             attempt_result.retry_after,
             target_ended,
+            attempt_result.rate_limit,
         )
 
     async def close(self) -> None:
@@ -425,11 +427,14 @@
         retry_after = _read_retry_after(status, headers)
         self._apply_keep_alive()
         load = _read_load(headers, self.conventions.load_header)
+        rate_limit = None
+        if refused or self.conventions.proof_header is None or self._has_proof_header():
+            rate_limit = _read_rate_limit(headers, self.conventions.rate_limit_headers)
         if status == MISDIRECTED_STATUS and self.conventions.expected_target_header is not None:
             return _AttemptResult(AttemptOutcome.MISDIRECTED)
         if refused and status in REFUSAL_STATUSES:
             outcome = AttemptOutcome.DRAINING if leaving else AttemptOutcome.SHED
-            return _AttemptResult(outcome, None, leaving, load, retry_after)
+            return _AttemptResult(outcome, None, leaving, load, retry_after, rate_limit)
         if self.conventions.proof_header is not None and not self._may_be_passed_on(status):
             return _AttemptResult(AttemptOutcome.MALFORMED, retry_after=retry_after)
         kept = strip_hop_headers(headers)
@@ -437,7 +442,7 @@
             length = find_header(headers, b"content-length")
             kept += ((b"content-length", length),) if length is not None else ()
         answer = Answer(status, kept, bytes(self.body))
-        return _AttemptResult(AttemptOutcome.ANSWERED, answer, leaving, load)
+        return _AttemptResult(AttemptOutcome.ANSWERED, answer, leaving, load, rate_limit=rate_limit)
 
     def states_leaving(self) -> bool:
         """Tells whether the head of the answer states that the target is shutting down."""
@@ -486,13 +491,26 @@
     return TargetLoad(running, waiting, slots)
 
 
+def _read_rate_limit(headers: Headers, names: tuple[bytes, ...]) -> float | None:
+    """Reads how many requests a second a target takes from all hosts together.
+
+    Returns:
+      The number, NO_RATE_LIMIT if the answer states none, or None if the statement is no number.
+    """
+    values = [find_header(headers, name) for name in names]
+    stated = next((value.strip() for value in values if value is not None), None)
+    if stated is None:
+        return NO_RATE_LIMIT
+    return float(stated) if _DECIMAL.fullmatch(stated) is not None else None
+
+
 def _read_retry_after(status: int, headers: Headers) -> timedelta | None:
     """Reads for how long a target that refused a request wants no further one.
 
     The value is in seconds, with fractions. An invalid one, or a date, is ignored.
     """
     value = (find_header(headers, b"retry-after") or b"").strip()
-    if status not in RETRY_LATER_STATUSES or _SECONDS.fullmatch(value) is None:
+    if status not in RETRY_LATER_STATUSES or _DECIMAL.fullmatch(value) is None:
         return None
     return min(MAX_RETRY_AFTER, timedelta(seconds=min(float(value), 1e6)))
 
--- a/endivedrift/shell/targets_test.py
+++ b/endivedrift/shell/targets_test.py
@@ -13,6 +13,7 @@
 from curio import socket
 
 from endivedrift.core import (
+    NO_RATE_LIMIT,
     Address,
     AttemptOutcome,
     Headers,
@@ -230,6 +231,30 @@
         self.assertIsNone(self.attempt(503, self.SHED).retry_after)
         self.assertIsNone(self.attempt(200, self.SIGNED + "Retry-After: 2\r\n").retry_after)
 
+    def test_the_rate_that_a_target_takes_is_read_or_unknown(self) -> None:
+        stated = {
+            "1": 1.0,
+            "1.3": 1.3,
+            "0": 0.0,
+            "-1": None,
+            "1e3": None,
+            "nan": None,
+            "inf": None,
+            "": None,
+            "many": None,
+            "1, 2": None,
+        }
+        for name in ("Server-Limit", "Endivedrift-Server-Limit"):
+            for value, expected in stated.items():
+                with self.subTest(name=name, value=value):
+                    head = f"{self.SIGNED}{name}: {value}\r\n"
+                    self.assertEqual(self.attempt(200, head).rate_limit, expected)
+        refused = self.attempt(503, f"{self.SHED}Server-Limit: 2\r\n")
+        self.assertEqual(refused.rate_limit, 2.0)
+        self.assertEqual(self.attempt(200, self.SIGNED).rate_limit, NO_RATE_LIMIT)
+        self.assertIsNone(self.attempt(200, "Server-Limit: 2\r\n").rate_limit)
+        self.assertIsNone(self.attempt(500, "").rate_limit)
+
     def test_a_signed_answer_that_promises_not_run_is_not_passed_on(self) -> None:
         for status in (408, 429, 503):
             finished = self.attempt(status, self.SIGNED)
