Test that the whole fleet keeps to the rate that a target states

Cause: callers' requests reached targets in need at several times the rate that these had stated, summed over the hosts (LIMIT).

--- a/tests/crashing_targets.py
+++ b/tests/crashing_targets.py
@@ -1,6 +1,6 @@
 """A simulated fleet whose targets end when they run certain requests, driven by a virtual clock.
 
-Each host has a monotonic clock of its own, since real hosts have. Datagrams take 1 ms. Attempts are
+Targets may also state a limit on their requests. Each host has a monotonic clock of its own, since real hosts have. Datagrams take 1 ms. Attempts are
 never reported late, so that no host aborts one.
 """
 
@@ -14,6 +14,7 @@
 from typing import TypeAlias
 
 from endivedrift.core import (
+    NO_RATE_LIMIT,
     AttemptOutcome,
     HostId,
     Instant,
@@ -160,15 +161,24 @@
 
 @dataclass(slots=True)
 class SimulatedTarget:
-    """A target with two slots; `born` identifies its process."""
+    """A target with two slots.
+
+    Attributes:
+      number: Its number.
+      born: Identifies its process.
+      is_up: Whether its process runs.
+      rate_limit: Requests a second that its answers state it takes from all hosts together.
+      running: Requests that it is running.
+    """
 
     number: int
     born: int = 1
     is_up: bool = True
+    rate_limit: float = NO_RATE_LIMIT
     running: list[Run] = field(default_factory=list)
 
 
-def _build_objects() -> ObjectSet:
+def build_crash_set() -> ObjectSet:
     """Builds an object set whose requests have up to three attempts, or a long deadline."""
     objects = build_discovered_set(max_attempts=3)
     wait = WRITE_DEADLINE_MS - 1
@@ -207,15 +217,19 @@
       ends: All ends of a target's process.
       traffic: The source of randomness for requests and targets.
       tick: Time between two ticks of a host.
+      datagram_delay: Time that a datagram takes.
     """
 
-    def __init__(self, count: int, targets: int, seed: int = 1) -> None:
+    def __init__(
+        self, count: int, targets: int, seed: int = 1, objects: ObjectSet | None = None
+    ) -> None:
         """Starts hosts and targets; all hosts know each other and all targets after 2.5 s.
 
         Args:
           count: The number of hosts.
           targets: The number of targets.
           seed: The seed of requests, answers, losses and clocks.
+          objects: The object set in force, or None for a default one.
         """
         self.traffic = random.Random(seed)
         self.behaviours: dict[bytes, Behaviour] = {}
@@ -227,8 +241,9 @@
         self._queued: dict[tuple[str, RequestId], Instant] = {}
         self._agenda: list[tuple[timedelta, int, Callback]] = []
         self._agenda_count = 0
+        self.datagram_delay = DATAGRAM_DELAY
         self.tick = TICK if count <= LARGE_FLEET else LARGE_FLEET_TICK
-        super().__init__(count, DOMAINS, _build_objects())
+        super().__init__(count, DOMAINS, objects or build_crash_set())
         self.rng = random.Random(seed)
         self.run(1.0)
         self._introduce_all()
@@ -301,7 +316,7 @@
     def deliver(self, sender: str, receiver: str, message: PeerMessage) -> None:
         """Delivers a datagram a little later unless the network drops it."""
         if receiver in self.hosts and self.is_delivered(sender, receiver):
-            self.schedule(DATAGRAM_DELAY, partial(self._receive, sender, receiver, message))
+            self.schedule(self.datagram_delay, partial(self._receive, sender, receiver, message))
 
     def _receive(self, sender: str, receiver: str, message: PeerMessage) -> None:
         if receiver in self.stopped:
@@ -432,6 +447,7 @@
         if self.hosts[host] is not run.harness:
             return
         run.sent.cut_count += outcome is AttemptOutcome.CUT
+        is_from_target = outcome in (AttemptOutcome.ANSWERED, AttemptOutcome.SHED)
         event = AttemptFinished(
             run.harness.clock.monotonic(),
             run.request,
@@ -440,6 +456,7 @@
             self.now - run.at,
             build_answer(status) if outcome is AttemptOutcome.ANSWERED else None,
             target_ended=target_ended,
+            rate_limit=self.targets[run.target].rate_limit if is_from_target else None,
         )
         self.handle_effects(host, run.harness.apply(event))
 
