--- a/tests/crashing_targets.py
+++ b/tests/crashing_targets.py
@@ -113,6 +113,7 @@
       status: Status of the answer, or 0.
       refusal: Why it got no answer, or None.
       cut_count: Number of its attempts that a target cut off.
+      write: Whether it must not be repeated.
     """
 
     host: str
@@ -122,6 +123,7 @@
     status: int = 0
     refusal: Refusal | None = None
     cut_count: int = 0
+    write: bool = False
 
     @property
     def is_quarantined(self) -> bool:
@@ -179,12 +181,14 @@
     running: list[Run] = field(default_factory=list)
 
 
-def build_crash_set() -> ObjectSet:
+def build_crash_set(entry_hosts: int = 2) -> ObjectSet:
     """Builds an object set whose requests have up to three attempts, or a long deadline."""
     objects = build_discovered_set(max_attempts=3)
     wait = WRITE_DEADLINE_MS - 1
     write = replace(objects.route["write"], deadline_ms=WRITE_DEADLINE_MS, queue_wait_ms=wait)
-    return replace(objects, route={**objects.route, "write": write})
+    service = replace(objects.service[SERVICE], entry_hosts=entry_hosts)
+    routes = {**objects.route, "write": write}
+    return replace(objects, service={SERVICE: service}, route=routes)
 
 
 class HostClock(ManualClock):
@@ -338,7 +342,7 @@
           The request, whose result is set when it ends.
         """
         name = host or self._choose_host()
-        sent = SentRequest(name, digest, self.now)
+        sent = SentRequest(name, digest, self.now, write=write)
         self.sent.append(sent)
         harness = self.hosts[name]
         request = RequestId(f"{harness.state.identity.host}-{harness.request_count + 1}")
@@ -494,6 +498,22 @@
                 digest = self.traffic.choice(popular)
             self.schedule(timedelta(seconds=number / per_s), partial(self.send, digest))
 
+    def send_steadily(
+        self, per_s: float, seconds: float, host: str | None = None, write: bool = True
+    ) -> None:
+        """Schedules requests of different content at a steady rate.
+
+        Args:
+          per_s: The rate.
+          seconds: For how long they arrive.
+          host: The host at which they arrive, or None for any.
+          write: Whether they must not be repeated.
+        """
+        for number in range(round(per_s * seconds)):
+            digest = b"steady %d %d" % (self._agenda_count, number)
+            send = partial(self.send, digest, host, write)
+            self.schedule(timedelta(seconds=number / per_s), send)
+
     def list_ends(self, digest: bytes) -> list[timedelta]:
         """Returns when processes ended that were running a request of a digest."""
         return [end.at for end in self.ends if digest in end.digests]
--- a/tests/limited_targets.py
+++ b/tests/limited_targets.py
@@ -1,14 +1,12 @@
 """A simulated fleet some of whose targets state how many requests a second they take."""
 
 from collections import Counter
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 from datetime import timedelta
-from functools import partial
 
 from endivedrift.core import NO_RATE_LIMIT, TargetName
 from endivedrift.core.effects import SendToTarget
-from endivedrift.objects import ObjectSet
-from tests.builders import SERVICE, HostHarness
+from tests.builders import HostHarness
 from tests.crashing_targets import CrashingFleet, build_crash_set
 
 TOLD_AFTER = timedelta(seconds=3)
@@ -37,12 +35,6 @@
     rate_limit: float
 
 
-def _build_objects(entry_hosts: int) -> ObjectSet:
-    objects = build_crash_set()
-    service = replace(objects.service[SERVICE], entry_hosts=entry_hosts)
-    return replace(objects, service={SERVICE: service})
-
-
 class LimitedFleet(CrashingFleet):
     """Hosts that share simulated targets, of which some state limits.
 
@@ -62,7 +54,7 @@
         """
         self.arrivals: list[Arrival] = []
         self.statements: dict[TargetName, list[Statement]] = {}
-        super().__init__(count, targets, seed, _build_objects(entry_hosts))
+        super().__init__(count, targets, seed, build_crash_set(entry_hosts))
 
     def state_limit(self, target: TargetName, rate_limit: float, after: float = 0.0) -> None:
         """Lets a target state a limit from a number of seconds on; NO_RATE_LIMIT withdraws it."""
@@ -73,19 +65,6 @@
 
         self.schedule(timedelta(seconds=after), change)
 
-    def send_steadily(self, per_s: float, seconds: float, host: str | None = None) -> None:
-        """Schedules requests that must not be repeated, of different content, at a steady rate.
-
-        Args:
-          per_s: The rate.
-          seconds: For how long they arrive.
-          host: The host at which they arrive, or None for any.
-        """
-        for number in range(round(per_s * seconds)):
-            digest = b"steady %d %d" % (self._agenda_count, number)
-            send = partial(self.send, digest, host, write=True)
-            self.schedule(timedelta(seconds=number / per_s), send)
-
     def _start_attempt(self, host: str, effect: SendToTarget) -> None:
         if self.targets[effect.target].is_up:
             arrival = Arrival(self.now, host, self.hosts[host], effect.target)
