Forward requests to other hosts while a host reaches no target

Its only way to an answer was its own path; it took the fault of the path for faults of the targets, paused and ejected them, let requests wait for the next one, and told other hosts. The class: a fault of the observer read as a fault of the observed.

Ruled out: naming other hosts to new callers (the first tries of the next seconds still come); judging by the reports of others alone (hosts that are not primaries get none); forwarding only by state (where open connections live on, answers keep coming while new connections are refused).

Change: three targets that refuse connections or stay silent, with no new connection opened since, mean a lost path. Requests that surely may still run then go to another primary, one that three targets refused also before that; every half second one tries a new connection here. A host never forwards what it was forwarded; replies that it reaches no target either leave a host out for a second, and if all do, requests are tried here. Failures that may be the path's are told to others after another target was reached, and undone if the path is lost; no request is suspected of ending targets by them.

A forwarded request whose caller leaves goes on at the other host.

--- a/endivedrift/core/_records.py
+++ b/endivedrift/core/_records.py
@@ -45,6 +45,8 @@
       caller_timeout: Time for which the caller still waits, or None if it set no limit, so that
         only the route's deadline applies.
       forwarded: Whether another host forwarded the request because this host owns its key.
+      for_peer: Whether another host forwarded the request because it reaches no target.
+      earlier_attempts: Attempts at targets that such a host has made.
       digest: Digest of host name, caller, method, path, query and body, by which a request is
         recognised when it comes again. Empty if it is not known.
     """
@@ -57,6 +59,8 @@
     fingerprint: bytes = b""
     caller_timeout: timedelta | None = None
     forwarded: bool = False
+    for_peer: bool = False
+    earlier_attempts: int = 0
     digest: RequestDigest = NO_DIGEST
 
 
--- a/endivedrift/core/_states.py
+++ b/endivedrift/core/_states.py
@@ -90,7 +90,7 @@
 
 
 class ForwardOutcome(Enum):
-    """Result of forwarding a request to the host that owns its key."""
+    """Result of forwarding a request to another host."""
 
     ANSWERED = "answered"
     REFUSED = "refused"
@@ -114,6 +114,8 @@
     KEY_STORE_DOWN = "key-store-down"
     OWNER_GONE = "owner-gone"
     OWNER_UNREACHABLE = "owner-unreachable"
+    PEER_UNREACHABLE = "peer-unreachable"
+    NO_PATH = "no-path"
     QUARANTINED = "quarantined"
     QUEUE_FULL = "queue-full"
     QUEUE_WAIT = "queue-wait"
@@ -151,6 +153,7 @@
     PROBATION = "probation"
     PAUSED = "paused"
     ATTEMPT_ABORTED = "attempt-aborted"
+    PATH_CHANGED = "path-changed"
     RATE_LIMIT_CHANGED = "rate-limit-changed"
     REQUEST_SUSPECTED = "request-suspected"
     REQUEST_QUARANTINED = "request-quarantined"
--- a/endivedrift/core/effects.py
+++ b/endivedrift/core/effects.py
@@ -95,6 +95,20 @@
     deadline: Instant
 
 
+@dataclass(frozen=True, slots=True)
+class ForwardToPeer:
+    """Forward the request to a host that may reach targets, which this host does not.
+
+    `earlier_attempts` is the number of attempts at targets that were made here.
+    """
+
+    request: RequestId
+    peer: HostId
+    address: Address
+    deadline: Instant
+    earlier_attempts: int
+
+
 @dataclass(frozen=True, slots=True)
 class AbandonRequest:
     """Stop all work on a request whose caller has disconnected."""
@@ -147,6 +161,7 @@
     | RefuseRequest
     | ClaimKey
     | ForwardToOwner
+    | ForwardToPeer
     | AbandonRequest
     | SendPeerMessage
     | FetchConfig
@@ -162,4 +177,5 @@
     | RefuseRequest
     | ClaimKey
     | ForwardToOwner
+    | ForwardToPeer
 )
--- a/endivedrift/core/events.py
+++ b/endivedrift/core/events.py
@@ -50,6 +50,7 @@
     attempt, as a process does that has ended. `rate_limit` is the number of requests a second that
     the target takes from all hosts together, as its answer states: NO_RATE_LIMIT if it states none,
     None if nothing is known, since there was no answer or its statement could not be read.
+    `new_connection` tells whether a connection was opened for the attempt.
     """
 
     at: Instant
@@ -63,6 +64,7 @@
     retry_after: timedelta | None = None
     target_ended: bool = False
     rate_limit: float | None = None
+    new_connection: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -96,9 +98,9 @@
 
 @dataclass(frozen=True, slots=True)
 class ForwardFinished:
-    """The owner of a key answered, refused the request, or did not reply.
+    """The host to which a request was forwarded answered, refused it, or did not reply.
 
-    `connected` is False if the request certainly did not reach the owner.
+    `connected` is False if the request certainly did not reach that host.
     """
 
     at: Instant
--- a/endivedrift/policy/_evidence.py
+++ b/endivedrift/policy/_evidence.py
@@ -50,11 +50,17 @@
 )
 
 
+def compute_slow_limit(state: ServiceState) -> timedelta | None:
+    """Returns the latency beyond which an answer is bad, or None before it has been learned."""
+    if state.latency_samples < MIN_LATENCY_SAMPLES:
+        return None
+    return state.typical_latency * state.ejection.slow_factor
+
+
 def is_slow(state: ServiceState, latency: timedelta) -> bool:
     """Tells whether an answer that took `latency` counts as bad because of its latency."""
-    if state.latency_samples < MIN_LATENCY_SAMPLES:
-        return False
-    return latency > state.typical_latency * state.ejection.slow_factor
+    limit = compute_slow_limit(state)
+    return limit is not None and latency > limit
 
 
 def classify_outcome(
@@ -147,6 +153,19 @@
     return True
 
 
+def absolve_target(record: TargetRecord) -> None:
+    """Undoes the evidence and the pauses of failures of which the target was not the cause."""
+    record.own_score = 0.0
+    record.shared_score = 0.0
+    record.own_bad_rate = 0.0
+    record.paused_until = Instant(0)
+    record.avoided_until = Instant(0)
+    record.repeated_pauses = 0
+    record.last_failure_at = Instant(0)
+    record.unsent_bad = 0
+    record.unsent_pause = False
+
+
 def should_eject(state: ServiceState, record: TargetRecord) -> bool:
     """Tells whether the evidence against a target reaches the threshold.
 
@@ -171,9 +190,9 @@
     An attempt that exceeds the limit several times over is counted once more, so that a target that
     never answers is detected even if few requests are in progress at it.
     """
-    if state.latency_samples < MIN_LATENCY_SAMPLES:
+    limit = compute_slow_limit(state)
+    if limit is None:
         return
-    limit = state.typical_latency * state.ejection.slow_factor
     for record in state.targets.values():
         for attempt in record.attempts.values():
             if attempt.overdue_count >= MAX_OVERDUE_COUNT:
--- a/endivedrift/reducer/_attempts.py
+++ b/endivedrift/reducer/_attempts.py
@@ -36,6 +36,7 @@
 )
 from endivedrift.core.events import AttemptFinished, AttemptLate
 from endivedrift.policy import (
+    MIN_FAILED_TARGETS,
     Attempt,
     QueuedRequest,
     ServiceState,
@@ -55,8 +56,16 @@
     record_trial,
     requeue_request,
     store_answer,
+    take_trial,
     update_typical_latency,
 )
+from endivedrift.reducer._paths import (
+    PATH_OUTCOMES,
+    forward_request,
+    hold_back_failure,
+    may_be_path_failure,
+    note_attempt,
+)
 from endivedrift.reducer._quarantine import (
     QUARANTINED_DETAIL,
     QUARANTINED_RETRY_DELAY,
@@ -129,6 +138,13 @@
         return end_with_refusal(state, at, request, RefusalReason.DEADLINE, "no time is left")
     if is_quarantined(state, pending.head.digest, at):
         return _end_quarantined(state, at, request)
+    if state.path.is_cut:
+        if pending.head.for_peer:
+            reason, detail = RefusalReason.NO_PATH, "this host reaches no target"
+            return end_with_refusal(state, at, request, reason, detail, timedelta(0))
+        forwarded = [] if take_trial(state.path, at) else forward_request(state, at, request)
+        if forwarded:
+            return forwarded
     if not pending.attempt_count:
         _add_retry_budget(state, service)
     service.limit_per_target = get_limit_per_target(state, pending.service)
@@ -155,7 +171,8 @@
         if is_quarantined(state, pending.head.digest, at):
             effects += _end_quarantined(state, at, queued_request.request)
             continue
-        sent = _start_attempt(state, service, at, queued_request.request)
+        sent = forward_request(state, at, queued_request.request) if state.path.is_cut else []
+        sent = sent or _start_attempt(state, service, at, queued_request.request)
         if not sent:
             requeue_request(service, pending.route.route.queue_priority, queued_request)
             return effects
@@ -198,7 +215,8 @@
         pending.failed_connections += 1
     pending.may_have_run |= judge_outcome(event.outcome) is Verdict.MAY_HAVE_RUN
     service = state.services.get(pending.service)
-    effects = judge_attempt(state, pending, event)
+    effects = note_attempt(state, event)
+    effects += judge_attempt(state, pending, event)
     may_run_again = not is_quarantined(state, pending.head.digest, event.at)
     reserved = None
     if service is not None:
@@ -206,7 +224,14 @@
         reserved = _release_reservation(state, service, pending, event.request)
     answer = event.answer if event.outcome is AttemptOutcome.ANSWERED else None
     served = answer is not None and answer.status < SERVER_ERROR
-    if (
+    forwarded: list[Effect] = []
+    if service is not None:
+        _return_held_retry(service, pending)
+        if may_run_again and _is_path_suspected(state, pending, event):
+            forwarded = _forward_retry(state, service, event)
+    if forwarded:
+        effects += forwarded
+    elif (
         not served
         and may_run_again
         and service is not None
@@ -231,6 +256,45 @@
     return effects
 
 
+def may_try_again(state: HostState, pending: RequestState, at: Instant) -> bool:
+    """Tells whether a request that another host has not served may still be tried."""
+    service = state.services.get(pending.service)
+    if service is None or (pending.may_have_run and not pending.route.route.repeatable):
+        return False
+    if not _has_retry_left(service, pending, at):
+        return False
+    return not pending.attempt_count or service.retry_budget.take(at)
+
+
+def _is_path_suspected(state: HostState, pending: RequestState, event: AttemptFinished) -> bool:
+    """Tells whether an attempt failed for want of a path, so that another host may serve it."""
+    if event.outcome not in PATH_OUTCOMES:
+        return False
+    return state.path.is_cut or pending.failed_connections >= MIN_FAILED_TARGETS
+
+
+def _forward_retry(state: HostState, service: ServiceState, event: AttemptFinished) -> list[Effect]:
+    """Forwards a request whose attempt failed, if it may run again and the budget allows it."""
+    pending = state.requests[event.request]
+    if event.at + service.typical_latency >= pending.deadline:
+        return []
+    if pending.attempt_count >= _get_max_attempts(service, pending):
+        return []
+    if pending.attempt_count and not service.retry_budget.take(event.at):
+        return []
+    forwarded = forward_request(state, event.at, event.request)
+    if not forwarded and pending.attempt_count:
+        service.retry_budget.add(1.0)
+    return forwarded
+
+
+def _return_held_retry(service: ServiceState, pending: RequestState) -> None:
+    """Returns the retry that was taken from the budget before an attempt was aborted."""
+    if pending.holds_retry:
+        pending.holds_retry = False
+        service.retry_budget.add(1.0)
+
+
 def handle_late_attempt(state: HostState, event: AttemptLate) -> list[Effect]:
     """Aborts a late attempt if another target answers faster and a retry is certain to be sent.
 
@@ -252,6 +316,9 @@
         return []
     if not pending.route.route.repeatable or not _has_retry_left(service, pending, event.at):
         return []
+    if state.path.is_cut and not pending.head.for_peer and service.retry_budget.take(event.at):
+        pending.holds_retry = True
+        return [AbortAttempt(event.request)]
     if record.last_success_at is not None and record.last_success_at > attempt.started:
         return []
     if not has_faster_target(service, event.target, attempt.started, event.at):
@@ -381,7 +448,7 @@
         answer_limit_bytes=route.answer_limit_bytes,
         not_run_header=service.group.not_run_header.encode(),
         draining_header=service.group.draining_header.encode(),
-        max_reuse_idle=_get_max_reuse_idle(service, route.repeatable),
+        max_reuse_idle=_get_max_reuse_idle(state, service, route.repeatable),
         connect_timeout=timedelta(milliseconds=service.group.connect_ms),
         close_delimited=service.group.close_delimited,
     )
@@ -437,8 +504,13 @@
     return record is not None and record.state in _USABLE_STATES and record.takes_requests(at)
 
 
-def _get_max_reuse_idle(service: ServiceState, repeatable: bool) -> timedelta:
-    """Returns how long a connection may have been idle to be reused for a request."""
+def _get_max_reuse_idle(state: HostState, service: ServiceState, repeatable: bool) -> timedelta:
+    """Returns how long a connection may have been idle to be reused for a request.
+
+    Only a new connection shows whether a path that was lost works again.
+    """
+    if state.path.is_cut:
+        return timedelta(0)
     if repeatable:
         return MAX_REUSE_IDLE
     return timedelta(milliseconds=service.group.reuse_unrepeatable_ms)
@@ -524,6 +596,9 @@
         return []
     entries: list[AuditEntry] = []
     attempt = record.attempts.pop(event.request, None)
+    if state.path.is_cut and event.outcome in PATH_OUTCOMES:
+        _mark_in_flight_changed(state, service, record)
+        return []
     status = event.answer.status if event.answer is not None else 0
     bad = classify_outcome(service, event.outcome, status, event.latency)
     if bad is not None:
@@ -549,6 +624,8 @@
         entries.append(
             AuditEntry(event.at, AuditKind.PAUSED, event.target, cause, service.name, event.request)
         )
+    if may_be_path_failure(event):
+        hold_back_failure(state, service, record)
     _mark_in_flight_changed(state, service, record)
     if event.outcome is AttemptOutcome.ANSWERED:
         record.last_answer_at = event.at
--- a/endivedrift/reducer/_keyed.py
+++ b/endivedrift/reducer/_keyed.py
@@ -40,6 +40,7 @@
     parse_minted_key,
 )
 from endivedrift.reducer._attempts import admit, end_with_refusal
+from endivedrift.reducer._forwarding import finish_peer_forward
 from endivedrift.reducer._refusals import refuse
 from endivedrift.reducer._state import HostState, RequestState
 
@@ -103,10 +104,12 @@
 
 
 def finish_forward(state: HostState, event: ForwardFinished) -> list[Effect]:
-    """Delivers the reply of the host that owns a key."""
+    """Delivers the reply of the host to which a request was forwarded."""
     pending = state.requests.get(event.request)
     if pending is None:
         return []
+    if pending.peer is not None:
+        return finish_peer_forward(state, event, pending)
     if event.outcome is ForwardOutcome.BROKEN:
         pending.may_have_run = event.connected
         detail = "the host that owns the key did not answer"
--- a/endivedrift/reducer/_periodic.py
+++ b/endivedrift/reducer/_periodic.py
@@ -16,6 +16,7 @@
 from endivedrift.reducer._attempts import dispatch_queued
 from endivedrift.reducer._config import retry_fetch
 from endivedrift.reducer._discovery import ask_for_targets, remove_lapsed_targets
+from endivedrift.reducer._paths import detect_lost_paths
 from endivedrift.reducer._quarantine import share_suspects
 from endivedrift.reducer._rate_limits import advance_rate_limits
 from endivedrift.reducer._relaying import advance_relaying
@@ -37,6 +38,7 @@
     effects += advance_relaying(state, event.at)
     effects += share_suspects(state, event.at)
     effects += advance_rate_limits(state, event.at)
+    effects += detect_lost_paths(state, event.at)
     for name in sorted(state.active_services):
         effects += _advance_service(state, name, event.at)
     if event.at >= state.next_evidence_at:
@@ -57,7 +59,8 @@
 
 def _advance_service(state: HostState, name: ServiceName, at: Instant) -> list[Effect]:
     service = state.services[name]
-    count_overdue_attempts(service, at)
+    if not state.path.is_cut:
+        count_overdue_attempts(service, at)
     update_usual_bad_rate(service)
     effects: list[Effect] = [RecordAudit(entry) for entry in update_states(service, at)]
     return effects + dispatch_queued(state, service, at)
--- a/endivedrift/reducer/_quarantine.py
+++ b/endivedrift/reducer/_quarantine.py
@@ -96,7 +96,7 @@
         state.unsent_suspects.add(digest)
         cause = f"{event.target} answered it"
         return [_audit(event.at, AuditKind.REQUEST_CLEARED, digest, cause, event.request)]
-    if not event.target_ended:
+    if not event.target_ended or state.path.is_cut:
         return []
     pending.ended_targets += 1
     if pending.ended_targets > MAX_ENDS_PER_ARRIVAL:
--- a/endivedrift/reducer/_requests.py
+++ b/endivedrift/reducer/_requests.py
@@ -66,6 +66,7 @@
         found,
         event.at,
         event.at + time_limit,
+        attempt_count=head.earlier_attempts,
         split_service=_choose_split_service(state, found),
     )
     refusal = refuse_quarantined(state, event.at, event.request, pending)
@@ -100,7 +101,11 @@
     if pending.target is not None:
         return [AbandonRequest(event.request)] if pending.route.route.repeatable else []
     service = state.services.get(pending.service)
-    if service is None or not remove_queued_request(service, event.request):
+    if pending.peer is not None:
+        if not pending.route.route.repeatable:
+            return []
+        pending.may_have_run = True
+    elif service is None or not remove_queued_request(service, event.request):
         return []
     detail = "the caller hung up while it waited"
     effects = end_with_refusal(state, event.at, event.request, RefusalReason.DEADLINE, detail)
@@ -138,7 +143,7 @@
         detail = "the route takes only callers with a published account"
         reason = RefusalReason.UNKNOWN_CALLER
         return refuse(state, event.at, event.request, head, reason, detail, key=key)
-    if head.forwarded or head.caller is None:
+    if head.forwarded or head.for_peer or head.caller is None:
         return []
     bucket = _get_bucket(state, head.caller, event.at)
     if bucket.take(event.at):
@@ -162,7 +167,7 @@
 
 
 def _check_key(state: HostState, event: RequestArrived, found: NamedRoute) -> list[Effect]:
-    if not found.route.key_required or event.head.key is not None:
+    if not found.route.key_required or event.head.key is not None or event.head.for_peer:
         return []
     detail = "the route needs an Idempotency-Key; the entry answer brings some"
     reason = RefusalReason.KEY_REQUIRED
--- a/endivedrift/reducer/_state.py
+++ b/endivedrift/reducer/_state.py
@@ -41,7 +41,7 @@
     sample_alive,
 )
 from endivedrift.objects import ObjectSet
-from endivedrift.policy import KeyTable, Quarantine, RateLimit, ServiceState, TokenBucket
+from endivedrift.policy import KeyTable, PathState, Quarantine, RateLimit, ServiceState, TokenBucket
 
 MAX_CALLER_BUCKETS = 4_096
 READERS_GROUP_NAME = "store readers"
@@ -73,6 +73,9 @@
       failed_connections: Attempts for which no connection could be opened.
       ended_targets: Targets that ended while they worked on it.
       failure_answer: A target's server error, which is delivered if no other attempt succeeds.
+      peer: Host to which it is forwarded at the moment, or None.
+      asked_peers: Hosts to which it was forwarded.
+      holds_retry: Whether a retry was taken from the budget for it while its attempt is aborted.
     """
 
     head: RequestHead
@@ -89,6 +92,9 @@
     failed_connections: int = 0
     ended_targets: int = 0
     failure_answer: Answer | None = None
+    peer: HostId | None = None
+    asked_peers: frozenset[HostId] = frozenset()
+    holds_retry: bool = False
 
     @property
     def service(self) -> ServiceName:
@@ -179,6 +185,12 @@
       limited_targets: Targets that state a limit or have withdrawn one, by service.
       unsent_limits: Those of them of which the other hosts are told at the next tick.
       next_limits_at: When reports on limits are next repeated.
+      path: What is known of this host's own paths to targets.
+      unconfirmed_failures: Bad outcomes, and whether the target was paused, that are not reported
+        to other hosts yet since this host's path may be the cause, by service and target.
+      unable_peers: Until when nothing is forwarded to a host that could not serve a request.
+      forwarding_blocked: Until when requests for a service are not forwarded, since another host
+        reached none of its targets either.
     """
 
     identity: HostIdentity
@@ -225,6 +237,12 @@
     limited_targets: dict[ServiceName, set[TargetName]] = field(default_factory=dict)
     unsent_limits: set[tuple[ServiceName, TargetName]] = field(default_factory=set)
     next_limits_at: Instant = Instant(0)
+    path: PathState = field(default_factory=PathState)
+    unconfirmed_failures: dict[tuple[ServiceName, TargetName], tuple[int, bool]] = field(
+        default_factory=dict
+    )
+    unable_peers: dict[HostId, Instant] = field(default_factory=dict)
+    forwarding_blocked: dict[ServiceName, Instant] = field(default_factory=dict)
 
 
 def build_host(
--- a/endivedrift/shell/_answers.py
+++ b/endivedrift/shell/_answers.py
@@ -26,6 +26,7 @@
     RefusalReason.KEY_SPENT: 409,
     RefusalReason.OWNER_GONE: 409,
     RefusalReason.OWNER_UNREACHABLE: 502,
+    RefusalReason.PEER_UNREACHABLE: 502,
     RefusalReason.TARGET_CUT: 502,
     RefusalReason.TARGET_MALFORMED: 502,
     RefusalReason.TARGET_TOO_LARGE: 502,
--- a/endivedrift/shell/_codec.py
+++ b/endivedrift/shell/_codec.py
@@ -82,7 +82,11 @@
 
 @dataclass(frozen=True, slots=True)
 class ForwardedRequest:
-    """A request that is forwarded to the host that owns its idempotency key."""
+    """A request that is forwarded to another host.
+
+    That host owns the request's idempotency key, or reaches targets for a host that reaches none,
+    which has made `earlier_attempts` attempts. `key` is None in the second case.
+    """
 
     owner: HostId
     incarnation: Incarnation
@@ -91,8 +95,10 @@
     headers: Headers
     body: bytes
     caller: CallerName | None
-    key: IdempotencyKey
+    key: IdempotencyKey | None
     timeout: timedelta
+    for_peer: bool = False
+    earlier_attempts: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -187,7 +193,9 @@
     _set_headers(forward, call.headers)
     forward.body = call.body
     forward.caller = call.caller or ""
-    forward.key = call.key
+    forward.key = call.key or ""
+    forward.forPeer = call.for_peer
+    forward.earlierAttempts = call.earlier_attempts
     forward.patienceMicros = max(0, call.timeout // MICROSECOND)
     return message.to_bytes()
 
@@ -209,8 +217,10 @@
                 headers=_get_headers(forward),
                 body=bytes(forward.body),
                 caller=CallerName(forward.caller) if forward.caller else None,
-                key=IdempotencyKey(forward.key),
+                key=None if forward.forPeer else IdempotencyKey(forward.key),
                 timeout=forward.patienceMicros * MICROSECOND,
+                for_peer=forward.forPeer,
+                earlier_attempts=forward.earlierAttempts,
             )
     except _UNREADABLE:
         return None
--- a/endivedrift/shell/_peers.py
+++ b/endivedrift/shell/_peers.py
@@ -192,7 +192,9 @@
             key=call.key,
             fingerprint=fingerprint_request(call.caller, request),
             caller_timeout=call.timeout,
-            forwarded=True,
+            forwarded=not call.for_peer,
+            for_peer=call.for_peer,
+            earlier_attempts=call.earlier_attempts,
             digest=digest_request(host, call.caller, request),
         )
         request_id = self._runtime.new_request_id()
--- a/endivedrift/shell/_request_log.py
+++ b/endivedrift/shell/_request_log.py
@@ -38,6 +38,8 @@
         "took_ms": round(duration.total_seconds() * 1000.0, 1),
         "attempts": [_describe_attempt(end) for end in served.attempts],
     }
+    if served.peers:
+        fields["forwarded_to"] = list(served.peers)
     if isinstance(result, Answer):
         _log.info("Answered.", status=result.status, **fields)
         return
--- a/endivedrift/shell/_runtime.py
+++ b/endivedrift/shell/_runtime.py
@@ -15,6 +15,7 @@
     Address,
     AuditKind,
     Clock,
+    HostId,
     PeerMessage,
     RequestId,
     TimestampedAuditEntry,
@@ -28,6 +29,7 @@
     FetchConfig,
     FetchTargets,
     ForwardToOwner,
+    ForwardToPeer,
     QueueRequest,
     RecordAudit,
     RefuseRequest,
@@ -56,6 +58,7 @@
       task: Task that serves the request; it is cancelled when the request is abandoned.
       must_answer: Whether the task returns a result even if it is cancelled.
       attempts: Attempts at targets made so far.
+      peers: Hosts to which the request was forwarded for want of a path to targets.
     """
 
     effects: deque[RequestEffect] = field(default_factory=deque)
@@ -63,6 +66,7 @@
     task: curio.Task | None = None
     must_answer: bool = False
     attempts: list[AttemptFinished] = field(default_factory=list)
+    peers: list[HostId] = field(default_factory=list)
 
     async def take(self) -> RequestEffect:
         """Removes the next effect and returns it, after waiting for it if there is none."""
@@ -126,6 +130,7 @@
     RefuseRequest,
     ClaimKey,
     ForwardToOwner,
+    ForwardToPeer,
 ):
     _perform.register(_effect_type)(_post_to_mailbox)
 
--- a/endivedrift/shell/_serving.py
+++ b/endivedrift/shell/_serving.py
@@ -1,13 +1,17 @@
 """Serves one request: sends its events to the reducer and performs the resulting effects."""
 
 from dataclasses import dataclass, field, replace
+from datetime import timedelta
 
 import curio
 
 from endivedrift.core import (
+    Address,
     Answer,
     ClaimOutcome,
     ForwardOutcome,
+    HostId,
+    Incarnation,
     Refusal,
     RefusalReason,
     RequestHead,
@@ -19,6 +23,7 @@
     ClaimKey,
     DeliverAnswer,
     ForwardToOwner,
+    ForwardToPeer,
     QueueRequest,
     RefuseRequest,
     RequestEffect,
@@ -58,10 +63,11 @@
 
 @dataclass(frozen=True, slots=True)
 class ServedRequest:
-    """The result of a request, and its attempts at targets."""
+    """The result of a request, its attempts at targets, and the hosts that it was forwarded to."""
 
     result: Answer | Refusal
     attempts: tuple[AttemptFinished, ...] = ()
+    peers: tuple[HostId, ...] = ()
 
 
 async def serve_request(
@@ -116,9 +122,9 @@
     match effect:
         case DeliverAnswer():
             answer = _strip_attempt_id(context.conventions, effect.answer)
-            return ServedRequest(answer, tuple(mailbox.attempts))
+            return ServedRequest(answer, tuple(mailbox.attempts), tuple(mailbox.peers))
         case RefuseRequest():
-            return ServedRequest(effect.refusal, tuple(mailbox.attempts))
+            return ServedRequest(effect.refusal, tuple(mailbox.attempts), tuple(mailbox.peers))
     return None
 
 
@@ -133,7 +139,7 @@
             return served
     verdict = Verdict.MAY_HAVE_RUN
     refusal = Refusal(RefusalReason.TARGET_CUT, verdict, verdict, None, "this host stops")
-    return ServedRequest(refusal, tuple(mailbox.attempts))
+    return ServedRequest(refusal, tuple(mailbox.attempts), tuple(mailbox.peers))
 
 
 def _strip_attempt_id(conventions: HttpConventions, answer: Answer) -> Answer:
@@ -160,6 +166,8 @@
             await _claim_key(context, effect)
         case ForwardToOwner():
             await _forward_to_owner(context, effect, request, head)
+        case ForwardToPeer():
+            await _forward_to_peer(context, mailbox, effect, request, head)
 
 
 async def _run_attempt(
@@ -230,12 +238,40 @@
 async def _forward_to_owner(
     context: ServingContext, effect: ForwardToOwner, request: TargetRequest, head: RequestHead
 ) -> None:
-    clock = context.runtime.clock
-    timeout = effect.deadline - clock.monotonic()
     assert head.key is not None
-    call = ForwardedRequest(
-        owner=effect.owner,
-        incarnation=effect.incarnation,
+    timeout = effect.deadline - context.runtime.clock.monotonic()
+    call = _build_forward_call(request, head, effect.owner, effect.incarnation, timeout)
+    await _forward(context, effect.request, effect.address, call)
+
+
+async def _forward_to_peer(
+    context: ServingContext,
+    mailbox: Mailbox,
+    effect: ForwardToPeer,
+    request: TargetRequest,
+    head: RequestHead,
+) -> None:
+    mailbox.peers.append(effect.peer)
+    timeout = effect.deadline - context.runtime.clock.monotonic()
+    call = replace(
+        _build_forward_call(request, head, effect.peer, Incarnation(0), timeout),
+        key=None,
+        for_peer=True,
+        earlier_attempts=effect.earlier_attempts,
+    )
+    await _forward(context, effect.request, effect.address, call)
+
+
+def _build_forward_call(
+    request: TargetRequest,
+    head: RequestHead,
+    owner: HostId,
+    incarnation: Incarnation,
+    timeout: timedelta,
+) -> ForwardedRequest:
+    return ForwardedRequest(
+        owner=owner,
+        incarnation=incarnation,
         method=request.method,
         target=request.target.decode("latin-1"),
         headers=request.headers,
@@ -244,15 +280,21 @@
         key=head.key,
         timeout=timeout,
     )
+
+
+async def _forward(
+    context: ServingContext, request: RequestId, address: Address, call: ForwardedRequest
+) -> None:
+    clock = context.runtime.clock
     try:
-        reply = await call_peer(context.secret, effect.address, call, timeout)
+        reply = await call_peer(context.secret, address, call, call.timeout)
     except PeerCallError as error:
         failed = ForwardFinished(
-            clock.monotonic(), effect.request, ForwardOutcome.BROKEN, connected=error.sent
+            clock.monotonic(), request, ForwardOutcome.BROKEN, connected=error.sent
         )
         await context.runtime.dispatch(failed)
         return
-    event = _build_forward_event(context.runtime, effect.request, reply)
+    event = _build_forward_event(context.runtime, request, reply)
     await context.runtime.dispatch(event)
 
 
--- a/endivedrift/shell/_targets.py
+++ b/endivedrift/shell/_targets.py
@@ -103,6 +103,7 @@
     load: TargetLoad | None = None
     retry_after: timedelta | None = None
     rate_limit: float | None = None
+    new_connection: bool = False
 
 
 class TargetPool:
@@ -151,6 +152,7 @@
             attempt_result.retry_after,
             target_ended,
             attempt_result.rate_limit,
+            attempt_result.new_connection,
         )
 
     async def close(self) -> None:
@@ -179,12 +181,14 @@
         if remaining <= 0.0:
             return _AttemptResult(AttemptOutcome.NOT_CONNECTED)
         connection = await self._take_idle(effect) if effect.max_reuse_idle else None
+        is_new = connection is None
         if connection is None:
             connection = await self._open(effect, remaining)
         if connection is None:
             return _AttemptResult(AttemptOutcome.NOT_CONNECTED)
         try:
-            return await self._exchange(effect, request, connection, is_aborted)
+            attempt_result = await self._exchange(effect, request, connection, is_aborted)
+            return replace(attempt_result, new_connection=is_new)
         except BaseException:
             await _close(connection.sock)
             raise
--- a/endivedrift/shell/codec_test.py
+++ b/endivedrift/shell/codec_test.py
@@ -124,7 +124,10 @@
     IdempotencyKey("k"),
     timedelta(seconds=1),
 )
-CALLS = [encode_call(call) for call in (FORWARD, ConfigQuery(Digest("d")), TargetsQuery())]
+FOR_PEER = replace(FORWARD, key=None, for_peer=True, earlier_attempts=2)
+CALLS = [
+    encode_call(call) for call in (FORWARD, FOR_PEER, ConfigQuery(Digest("d")), TargetsQuery())
+]
 REPLIES = [
     encode_reply(reply)
     for reply in (
@@ -180,6 +183,10 @@
                     self.assertIsNotNone(decode_datagram(SECRET, sent))
 
     @fuzz_input
+    def test_calls_are_decoded_as_they_were_sent(self) -> None:
+        for call in (FORWARD, FOR_PEER):
+            self.assertEqual(decode_call(encode_call(call)), call)
+
     @given(damage(CALLS))
     def test_any_call_is_decoded_or_rejected(self, body: bytes) -> None:
         decode_call(body)
--- a/endivedrift/shell/peer.capnp
+++ b/endivedrift/shell/peer.capnp
@@ -107,6 +107,8 @@
   caller @6 :Text;
   key @7 :Text;
   patienceMicros @8 :UInt64;  # Time for which the sender waits for the reply.
+  forPeer @9 :Bool;  # The sender reaches no target. Otherwise, the receiver owns the key.
+  earlierAttempts @10 :UInt16;  # Attempts at targets that the sender has made.
 }
 
 # A call from one host to another over TCP.
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -201,6 +201,8 @@
         forwarded: bool = False,
         caller: str | None = None,
         digest: bytes = b"",
+        for_peer: bool = False,
+        earlier_attempts: int = 0,
     ) -> tuple[RequestId, list[Effect]]:
         """Applies the arrival of a request and returns its id and effects."""
         self.request_count += 1
@@ -215,6 +217,8 @@
                 timedelta(seconds=caller_timeout) if caller_timeout is not None else None
             ),
             forwarded=forwarded,
+            for_peer=for_peer,
+            earlier_attempts=earlier_attempts,
             digest=RequestDigest(digest),
         )
         event = RequestArrived(self.clock.monotonic(), self.clock.wall(), request, head)
--- a/tests/crashing_targets.py
+++ b/tests/crashing_targets.py
@@ -144,13 +144,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Run:
-    """An attempt that reached a running target."""
+    """An attempt that reached a running target; `new_connection` tells whether it opened one."""
 
     at: timedelta
     sent: SentRequest
     harness: HostHarness
     request: RequestId
     target: TargetName
+    new_connection: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -392,7 +393,8 @@
         harness = self.hosts[host]
         target = self.targets[effect.target]
         sent = self._open[host, effect.request]
-        run = Run(self.now, sent, harness, effect.request, effect.target)
+        is_new = self.opens_connection(host, effect)
+        run = Run(self.now, sent, harness, effect.request, effect.target, is_new)
         if not target.is_up or len(target.running) >= SLOTS:
             outcome = AttemptOutcome.SHED if target.is_up else AttemptOutcome.NOT_CONNECTED
             self.schedule(FAST_FAILURE, partial(self._report, run, outcome))
@@ -413,6 +415,10 @@
             finish = partial(self._finish, target, run, AttemptOutcome.ANSWERED, behaviour.status)
             self.schedule(due, finish)
 
+    def opens_connection(self, host: str, effect: SendToTarget) -> bool:
+        """Tells whether an attempt opens a connection: here, each does."""
+        return True
+
     def _crash(self, target: SimulatedTarget, run: Run) -> None:
         if run in target.running:
             self.end_target(name_target(target.number))
@@ -462,6 +468,7 @@
             build_answer(status) if outcome is AttemptOutcome.ANSWERED else None,
             target_ended=target_ended,
             rate_limit=self.targets[run.target].rate_limit if is_from_target else None,
+            new_connection=run.new_connection and outcome is not AttemptOutcome.NOT_CONNECTED,
         )
         self.handle_effects(host, run.harness.apply(event))
 
--- a/tests/partitioned_hosts.py
+++ b/tests/partitioned_hosts.py
@@ -8,10 +8,25 @@
 from enum import Enum
 from functools import partial
 
-from endivedrift.core import AttemptOutcome, Instant, RequestId, TargetName
-from endivedrift.core.effects import AbortAttempt, SendToTarget
-from endivedrift.core.events import AttemptLate
-from tests.crashing_targets import FAST_FAILURE, CrashingFleet, Run, SentRequest, build_crash_set
+from endivedrift.core import AttemptOutcome, ForwardOutcome, Instant, RequestId, TargetName
+from endivedrift.core.effects import (
+    AbortAttempt,
+    DeliverAnswer,
+    Effect,
+    ForwardToPeer,
+    RefuseRequest,
+    SendToTarget,
+)
+from endivedrift.core.events import AttemptLate, ForwardFinished
+from tests.builders import READ_PATH, WRITE_PATH
+from tests.crashing_targets import (
+    DATAGRAM_DELAY,
+    FAST_FAILURE,
+    CrashingFleet,
+    Run,
+    SentRequest,
+    build_crash_set,
+)
 
 
 class PathLoss(Enum):
@@ -30,6 +45,7 @@
 
     Attributes:
       losses: What has happened to the paths of each host that reaches no target.
+      forwards: When a request was forwarded, from which host and to which.
     """
 
     def __init__(self, count: int, targets: int, entry_hosts: int, seed: int = 1) -> None:
@@ -42,7 +58,10 @@
           seed: The seed of requests, answers, losses and clocks.
         """
         self.losses: dict[str, PathLoss] = {}
+        self._is_kept = False
         self._idle: dict[tuple[str, TargetName], list[timedelta]] = defaultdict(list)
+        self.forwards: list[tuple[timedelta, str, str]] = []
+        self._origins: dict[tuple[str, RequestId], tuple[str, RequestId]] = {}
         self._deadlines: dict[tuple[str, RequestId], Instant] = {}
         super().__init__(count, targets, seed, build_crash_set(entry_hosts))
 
@@ -65,14 +84,14 @@
 
     def _start_attempt(self, host: str, effect: SendToTarget) -> None:
         self._deadlines[host, effect.request] = effect.deadline
-        is_kept = self._take_idle(host, effect)
+        is_kept = self._is_kept = self._take_idle(host, effect)
         loss = self.losses.get(host)
         if loss is None or (loss is PathLoss.KEPT and is_kept):
             super()._start_attempt(host, effect)
             return
         self._queued.pop((host, effect.request), None)
         sent = self._open[host, effect.request]
-        run = Run(self.now, sent, self.hosts[host], effect.request, effect.target)
+        run = Run(self.now, sent, self.hosts[host], effect.request, effect.target, not is_kept)
         if loss is not PathLoss.HANGING:
             report = partial(self._report, run, AttemptOutcome.NOT_CONNECTED)
             self.schedule(FAST_FAILURE, report)
@@ -83,6 +102,10 @@
             report = partial(self._report, run, AttemptOutcome.NOT_CONNECTED)
             self.schedule(effect.connect_timeout, report)
 
+    def opens_connection(self, host: str, effect: SendToTarget) -> bool:
+        """Tells whether no kept connection is used for an attempt."""
+        return not self._is_kept
+
     def _take_idle(self, host: str, effect: SendToTarget) -> bool:
         """Uses a kept connection, if there is one that was not idle for too long."""
         idle = self._idle[host, effect.target]
@@ -91,6 +114,54 @@
                 return True
         return False
 
+    def handle_effects(self, sender: str, effects: list[Effect]) -> None:
+        """Carries out the effects that a host returned."""
+        super().handle_effects(sender, effects)
+        for effect in effects:
+            if isinstance(effect, ForwardToPeer):
+                self._queued.pop((sender, effect.request), None)
+                self.forwards.append((self.now, sender, str(effect.peer)))
+                self.schedule(DATAGRAM_DELAY, partial(self._forward, sender, effect))
+
+    def _forward(self, sender: str, effect: ForwardToPeer) -> None:
+        """Lets a request arrive at the host to which it is forwarded."""
+        sent = self._open.get((sender, effect.request))
+        if sent is None:
+            return
+        peer, harness = str(effect.peer), self.hosts[effect.peer]
+        request = RequestId(f"{harness.state.identity.host}-{harness.request_count + 1}")
+        copy = SentRequest(peer, sent.digest, self.now, write=sent.write)
+        self._open[peer, request] = copy
+        self._origins[peer, request] = (sender, effect.request)
+        left = effect.deadline - self.hosts[sender].clock.monotonic()
+        method, path = ("POST", WRITE_PATH) if sent.write else ("GET", READ_PATH)
+        effects = harness.receive_request(
+            method,
+            path,
+            digest=sent.digest,
+            caller_timeout=left.total_seconds(),
+            for_peer=True,
+            earlier_attempts=effect.earlier_attempts,
+        )[1]
+        self.handle_effects(peer, effects)
+
+    def _end_request(self, host: str, effect: DeliverAnswer | RefuseRequest) -> None:
+        super()._end_request(host, effect)
+        origin = self._origins.pop((host, effect.request), None)
+        if origin is not None:
+            self.schedule(DATAGRAM_DELAY, partial(self._reply, origin, effect))
+
+    def _reply(self, origin: tuple[str, RequestId], effect: DeliverAnswer | RefuseRequest) -> None:
+        """Delivers the reply of the host to which a request was forwarded."""
+        host, request = origin
+        harness = self.hosts[host]
+        now = harness.clock.monotonic()
+        if isinstance(effect, DeliverAnswer):
+            event = ForwardFinished(now, request, ForwardOutcome.ANSWERED, answer=effect.answer)
+        else:
+            event = ForwardFinished(now, request, ForwardOutcome.REFUSED, refusal=effect.refusal)
+        self.handle_effects(host, harness.apply(event))
+
     def _report(
         self, run: Run, outcome: AttemptOutcome, status: int = 0, target_ended: bool = False
     ) -> None:
