Let two tests wait for events instead of short times

Ruled out: telling from these results whether the code is at fault. receive_all took 1.5 s of silence for the end, so a slow host and a cut answer looked alike; the store's client had two real seconds beyond a long poll of 20 s that the stand-in waits out.

Change: receive_all ends only when the host closes the connection, and fails after 60 s without a byte; the test of the restored store polls for 0.2 s with a limit of 60 s. What they check stays.

--- a/endivedrift/platform/store_test.py
+++ b/endivedrift/platform/store_test.py
@@ -18,6 +18,8 @@
 from standins.platform_store import StoreStandin
 
 PORT = 20_950
+UNREACHED_LIMIT = timedelta(seconds=60)
+"""Limit of a call that gets a reply, far beyond any delay of a busy machine."""
 
 
 class UnreachableStoreTest(unittest.TestCase):
@@ -52,7 +54,12 @@
             await scenario(store, StoreClient(Address(f"{address}:{PORT}")))
             await serving.cancel()
 
-        curio.run(run)
+        with (
+            mock.patch.object(_store, "LONG_POLL_WAIT", timedelta(milliseconds=200)),
+            mock.patch.object(_store, "CALL_TIMEOUT", UNREACHED_LIMIT),
+            mock.patch.object(_store, "CONNECT_TIMEOUT", UNREACHED_LIMIT),
+        ):
+            curio.run(run)
 
     def test_a_version_that_is_given_out_again_is_a_newer_one(self) -> None:
         async def scenario(store: StoreStandin, client: StoreClient) -> None:
--- a/endivedrift/shell/callers_test.py
+++ b/endivedrift/shell/callers_test.py
@@ -28,6 +28,8 @@
 from tests.builders import SECRET, build_config_fetched, build_identity, build_object_set
 
 LARGE_BODY = b"z" * 6_000_000
+SILENCE_LIMIT_S = 60.0
+"""Time without a byte after which a test fails, far beyond any delay of a busy machine."""
 WRITE = b"POST /stays/w HTTP/1.1\r\nhost: x\r\ncontent-length: 4\r\n\r\n"
 
 
@@ -81,12 +83,18 @@
         await self.runtime.dispatch(StopRequested(now, now + timedelta(seconds=5.65)))
 
     async def receive_all(self) -> bytes:
-        """Reads until the host closes the connection, or sends nothing for a while."""
+        """Reads until the host closes the connection.
+
+        Raises:
+          AssertionError: If the host neither sends anything nor closes it for a long time.
+        """
         received = bytearray()
         try:
-            while data := await curio.timeout_after(1.5, self.caller.recv, 65_536):
+            while data := await curio.timeout_after(SILENCE_LIMIT_S, self.caller.recv, 65_536):
                 received += data
-        except (curio.TaskTimeout, OSError):
+        except curio.TaskTimeout:
+            raise AssertionError(f"silent after {len(received)} bytes, not closed") from None
+        except OSError:
             pass
         return bytes(received)
 
