Abandon a forwarded request when its caller has left

Cause: where a caller left a host that had forwarded its request, the other host and the target worked on: a target's slot was held until the answer or the deadline, for nobody.

Ruled out: the deadline as the end of it; it may be seconds away. A message to the other host; it may be lost, and the connection tells the same.

Change: while a host serves a request for another one, it watches the connection; when that closes, the request is treated like one whose own caller has left: a repeatable one is aborted, others go on.

--- a/endivedrift/shell/_peers.py
+++ b/endivedrift/shell/_peers.py
@@ -4,13 +4,23 @@
 import random
 from collections.abc import Awaitable, Callable
 from datetime import timedelta
+from functools import partial
 
 import curio
 from curio import socket
 
-from endivedrift.core import Address, Answer, Digest, PeerMessage, Refusal, RequestHead
+from endivedrift.core import (
+    Address,
+    Answer,
+    Digest,
+    PeerMessage,
+    Refusal,
+    RequestHead,
+    RequestId,
+)
 from endivedrift.core.effects import FetchConfig, FetchTargets
 from endivedrift.core.events import (
+    CallerDisconnected,
     ConfigFetched,
     ConfigFetchFailed,
     PeerMessageReceived,
@@ -165,22 +175,39 @@
 
     async def _serve_connection(self, sock: socket.socket) -> None:
         try:
-            if not await serve_call(self._context.secret, sock, self._handle_call):
+            handler = partial(self._handle_call, sock)
+            if not await serve_call(self._context.secret, sock, handler):
                 self._runtime.metrics.rejected_peer_messages += 1
         finally:
             self._open_calls -= 1
             with contextlib.suppress(OSError):
                 await sock.close()
 
-    async def _handle_call(self, call: Call) -> Reply:
+    async def _handle_call(self, sock: socket.socket, call: Call) -> Reply:
         if isinstance(call, ConfigQuery):
             canonical = self._canonical.get(call.digest)
             return ConfigBytes(canonical) if canonical is not None else NotFound()
         if isinstance(call, TargetsQuery):
             return KnownTargets(*list_registered_targets(self._runtime.state))
-        return await self._serve_forwarded(call)
+        request_id = self._runtime.new_request_id()
+        if not call.for_peer:
+            return await self._serve_forwarded(request_id, call)
+        watching = await curio.spawn(self._watch_sender(sock, request_id), daemon=True)
+        try:
+            return await self._serve_forwarded(request_id, call)
+        finally:
+            await watching.cancel()
 
-    async def _serve_forwarded(self, call: ForwardedRequest) -> Answer | Refusal:
+    async def _watch_sender(self, sock: socket.socket, request_id: RequestId) -> None:
+        """Reports when the sender of a request closes its connection, since its caller has left."""
+        with contextlib.suppress(OSError):
+            await sock.recv(1)
+        now = self._runtime.clock.monotonic()
+        await self._runtime.dispatch(CallerDisconnected(now, request_id))
+
+    async def _serve_forwarded(
+        self, request_id: RequestId, call: ForwardedRequest
+    ) -> Answer | Refusal:
         target = call.target.encode("latin-1")
         request = TargetRequest(call.method, target, call.headers, call.body)
         host = read_host(call.headers)
@@ -197,7 +224,6 @@
             earlier_attempts=call.earlier_attempts,
             digest=digest_request(host, call.caller, request),
         )
-        request_id = self._runtime.new_request_id()
         return (await serve_request(self._context, request_id, head, request)).result
 
 
--- a/endivedrift/shell/forwarding_test.py
+++ b/endivedrift/shell/forwarding_test.py
@@ -3,16 +3,33 @@
 import unittest
 from dataclasses import replace
 from datetime import timedelta
+from random import Random
+from typing import Any
 from unittest import mock
 
 import curio
 
-from endivedrift.core import Answer, HostId, IdempotencyKey, Incarnation, RequestHead
+from endivedrift.core import (
+    Address,
+    Answer,
+    HostId,
+    IdempotencyKey,
+    Incarnation,
+    RequestHead,
+    SystemClock,
+)
 from endivedrift.objects import MAX_BODY_BYTES
+from endivedrift.reducer import build_host
 from endivedrift.shell import _peer_calls, _peers
 from endivedrift.shell._codec import ForwardedRequest, encode_call, encode_reply
+from endivedrift.shell._metrics import Metrics
+from endivedrift.shell._peer_calls import call_peer
 from endivedrift.shell._peers import PeerTransport
-from endivedrift.shell._serving import ServedRequest
+from endivedrift.shell._runtime import Runtime
+from endivedrift.shell._serving import ServedRequest, ServingContext
+from endivedrift.shell._targets import TargetPool
+from standins._http_server import StandinReply, StandinRequest, serve_http
+from tests.builders import SECRET, build_config_fetched, build_identity, build_object_set
 
 FORWARD = ForwardedRequest(
     HostId("h1"),
@@ -27,6 +44,58 @@
 )
 
 
+FOR_PEER = replace(FORWARD, method="GET", target="/rooms", key=None, for_peer=True)
+DEADLINE_S = 60.0
+WAIT_LIMIT_S = 20.0
+"""Limit for an event that comes at once, far beyond any delay of a busy machine."""
+
+
+class AbandonedForwardTest(unittest.TestCase):
+    def test_a_request_forwarded_for_a_host_whose_caller_has_left_goes_on(self) -> None:
+        async def run() -> None:
+            ip = f"127.{Random().randrange(1, 250)}.{Random().randrange(250)}.1"
+            objects = build_object_set(targets=2)
+            read = replace(objects.route["read"], deadline_ms=int(DEADLINE_S * 1_000.0))
+            group = objects.upstream_group["group"]
+            targets = tuple(
+                replace(target, address=f"{ip}:{9000 + n}")
+                for n, target in enumerate(group.targets)
+            )
+            objects = replace(
+                objects,
+                route={**objects.route, "read": read},
+                upstream_group={"group": replace(group, targets=targets)},
+            )
+            has_arrived = curio.Event()
+
+            async def work_long(request: StandinRequest) -> StandinReply:
+                await has_arrived.set()
+                await curio.sleep(DEADLINE_S)
+                return StandinReply(200)
+
+            for number in range(2):
+                await curio.spawn(serve_http(ip, 9000 + number, work_long), daemon=True)
+            clock = SystemClock()
+            runtime = Runtime(build_host(build_identity(), SECRET, 1), clock, Metrics())
+            claims: Any = None
+            context = ServingContext(runtime, TargetPool(clock), claims, SECRET)
+            address = Address(f"{ip}:9200")
+            transport = PeerTransport(context, address, mock.Mock())
+            await runtime.dispatch(build_config_fetched(clock, objects))  # type: ignore[arg-type]
+            await curio.spawn(transport.accept(), daemon=True)
+            timeout = timedelta(seconds=DEADLINE_S)
+            call = replace(FOR_PEER, timeout=timeout)
+            calling = await curio.spawn(call_peer(SECRET, address, call, timeout))
+            async with curio.timeout_after(WAIT_LIMIT_S):
+                await has_arrived.wait()
+                self.assertEqual(len(runtime.state.requests), 1)
+                await calling.cancel()
+                while runtime.state.requests:
+                    await curio.sleep(0.01)
+
+        curio.run(run)
+
+
 class ForwardingTest(unittest.TestCase):
     def test_the_owner_routes_by_the_host_name_of_the_request(self) -> None:
         heads: list[RequestHead] = []
@@ -39,7 +108,7 @@
 
         transport = mock.Mock(_runtime=mock.Mock())
         with mock.patch.object(_peers, "serve_request", serve):
-            curio.run(PeerTransport._serve_forwarded, transport, FORWARD)
+            curio.run(PeerTransport._serve_forwarded, transport, "r1", FORWARD)
         self.assertEqual((heads[0].host, heads[0].path), ("rooms.example", "/stays"))
 
     def test_the_greatest_body_and_answer_fit_with_their_headers(self) -> None:
