Look for silent targets only at ticks

Cause: since requests are forwarded, each end of an attempt looked through all requests in progress at all targets for overdue ones: work that grows with the targets of a fleet, on the path of every request.

Ruled out: keeping a list of overdue requests; a tick ten times a second finds them soon enough.

Change: the end of an attempt checks only connections that failed; ticks check overdue requests as well.

--- a/endivedrift/reducer/_paths.py
+++ b/endivedrift/reducer/_paths.py
@@ -10,6 +10,7 @@
 another target was reached, and undone once the path is known to be lost.
 """
 
+from collections.abc import Iterable
 from datetime import timedelta
 
 from endivedrift.core import (
@@ -70,15 +71,22 @@
         path.last_answer_at = event.at
     if (event.new_connection or event.outcome in _REACHED_OUTCOMES) and not path.is_cut:
         _confirm_failures(state)
-    return effects + detect_lost_paths(state, event.at)
+    if path.failed_at:
+        effects += _detect_cut(state, (), event.at)
+    return effects
 
 
 def detect_lost_paths(state: HostState, at: Instant) -> list[Effect]:
+    """Notes if this host reaches no target, also by requests that got no answer so far."""
+    return [] if state.path.is_cut else _detect_cut(state, _list_silent_targets(state, at), at)
+
+
+def _detect_cut(
+    state: HostState, silent_targets: Iterable[TargetName], at: Instant
+) -> list[Effect]:
     """Notes if this host reaches no target, and undoes what it has blamed targets for."""
-    if state.path.is_cut:
-        return []
     count = sum(len(service.targets) for service in state.services.values())
-    if not detect_cut(state.path, _list_silent_targets(state, at), count, at):
+    if not detect_cut(state.path, silent_targets, count, at):
         return []
     state.unconfirmed_failures.clear()
     for service in state.services.values():
