Caller accounts with keys, an importance of their own, and a fair queue

Change: object sets hold digests of keys; a request is identified by its key, which is never passed on; targets are told the account; unknown keys get 401. Importance of the account goes before that of the route. Requests of one importance wait by account in turn. Keys are checked again when an object set comes into force.

--- a/endivedrift/core/__init__.py
+++ b/endivedrift/core/__init__.py
@@ -7,6 +7,7 @@
     SystemClock,
 )
 from endivedrift.core._ids import (
+    AccountKeyDigest,
     Address,
     CallerName,
     ClaimId,
@@ -79,6 +80,7 @@
     "AttemptOutcome",
     "AuditEntry",
     "AuditKind",
+    "AccountKeyDigest",
     "CallerName",
     "ClaimId",
     "ClaimOutcome",
--- a/endivedrift/core/_records.py
+++ b/endivedrift/core/_records.py
@@ -7,6 +7,7 @@
 
 from endivedrift.core._clock import Instant
 from endivedrift.core._ids import (
+    AccountKeyDigest,
     Address,
     CallerName,
     Digest,
@@ -39,7 +40,8 @@
       method: HTTP method in upper case.
       path: Path without the query.
       host: Name in the Host header in lower case and without a port, or the empty string.
-      caller: Account that the request names, or None.
+      caller: Account that the request names or that holds its key, or None.
+      account_key: Digest of the account key that the request carries, or None.
       key: Idempotency key that the request carries, or None.
       fingerprint: Digest of caller, method, path, query and body.
       caller_timeout: Time for which the caller still waits, or None if it set no limit, so that
@@ -55,6 +57,7 @@
     path: str
     host: str = ""
     caller: CallerName | None = None
+    account_key: AccountKeyDigest | None = None
     key: IdempotencyKey | None = None
     fingerprint: bytes = b""
     caller_timeout: timedelta | None = None
--- a/endivedrift/core/_states.py
+++ b/endivedrift/core/_states.py
@@ -104,6 +104,7 @@
     STOPPING = "stopping"
     NO_ROUTE = "no-route"
     UNKNOWN_CALLER = "unknown-caller"
+    UNKNOWN_KEY = "unknown-key"
     CALLER_LIMIT = "caller-limit"
     KEY_REQUIRED = "key-required"
     KEY_EXPIRED = "key-expired"
--- a/endivedrift/core/effects.py
+++ b/endivedrift/core/effects.py
@@ -7,6 +7,7 @@
 from endivedrift.core._clock import Instant
 from endivedrift.core._ids import (
     Address,
+    CallerName,
     ClaimId,
     HostId,
     IdempotencyKey,
@@ -24,7 +25,8 @@
 
     The request may reuse a connection that was idle for at most `max_reuse_idle`; opening a new one
     is limited by `connect_timeout`. If `close_delimited` is set, an answer without a length ends
-    when the target closes the connection. AttemptLate is raised each time `late_after` passes
+    when the target closes the connection. `caller` is the account that the target is told of, or
+    None. AttemptLate is raised each time `late_after` passes
     without an answer.
     """
 
@@ -40,6 +42,7 @@
     max_reuse_idle: timedelta
     connect_timeout: timedelta = timedelta(seconds=1)
     close_delimited: bool = False
+    caller: CallerName | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/endivedrift/fleet/_routes.py
+++ b/endivedrift/fleet/_routes.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field
 from itertools import product
 
-from endivedrift.core import RouteName, ServiceName
+from endivedrift.core import AccountKeyDigest, CallerName, RouteName, ServiceName
 from endivedrift.objects import ObjectSet, Route
 
 ANY_HOST = ""
@@ -30,22 +30,32 @@
       services: Service of the first route of each name in the Host header.
       ranking_groups: Group in which a service is ranked onto hosts, by service. Callers look up the
         hosts for a name in the Host header, so services that share such a name share their hosts.
+      accounts: Caller accounts by the digests of their keys.
+      keyed_callers: Caller accounts that have keys, so that no request may merely name them.
+      has_accounts: Whether there are caller accounts, so that requests may carry account keys.
     """
 
     routes: dict[tuple[str, str, str], NamedRoute] = field(default_factory=dict)
     services: dict[str, ServiceName] = field(default_factory=dict)
     ranking_groups: dict[ServiceName, str] = field(default_factory=dict)
+    accounts: dict[AccountKeyDigest, CallerName] = field(default_factory=dict)
+    keyed_callers: set[CallerName] = field(default_factory=set)
+    has_accounts: bool = False
 
 
 def build_routes(objects: ObjectSet) -> RouteTable:
     """Builds the route table of a validated object set."""
-    table = RouteTable()
+    table = RouteTable(has_accounts=bool(objects.caller))
     for name, route in objects.route.items():
         for host, method in product(route.hosts or (ANY_HOST,), route.methods):
             key = (host, method, route.path.rstrip("/"))
             table.routes[key] = NamedRoute(RouteName(name), route)
             table.services.setdefault(host, ServiceName(route.service))
     table.ranking_groups.update(_group_services(objects))
+    for caller, account in objects.caller.items():
+        for digest in account.key_digests:
+            table.accounts[AccountKeyDigest(digest)] = CallerName(caller)
+            table.keyed_callers.add(CallerName(caller))
     return table
 
 
--- a/endivedrift/objects/__init__.py
+++ b/endivedrift/objects/__init__.py
@@ -21,6 +21,7 @@
     MAX_ATTEMPTS,
     MAX_BODY_BYTES,
     MAX_DEADLINE_MS,
+    MAX_REQUESTS_PER_S,
     NAME_PATTERN,
     AddressText,
     Caller,
@@ -36,6 +37,7 @@
     Target,
     UpstreamGroup,
     check_address,
+    digest_account_key,
 )
 from endivedrift.objects._source import ObjectError, SourceFile, check_sources, read_directory
 
@@ -44,6 +46,7 @@
     "MAX_ATTEMPTS",
     "MAX_BODY_BYTES",
     "MAX_DEADLINE_MS",
+    "MAX_REQUESTS_PER_S",
     "NAME_PATTERN",
     "STRICT",
     "AddressText",
@@ -77,6 +80,7 @@
     "compare_object_sets",
     "decode_object_set",
     "describe_object_set",
+    "digest_account_key",
     "digest_bytes",
     "encode_object_set",
     "read_directory",
--- a/endivedrift/objects/_consistency.py
+++ b/endivedrift/objects/_consistency.py
@@ -33,6 +33,7 @@
         *_check_targets(objects),
         *_check_floors(objects),
         *_check_routes(objects),
+        *_check_callers(objects),
     )
 
 
@@ -105,6 +106,17 @@
             yield Inconsistency(label, "key_required", cause)
 
 
+def _check_callers(objects: ObjectSet) -> Iterator[Inconsistency]:
+    """Finds keys that are listed twice. The position of a key is named, never its digest."""
+    owners: dict[str, str] = {}
+    for name, caller in objects.caller.items():
+        for index, digest in enumerate(caller.key_digests):
+            location = f"caller.{name} key_digests.{index}"
+            owner = owners.setdefault(digest, location)
+            if owner != location:
+                yield Inconsistency(f"caller.{name}", f"key_digests.{index}", f"is {owner} too")
+
+
 def _check_unrouted(
     services: dict[str, Service], routes: Iterable[Route]
 ) -> Iterator[Inconsistency]:
--- a/endivedrift/objects/_schema.py
+++ b/endivedrift/objects/_schema.py
@@ -5,19 +5,24 @@
 checked in `_consistency`.
 """
 
+import hashlib
 import ipaddress
 from dataclasses import dataclass, field
 from datetime import timedelta
 from typing import Annotated, Any, ClassVar
 
-from endivedrift.core import Importance
+from endivedrift.core import AccountKeyDigest, Importance
 from endivedrift.objects._constraints import STRICT, Checked, Length, Pattern, Range
 
 MAX_BODY_BYTES = 64 * 1024 * 1024
 MAX_DEADLINE_MS = 120_000
 MAX_ATTEMPTS = 10
+MAX_REQUESTS_PER_S = 1_000_000_000
+"""Greatest quota of an account, far above what a fleet serves."""
+ACCOUNT_KEY_DIGEST_BYTES = 16
 
 NAME_PATTERN = Pattern(r"^[A-Za-z0-9][A-Za-z0-9._-]{0,126}$")
+KEY_DIGEST_PATTERN = Pattern(r"^[0-9a-f]{32}$")
 Name = Annotated[str, NAME_PATTERN]
 Milliseconds = Annotated[int, Range(ge=1, le=MAX_DEADLINE_MS)]
 Probability = Annotated[float, Range(gt=0.0, lt=1.0)]
@@ -42,6 +47,15 @@
     return text
 
 
+def digest_account_key(key: bytes) -> AccountKeyDigest:
+    """Returns the digest by which object sets and hosts know the key of a caller account.
+
+    Hosts look digests up in a table, so that the time of a lookup tells nothing of the keys.
+    """
+    digest = hashlib.blake2b(key, digest_size=ACCOUNT_KEY_DIGEST_BYTES)
+    return AccountKeyDigest(digest.hexdigest())
+
+
 AddressText = Annotated[str, Checked(check_address)]
 
 
@@ -204,7 +218,8 @@
         standing queue, only requests that can be answered within this latency are queued.
       importance: Priority in the queue: critical, normal or deferrable.
       request_limit_bytes, answer_limit_bytes: Maximum size of the bodies.
-      known_callers_only: Whether a request must name a published caller account.
+      known_callers_only: Whether a request must name a published caller account, or carry the key
+        of one.
     """
 
     __pydantic_config__: ClassVar[dict[str, Any]] = STRICT
@@ -264,16 +279,27 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Caller:
-    """A caller account with its rate limit at each host.
+    """A caller account with its keys and its quota, which applies to the fleet as a whole.
 
     Attributes:
-      requests_per_s: Sustained rate, at which tokens are added to the bucket.
-      burst: Capacity of the token bucket, in requests.
+      requests_per_s: Sustained rate, at which tokens are added to the bucket; 0 for no limit.
+      burst: Capacity of the token bucket, in requests; at least one request always fits.
+      key_digests: Digests of the account's keys, as `digest_account_key` returns them. An account
+        without any is named by its callers, which then have to be trusted.
+      importance: Priority in the queue, which takes precedence over that of the route; empty for
+        the route's.
     """
 
     __pydantic_config__: ClassVar[dict[str, Any]] = STRICT
-    requests_per_s: Annotated[float, Range(gt=0.0)]
-    burst: Annotated[int, Range(ge=1)]
+    requests_per_s: Annotated[float, Range(ge=0.0, le=MAX_REQUESTS_PER_S)] = 0.0
+    burst: Annotated[int, Range(ge=0, le=MAX_REQUESTS_PER_S)] = 0
+    key_digests: tuple[Annotated[str, KEY_DIGEST_PATTERN], ...] = ()
+    importance: Annotated[str, Pattern(r"^(|critical|normal|deferrable)$")] = ""
+
+    @property
+    def queue_priority(self) -> Importance | None:
+        """Priority in the queue, or None for that of the route."""
+        return Importance[self.importance.upper()] if self.importance else None
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/endivedrift/platform/_headers.py
+++ b/endivedrift/platform/_headers.py
@@ -20,6 +20,8 @@
 # Statuses of refusals that the caller caused. All other statuses follow from the verdict.
 _CALLER_FAULT_STATUSES = {
     RefusalReason.NO_ROUTE: 404,
+    RefusalReason.UNKNOWN_KEY: 401,
+    RefusalReason.UNKNOWN_CALLER: 401,
     RefusalReason.BAD_REQUEST: 400,
     RefusalReason.TOO_LARGE: 413,
     RefusalReason.HEADERS_TOO_LARGE: 431,
@@ -30,16 +32,16 @@
 
 
 def describe_refusal(refusal: Refusal, request_id: RequestId) -> HttpAnswer:
-    """Builds the response for a refusal; status 503 guarantees that the request did not run."""
+    """Builds the response for a refusal; 429 and 503 guarantee that the request did not run."""
     if refusal.reason in _CALLER_FAULT_STATUSES:
         status = _CALLER_FAULT_STATUSES[refusal.reason]
     elif refusal.attempt_verdict is Verdict.NOT_RUN:
-        status = 503
+        status = 429 if refusal.reason is RefusalReason.CALLER_LIMIT else 503
     else:
         status = 504 if refusal.reason in _TIMEOUT_REASONS else 502
     body = {"error": refusal.reason.value, "detail": refusal.detail, "request": request_id}
     headers: tuple[tuple[bytes, bytes], ...] = ((b"content-type", b"application/json"),)
-    if refusal.retry_after is not None and status == 503:
+    if refusal.retry_after is not None and status in (429, 503):
         # Unlike HTTP, the platform allows fractions of a second here.
         seconds = refusal.retry_after.total_seconds()
         headers += ((b"retry-after", f"{seconds:.3f}".encode()),)
@@ -56,8 +58,11 @@
     leaving_headers=LEAVING_HEADERS,
     rate_limit_headers=RATE_LIMIT_HEADERS,
     proof_header=b"endivedrift-server-signature",
-    caller_header=None,
+    caller_header=b"endivedrift-tenant",
+    trusts_caller_header=False,
+    account_key_header=b"x-api-key",
     key_header=None,
     describe_refusal=describe_refusal,
 )
-"""The platform's header names. Its callers have no accounts and send no idempotency keys."""
+"""The platform's header names. It calls a caller account a tenant; its callers send no idempotency
+keys."""
--- a/endivedrift/policy/__init__.py
+++ b/endivedrift/policy/__init__.py
@@ -24,6 +24,7 @@
     update_typical_latency,
     update_usual_bad_rate,
 )
+from endivedrift.policy._fair_queue import FairQueue, QueuedRequest
 from endivedrift.policy._keys import (
     CLAIMED_KEY_TTL,
     MAX_KEY_LENGTH,
@@ -69,7 +70,6 @@
 from endivedrift.policy._service import (
     Attempt,
     PeerInFlight,
-    QueuedRequest,
     ServiceState,
     TargetRecord,
     build_service,
@@ -102,6 +102,7 @@
     "PathState",
     "PeerInFlight",
     "Quarantine",
+    "FairQueue",
     "QueuedRequest",
     "RateLimit",
     "ReportedDemand",
--- a/endivedrift/policy/_service.py
+++ b/endivedrift/policy/_service.py
@@ -1,7 +1,6 @@
 """The state that one host keeps for each service and target."""
 
 import math
-from collections import deque
 from dataclasses import dataclass, field
 from datetime import timedelta
 
@@ -26,6 +25,7 @@
     UpstreamGroup,
 )
 from endivedrift.policy._bucket import TokenBucket
+from endivedrift.policy._fair_queue import FairQueue
 from endivedrift.policy._rate_limit import RateLimit
 
 INITIAL_LATENCY = timedelta(milliseconds=25)
@@ -143,15 +143,6 @@
         return total
 
 
-@dataclass(frozen=True, slots=True)
-class QueuedRequest:
-    """A queued request, the time at which it leaves the queue unserved, and its deadline."""
-
-    request: RequestId
-    give_up_at: Instant
-    deadline: Instant
-
-
 RECENT_TIME_CONSTANT = timedelta(seconds=2)
 
 
@@ -216,8 +207,8 @@
     typical_latency: timedelta = INITIAL_LATENCY
     latency_samples: int = 0
     usual_bad_rate: float = 0.0
-    queues: dict[Importance, deque[QueuedRequest]] = field(
-        default_factory=lambda: {priority: deque() for priority in Importance}
+    queues: dict[Importance, FairQueue] = field(
+        default_factory=lambda: {priority: FairQueue() for priority in Importance}
     )
     limit_per_target: int = 1
     service_time: timedelta = INITIAL_LATENCY
--- a/endivedrift/policy/_waiting.py
+++ b/endivedrift/policy/_waiting.py
@@ -1,10 +1,14 @@
-"""The request queue of a service: ordered by importance, bounded in length and in waiting time."""
+"""The request queue of a service: ordered by importance, bounded in length and in waiting time.
+
+Requests of one importance are served by caller account in turn.
+"""
 
 from collections.abc import Iterator
 from datetime import timedelta
 
-from endivedrift.core import Importance, Instant, RequestId
-from endivedrift.policy._service import QueuedRequest, ServiceState
+from endivedrift.core import CallerName, Importance, Instant, RequestId
+from endivedrift.policy._fair_queue import FairQueue, QueuedRequest
+from endivedrift.policy._service import ServiceState
 
 MAX_BURST_TIME = timedelta(milliseconds=500)
 """Time for which a short burst of arrivals may keep requests queued: about twice the usual response
@@ -12,9 +16,12 @@
 DEQUEUE_INTERVAL_WEIGHT = 0.1
 
 
-def estimate_wait(state: ServiceState, priority: Importance) -> timedelta:
-    """Estimates how long a new request of this importance would wait in the queue."""
-    ahead = sum(len(queue) for importance, queue in state.queues.items() if importance <= priority)
+def estimate_wait(
+    state: ServiceState, priority: Importance, caller: CallerName | None = None
+) -> timedelta:
+    """Estimates how long a new request of this importance and account would wait in the queue."""
+    ahead = sum(len(queue) for importance, queue in state.queues.items() if importance < priority)
+    ahead += state.queues[priority].count_ahead(caller)
     if state.queued_count and state.dequeue_interval is not None:
         return state.dequeue_interval * (ahead + 1)
     slots = max(1, state.healthy_count * state.limit_per_target)
@@ -38,7 +45,10 @@
 def enqueue_request(
     state: ServiceState, priority: Importance, queued_request: QueuedRequest, at: Instant
 ) -> tuple[bool, RequestId | None]:
-    """Queues a request, evicting a less important one if the queue is full.
+    """Queues a request, evicting another one if the queue is full.
+
+    The evicted request is a less important one, or else the latest of the account that has most in
+    the queue, unless that is the request's own.
 
     Args:
       state: The service.
@@ -50,7 +60,7 @@
     """
     displaced = None
     if state.queued_count >= state.service.queue_length:
-        displaced = _evict_less_important(state, priority)
+        displaced = _evict(state, priority, queued_request.caller)
         if displaced is None:
             return False, None
     state.queues[priority].append(queued_request)
@@ -66,7 +76,7 @@
 
 
 def dequeue_request(state: ServiceState) -> QueuedRequest | None:
-    """Removes and returns the request that has waited longest among the most important ones."""
+    """Removes and returns the next request in turn among the most important ones."""
     for queue in _iterate_queues(state):
         if queue:
             return queue.popleft()
@@ -94,13 +104,18 @@
     return False
 
 
-def _iterate_queues(state: ServiceState) -> Iterator:
+def _iterate_queues(state: ServiceState) -> Iterator[FairQueue]:
     for priority in Importance:
         yield state.queues[priority]
 
 
-def _evict_less_important(state: ServiceState, priority: Importance) -> RequestId | None:
+def _evict(
+    state: ServiceState, priority: Importance, caller: CallerName | None
+) -> RequestId | None:
     for lower in sorted(Importance, reverse=True):
         if lower > priority and state.queues[lower]:
-            return state.queues[lower].pop().request
+            return state.queues[lower].pop_longest().request
+    queue = state.queues[priority]
+    if queue.count_longest() > queue.count_own(caller) + 1:
+        return queue.pop_longest().request
     return None
--- a/endivedrift/reducer/_attempts.py
+++ b/endivedrift/reducer/_attempts.py
@@ -149,7 +149,7 @@
         _add_retry_budget(state, service)
     service.limit_per_target = get_limit_per_target(state, pending.service)
     state.active_services.add(pending.service)
-    priority = pending.route.route.queue_priority
+    priority = pending.priority
     ahead = any(service.queues[r] for r in service.queues if r <= priority)
     if pending.attempt_count or not ahead:
         effects = _start_attempt(state, service, at, request)
@@ -174,7 +174,7 @@
         sent = forward_request(state, at, queued_request.request) if state.path.is_cut else []
         sent = sent or _start_attempt(state, service, at, queued_request.request)
         if not sent:
-            requeue_request(service, pending.route.route.queue_priority, queued_request)
+            requeue_request(service, pending.priority, queued_request)
             return effects
         record_dequeue(service, at)
         effects += sent
@@ -187,7 +187,8 @@
 ) -> list[Effect]:
     """Refuses a request whose time in the queue has ended."""
     detail = "no target had room in time"
-    retry = estimate_wait(service, state.requests[request].route.route.queue_priority)
+    pending = state.requests[request]
+    retry = estimate_wait(service, pending.priority, pending.head.caller)
     return end_with_refusal(state, at, request, RefusalReason.QUEUE_WAIT, detail, retry)
 
 
@@ -217,7 +218,8 @@
     service = state.services.get(pending.service)
     effects = note_attempt(state, event)
     effects += judge_attempt(state, pending, event)
-    may_run_again = not is_quarantined(state, pending.head.digest, event.at)
+    is_barred = is_quarantined(state, pending.head.digest, event.at)
+    may_run_again = not is_barred and not pending.key_withdrawn
     reserved = None
     if service is not None:
         effects += _record_attempt(state, service, event)
@@ -245,7 +247,7 @@
             effects += admit(state, event.at, event.request)
     elif answer is not None:
         effects += end_with_answer(state, event.at, event.request, answer)
-    elif not may_run_again:
+    elif is_barred:
         effects += _end_quarantined(state, event.at, event.request)
     else:
         detail = f"target {event.target}: {event.outcome.value}"
@@ -261,6 +263,8 @@
     service = state.services.get(pending.service)
     if service is None or (pending.may_have_run and not pending.route.route.repeatable):
         return False
+    if pending.key_withdrawn:
+        return False
     if not _has_retry_left(service, pending, at):
         return False
     return not pending.attempt_count or service.retry_budget.take(at)
@@ -451,6 +455,7 @@
         max_reuse_idle=_get_max_reuse_idle(state, service, route.repeatable),
         connect_timeout=timedelta(milliseconds=service.group.connect_ms),
         close_delimited=service.group.close_delimited,
+        caller=pending.head.caller,
     )
     return [effect]
 
@@ -538,7 +543,7 @@
     state: HostState, service: ServiceState, at: Instant, request: RequestId
 ) -> list[Effect]:
     pending = state.requests[request]
-    priority = pending.route.route.queue_priority
+    priority = pending.priority
     opens_at = _find_opening_time(service, pending, at)
     if opens_at is None:
         detail = "no usable target is left"
@@ -550,11 +555,12 @@
         allowed = min(
             allowed, pending.arrived + pending.route.route.aim - at - service.service_time
         )
-    expected = max(estimate_wait(service, priority), opens_at - at)
+    expected = max(estimate_wait(service, priority, pending.head.caller), opens_at - at)
     if expected > allowed:
         detail = f"a wait of {expected.total_seconds():.2f} s is expected"
         return end_with_refusal(state, at, request, RefusalReason.QUEUE_WAIT, detail, expected)
-    queued_request = QueuedRequest(request, at + allowed, pending.deadline)
+    caller = pending.head.caller
+    queued_request = QueuedRequest(request, at + allowed, pending.deadline, caller)
     is_queued, displaced = enqueue_request(service, priority, queued_request, at)
     if not is_queued:
         detail = "the queue is full"
--- a/endivedrift/reducer/_config.py
+++ b/endivedrift/reducer/_config.py
@@ -25,6 +25,7 @@
 from endivedrift.fleet import build_routes, mark_serving
 from endivedrift.objects import ObjectSet, decode_object_set
 from endivedrift.policy import ServiceState, build_service, dequeue_request, restore_floor
+from endivedrift.reducer._accounts import recheck_callers
 from endivedrift.reducer._attempts import end_with_refusal
 from endivedrift.reducer._discovery import place_registered_target
 from endivedrift.reducer._state import HostState
@@ -137,7 +138,7 @@
     for name, service in previous.items():
         if name not in state.services:
             effects += _refuse_queued_requests(state, service, event.at)
-    return effects
+    return effects + recheck_callers(state, event.at)
 
 
 def _refuse_queued_requests(state: HostState, service: ServiceState, at: Instant) -> list[Effect]:
--- a/endivedrift/reducer/_requests.py
+++ b/endivedrift/reducer/_requests.py
@@ -4,20 +4,19 @@
 
 from endivedrift.core import (
     NO_CONFIG,
-    CallerName,
-    Instant,
     RefusalReason,
     ServiceName,
 )
 from endivedrift.core.effects import AbandonRequest, Effect
 from endivedrift.core.events import CallerDisconnected, QueueWaitExpired, RequestArrived
 from endivedrift.fleet import NamedRoute, find_route
-from endivedrift.policy import TokenBucket, advance_date, remove_queued_request
+from endivedrift.policy import advance_date, remove_queued_request
+from endivedrift.reducer._accounts import check_caller, get_priority
 from endivedrift.reducer._attempts import admit, end_with_refusal, refuse_queued
 from endivedrift.reducer._keyed import start_keyed_request
 from endivedrift.reducer._quarantine import refuse_quarantined
 from endivedrift.reducer._refusals import refuse
-from endivedrift.reducer._state import MAX_CALLER_BUCKETS, HostState, RequestState
+from endivedrift.reducer._state import HostState, RequestState
 
 NO_CONFIG_RETRY_DELAY = timedelta(seconds=1)
 GOLDEN_RATIO = (5.0**0.5 - 1.0) / 2.0
@@ -51,7 +50,7 @@
     if found is None:
         detail = f"no route for {head.method} {head.host}{head.path}"
         return refuse(state, event.at, event.request, head, RefusalReason.NO_ROUTE, detail)
-    refusal = _check_caller(state, event, found) or _check_key(state, event, found)
+    refusal = check_caller(state, event, found) or _check_key(state, event, found)
     if refusal:
         return refusal
     time_limit = found.route.deadline
@@ -68,6 +67,7 @@
         event.at + time_limit,
         attempt_count=head.earlier_attempts,
         split_service=_choose_split_service(state, found),
+        priority=get_priority(state, head, found),
     )
     refusal = refuse_quarantined(state, event.at, event.request, pending)
     if refusal:
@@ -133,39 +133,6 @@
     return ServiceName(shares[-1].service)
 
 
-def _check_caller(state: HostState, event: RequestArrived, found: NamedRoute) -> list[Effect]:
-    head = event.head
-    key = None if found.route.repeatable else head.key
-    account = state.objects.caller.get(head.caller) if head.caller is not None else None
-    if account is None:
-        if not found.route.known_callers_only:
-            return []
-        detail = "the route takes only callers with a published account"
-        reason = RefusalReason.UNKNOWN_CALLER
-        return refuse(state, event.at, event.request, head, reason, detail, key=key)
-    if head.forwarded or head.for_peer or head.caller is None:
-        return []
-    bucket = _get_bucket(state, head.caller, event.at)
-    if bucket.take(event.at):
-        return []
-    detail = f"the account {head.caller} is over its rate"
-    reason, wait = RefusalReason.CALLER_LIMIT, bucket.wait(event.at)
-    return refuse(state, event.at, event.request, head, reason, detail, wait, key=key)
-
-
-def _get_bucket(state: HostState, caller: CallerName, at: Instant) -> TokenBucket:
-    account = state.objects.caller[caller]
-    bucket = state.caller_buckets.get(caller)
-    if bucket is None:
-        bucket = TokenBucket(float(account.burst), account.requests_per_s, float(account.burst), at)
-        state.caller_buckets[caller] = bucket
-        if len(state.caller_buckets) > MAX_CALLER_BUCKETS:
-            state.caller_buckets.popitem(last=False)
-    else:
-        state.caller_buckets.move_to_end(caller)
-    return bucket
-
-
 def _check_key(state: HostState, event: RequestArrived, found: NamedRoute) -> list[Effect]:
     if not found.route.key_required or event.head.key is not None or event.head.for_peer:
         return []
--- a/endivedrift/reducer/_state.py
+++ b/endivedrift/reducer/_state.py
@@ -18,6 +18,7 @@
     HostIdentity,
     HostPhase,
     IdempotencyKey,
+    Importance,
     Instant,
     ListedMachine,
     Member,
@@ -75,6 +76,8 @@
       failure_answer: A target's server error, which is delivered if no other attempt succeeds.
       peer: Host to which it is forwarded at the moment, or None.
       asked_peers: Hosts to which it was forwarded.
+      priority: Its importance in the queue: that of its caller account, or else of its route.
+      key_withdrawn: Whether its account key was withdrawn, so that it gets no further attempt.
       holds_retry: Whether a retry was taken from the budget for it while its attempt is aborted.
     """
 
@@ -95,6 +98,8 @@
     peer: HostId | None = None
     asked_peers: frozenset[HostId] = frozenset()
     holds_retry: bool = False
+    key_withdrawn: bool = False
+    priority: Importance = Importance.NORMAL
 
     @property
     def service(self) -> ServiceName:
--- a/endivedrift/shell/_answers.py
+++ b/endivedrift/shell/_answers.py
@@ -18,6 +18,7 @@
 _STATUSES = {
     RefusalReason.NO_ROUTE: 404,
     RefusalReason.UNKNOWN_CALLER: 403,
+    RefusalReason.UNKNOWN_KEY: 401,
     RefusalReason.CALLER_LIMIT: 429,
     RefusalReason.KEY_REQUIRED: 400,
     RefusalReason.KEY_EXPIRED: 409,
@@ -48,6 +49,7 @@
     RefusalReason.NO_TARGET: "destination_unavailable",
     RefusalReason.CALLER_LIMIT: "http_request_denied",
     RefusalReason.UNKNOWN_CALLER: "http_request_denied",
+    RefusalReason.UNKNOWN_KEY: "http_request_denied",
     RefusalReason.BAD_REQUEST: "http_request_error",
 }
 DEFAULT_STATUS = 503
--- a/endivedrift/shell/_callers.py
+++ b/endivedrift/shell/_callers.py
@@ -435,9 +435,12 @@
         if self._serves_entry and path == ENTRY_PATH:
             max_age = timedelta(seconds=self._limits.entry_max_age_s)
             return answer_entry(runtime.state, runtime.clock.wall(), query, max_age)
-        target_request = build_target_request(conventions, request, headers, body)
+        routes = runtime.state.routes
+        target_request = build_target_request(
+            conventions, request, headers, body, routes.has_accounts
+        )
         try:
-            head = read_head(conventions, headers, target_request)
+            head = read_head(conventions, headers, target_request, routes)
         except HeaderError as error:
             refusal = make_refusal(RefusalReason.BAD_REQUEST, str(error))
             return conventions.describe_refusal(refusal, exchange.request_id)
--- a/endivedrift/shell/_conventions.py
+++ b/endivedrift/shell/_conventions.py
@@ -31,7 +31,10 @@
         takes from all hosts together, as long as its answers have one of them.
       proof_header: Header that proves that an answer comes from the target itself. Of the answers
         without it, only server errors are passed on; others are treated as malformed.
-      caller_header: Name of the caller's account.
+      caller_header: Name of the caller's account, which targets are sent.
+      trusts_caller_header: Whether callers may name an account that has no keys; otherwise only a
+        key tells the account.
+      account_key_header: Key of the caller's account, which is never passed on.
       key_header: Idempotency key.
       describe_refusal: Builds the answer for a refusal.
     """
@@ -46,13 +49,20 @@
     rate_limit_headers: tuple[bytes, ...]
     proof_header: bytes | None
     caller_header: bytes | None
+    trusts_caller_header: bool
+    account_key_header: bytes | None
     key_header: bytes | None
     describe_refusal: Callable[[Refusal, RequestId], HttpAnswer]
 
     @property
     def replaced_headers(self) -> frozenset[bytes]:
         """Headers of a caller that are removed or replaced before a request is sent to a target."""
-        names = {self.deadline_header, self.expected_target_header, b"expect"}
+        names = {
+            self.deadline_header,
+            self.expected_target_header,
+            self.caller_header,
+            b"expect",
+        }
         if not self.keeps_request_ids:
             names.add(self.request_id_header)
         return frozenset(name for name in names if name is not None)
@@ -69,6 +79,8 @@
     rate_limit_headers=(b"x-rate-limit",),
     proof_header=None,
     caller_header=b"x-caller",
+    trusts_caller_header=True,
+    account_key_header=b"x-api-key",
     key_header=b"idempotency-key",
     describe_refusal=describe_refusal,
 )
--- a/endivedrift/shell/_targets.py
+++ b/endivedrift/shell/_targets.py
@@ -308,6 +308,8 @@
             headers.append((conventions.request_id_header, _format_attempt_id(effect)))
         if conventions.expected_target_header is not None:
             headers.append((conventions.expected_target_header, effect.target.encode()))
+        if conventions.caller_header is not None and effect.caller is not None:
+            headers.append((conventions.caller_header, effect.caller.encode("latin-1")))
         if request.body or request.method not in ("GET", "HEAD", "DELETE", "OPTIONS"):
             headers.append((b"content-length", str(len(request.body)).encode()))
         http = connection.http
