Serve the account first that was served least; tests of accounts

Change: what an account was served in the last seconds, divided by its quota, decides; accounts without a quota count as if they had the greatest. Tests of keys, importance, tenants in the adapter, real hosts.

--- a/endivedrift/fleet/_routes.py
+++ b/endivedrift/fleet/_routes.py
@@ -32,6 +32,8 @@
         hosts for a name in the Host header, so services that share such a name share their hosts.
       accounts: Caller accounts by the digests of their keys.
       keyed_callers: Caller accounts that have keys, so that no request may merely name them.
+      greatest_quota_per_s: Greatest quota of an account, or 1 if none has a quota. An account
+        without one counts as if it had this.
       has_accounts: Whether there are caller accounts, so that requests may carry account keys.
     """
 
@@ -41,11 +43,16 @@
     accounts: dict[AccountKeyDigest, CallerName] = field(default_factory=dict)
     keyed_callers: set[CallerName] = field(default_factory=set)
     has_accounts: bool = False
+    greatest_quota_per_s: float = 1.0
 
 
 def build_routes(objects: ObjectSet) -> RouteTable:
     """Builds the route table of a validated object set."""
-    table = RouteTable(has_accounts=bool(objects.caller))
+    table = RouteTable(
+        has_accounts=bool(objects.caller),
+        greatest_quota_per_s=max((c.requests_per_s for c in objects.caller.values()), default=0.0)
+        or 1.0,
+    )
     for name, route in objects.route.items():
         for host, method in product(route.hosts or (ANY_HOST,), route.methods):
             key = (host, method, route.path.rstrip("/"))
--- a/endivedrift/platform/input_test.py
+++ b/endivedrift/platform/input_test.py
@@ -38,6 +38,7 @@
     build_entry,
     build_node_file,
     build_rule,
+    build_tenant,
 )
 
 ROOT = Path(__file__).resolve().parents[2]
@@ -87,6 +88,7 @@
     return build_configuration(
         listeners=[{"host": LISTENER_HOST, "rules": rules}],
         clusters=[build_cluster(SERVICE), build_cluster("second")],
+        tenants=[build_tenant("acme", "key-1", "key-2"), build_tenant("globex", "key-3")],
     )
 
 
@@ -180,6 +182,23 @@
         row = StoreRow("i-1", read_row_value.__name__, False)
         self.assertIsNone(_environment._read_target(row))
 
+    def test_invalid_tenants_are_rejected_with_their_field_and_without_their_keys(self) -> None:
+        tenants = {
+            "tenants.0.name": [build_tenant("", "k1")],
+            "tenants.0.ratePerS": [build_tenant("a", "k1", ratePerS=-1)],
+            "tenants.0.burst": [build_tenant("a", "k1", burst=10**30)],
+            "tenants.0.apiKeys.1": [build_tenant("a", "k1", "")],
+            "tenants.1.apiKeys": [build_tenant("a", "k1"), build_tenant("b", "k1")],
+            "tenants.1.name": [build_tenant("a", "k1"), build_tenant("a", "k2")],
+            "tenants": {"a": build_tenant("a", "k1")},
+        }
+        for field, value in tenants.items():
+            document = build_configuration(tenants=value)
+            with self.subTest(field), self.assertRaises(WireError) as caught:
+                read_configuration(document, BOUNDS, Instant(0))
+            self.assertIn(f"version 3: {field}", str(caught.exception))
+            self.assertNotIn("k1", str(caught.exception))
+
     def test_a_rule_without_a_split_may_say_so(self) -> None:
         rule = build_rule("r", "safe", "/a/", trafficSplit=None)
         document = build_configuration(listeners=[{"host": LISTENER_HOST, "rules": [rule]}])
--- a/endivedrift/platform/platform_test.py
+++ b/endivedrift/platform/platform_test.py
@@ -9,7 +9,7 @@
 
 from endivedrift.core import Address, Instant, Refusal, RefusalReason, RequestId, Verdict
 from endivedrift.fleet import build_routes, find_route
-from endivedrift.objects import ObjectSet, decode_object_set
+from endivedrift.objects import Caller, ObjectSet, decode_object_set, digest_account_key
 from endivedrift.platform._configuration import read_configuration
 from endivedrift.platform._entries import read_entry
 from endivedrift.platform._headers import describe_refusal
@@ -24,6 +24,7 @@
     build_entry,
     build_node_file,
     build_rule,
+    build_tenant,
 )
 
 
@@ -46,6 +47,30 @@
         self.assertEqual(found.route.deadline, timedelta(seconds=2))
         self.assertEqual(found.route.max_attempts, 2)
 
+    def test_tenants_become_accounts_that_hold_no_keys(self) -> None:
+        rules = [
+            build_rule("a", "safe", "/a/"),
+            {**build_rule("b", "safe", "/b/"), "public": True},
+        ]
+        tenants = [
+            build_tenant("acme", "k1", "k1", priority=0, ratePerS=48, burst=7),
+            {"name": "free", "apiKeys": []},
+        ]
+        listeners = [{"host": LISTENER_HOST, "rules": rules}]
+        document = build_configuration(tenants=tenants, listeners=listeners)
+        objects = read_objects(document)
+        expected = Caller(
+            requests_per_s=48.0,
+            burst=7,
+            key_digests=(digest_account_key(b"k1"),),
+            importance="critical",
+        )
+        self.assertEqual(objects.caller, {"acme": expected, "free": Caller()})
+        known_only = {r.path: r.known_callers_only for r in objects.route.values()}
+        self.assertEqual(known_only, {"/a/": True, "/b/": False})
+        without = read_objects(build_configuration(listeners=listeners, tenants=[]))
+        self.assertFalse([r for r in without.route.values() if r.known_callers_only])
+
     def test_the_longest_prefix_of_the_named_host_wins(self) -> None:
         rules = [build_rule("a", "safe", "/a/"), build_rule("b", "unsafe", "/a/b/")]
         listeners = [
--- a/endivedrift/policy/_fair_queue.py
+++ b/endivedrift/policy/_fair_queue.py
@@ -1,15 +1,26 @@
-"""A queue that serves caller accounts in turn, so that none waits behind the backlog of another.
-
-Round robin gives each account with queued requests the same share (max-min fairness). Requests
-without an account count as one account, so that without accounts the queue is first in, first out.
+"""A queue that serves first the caller account that has been served least.
+
+What an account was served lately counts in proportion to its quota. An account that floods the
+fleet therefore waits behind accounts that send what they usually do, and such accounts share the
+rest among them (weighted max-min fairness). Round robin was not enough: an account that always has
+requests in the queue takes a turn before each request of all others, which delays them the more
+accounts flood. Requests without an account count as one account, so that without accounts the
+queue is first in, first out.
 """
 
+import math
 from collections import OrderedDict, deque
 from collections.abc import Iterator
 from dataclasses import dataclass, field
+from datetime import timedelta
 
 from endivedrift.core import CallerName, Instant, RequestId
 
+USE_TIME_CONSTANT = timedelta(seconds=5)
+"""Time in which earlier use of an account loses its weight: the window of the accounts' quotas."""
+MAX_USES = 4_096
+"""Accounts whose use is kept; further ones replace those whose use was recorded first."""
+
 
 @dataclass(frozen=True, slots=True)
 class QueuedRequest:
@@ -21,13 +32,46 @@
     caller: CallerName | None = None
 
 
+@dataclass(slots=True)
+class AccountUse:
+    """Requests of each account that were sent to targets lately, as shares of its quota.
+
+    The counts are kept as if they grew instead of decaying, so that a comparison of two accounts
+    needs no time.
+    """
+
+    _started: Instant | None = None
+    _counts: OrderedDict[CallerName | None, float] = field(default_factory=OrderedDict)
+
+    def add(self, caller: CallerName | None, quota_per_s: float, at: Instant) -> None:
+        """Counts a request of an account with a quota in requests per second."""
+        if self._started is None:
+            self._started = at
+        age = (at - self._started) / USE_TIME_CONSTANT
+        if age > 100.0:
+            self._rescale(age)
+            self._started, age = at, 0.0
+        self._counts[caller] = self.get(caller) + math.exp(age) / quota_per_s
+        self._counts.move_to_end(caller)
+        if len(self._counts) > MAX_USES:
+            self._counts.popitem(last=False)
+
+    def get(self, caller: CallerName | None) -> float:
+        """Returns the use of an account, in a unit that is the same for all accounts."""
+        return self._counts.get(caller, 0.0)
+
+    def _rescale(self, age: float) -> None:
+        """Divides all counts, so that they don't overflow, and drops those that become tiny."""
+        factor = math.exp(-age)
+        scaled = {caller: count * factor for caller, count in self._counts.items()}
+        self._counts = OrderedDict((c, count) for c, count in scaled.items() if count > 1e-9)
+
+
 @dataclass(slots=True)
 class FairQueue:
-    """Queued requests by caller account; the first account is the next in turn."""
+    """Queued requests by caller account."""
 
-    _by_caller: OrderedDict[CallerName | None, deque[QueuedRequest]] = field(
-        default_factory=OrderedDict
-    )
+    _by_caller: dict[CallerName | None, deque[QueuedRequest]] = field(default_factory=dict)
     _length: int = 0
 
     def __len__(self) -> int:
@@ -45,23 +89,19 @@
         self._length += 1
 
     def appendleft(self, queued: QueuedRequest) -> None:
-        """Puts back a request that was just removed by `popleft`, as the next one in turn."""
+        """Puts back a request that was just removed by `popleft`."""
         self._by_caller.setdefault(queued.caller, deque()).appendleft(queued)
-        self._by_caller.move_to_end(queued.caller, last=False)
         self._length += 1
 
-    def popleft(self) -> QueuedRequest:
-        """Removes the first request of the account whose turn it is.
+    def popleft(self, use: AccountUse) -> QueuedRequest:
+        """Removes the first request of the account that was served least.
 
         Raises:
-          IndexError: If the queue is empty.
+          ValueError: If the queue is empty.
         """
-        if not self._by_caller:
-            raise IndexError("the queue is empty")
-        caller, queue = next(iter(self._by_caller.items()))
-        queued = queue.popleft()
-        self._by_caller.move_to_end(caller)
-        self._drop_empty(caller)
+        caller = min(self._by_caller, key=use.get)
+        queued = self._by_caller[caller].popleft()
+        self._drop_if_empty(caller)
         self._length -= 1
         return queued
 
@@ -73,7 +113,7 @@
         """
         caller = max(self._by_caller, key=lambda name: len(self._by_caller[name]))
         queued = self._by_caller[caller].pop()
-        self._drop_empty(caller)
+        self._drop_if_empty(caller)
         self._length -= 1
         return queued
 
@@ -83,9 +123,8 @@
         Raises:
           ValueError: If it is not in the queue.
         """
-        queue = self._by_caller.get(queued.caller, deque())
-        queue.remove(queued)
-        self._drop_empty(queued.caller)
+        self._by_caller.get(queued.caller, deque()).remove(queued)
+        self._drop_if_empty(queued.caller)
         self._length -= 1
 
     def count_longest(self) -> int:
@@ -96,12 +135,16 @@
         """Returns the number of requests of an account."""
         return len(self._by_caller.get(caller, ()))
 
-    def count_ahead(self, caller: CallerName | None) -> int:
-        """Returns how many requests are served before a new one of an account."""
+    def count_ahead(self, caller: CallerName | None, use: AccountUse) -> int:
+        """Estimates how many requests are served before a new one of an account."""
         own = self.count_own(caller)
-        others = (len(queue) for name, queue in self._by_caller.items() if name != caller)
-        return own + sum(min(length, own + 1) for length in others)
-
-    def _drop_empty(self, caller: CallerName | None) -> None:
+        own_use = use.get(caller)
+        ahead = own
+        for name, queue in self._by_caller.items():
+            if name != caller:
+                ahead += min(len(queue), own + 1 if use.get(name) <= own_use else own)
+        return ahead
+
+    def _drop_if_empty(self, caller: CallerName | None) -> None:
         if not self._by_caller[caller]:
             del self._by_caller[caller]
--- a/endivedrift/reducer/_attempts.py
+++ b/endivedrift/reducer/_attempts.py
@@ -439,6 +439,7 @@
     route = pending.route.route
     record = service.targets[name]
     _occupy_slot(state, service, record, request, at)
+    service.account_use.add(pending.head.caller, _get_quota(state, pending), at)
     pending.attempt_count += 1
     pending.tried_targets = pending.tried_targets | {name}
     pending.target = name
@@ -460,6 +461,14 @@
     return [effect]
 
 
+def _get_quota(state: HostState, pending: RequestState) -> float:
+    """Returns the quota in requests per second by which the use of an account is divided."""
+    caller = pending.head.caller
+    account = state.objects.caller.get(caller) if caller is not None else None
+    quota = account.requests_per_s if account is not None else 0.0
+    return quota or state.routes.greatest_quota_per_s
+
+
 def _occupy_slot(
     state: HostState, service: ServiceState, record: TargetRecord, request: RequestId, at: Instant
 ) -> None:
--- a/standins/platform_target.py
+++ b/standins/platform_target.py
@@ -32,6 +32,7 @@
       reset_share_of_ten: Number of each ten requests whose connection is closed without an answer.
       is_leaving: Whether its answers state that it is shutting down.
       ran: Attempt ids of the requests that ran, in order.
+      ran_headers: Headers of those requests, by attempt id.
       received: Number of requests received.
       deadly_arrivals: The deadly requests received, whether they ran or not.
       end: Set when a deadly request ends the target. Whoever serves it then closes its address and
@@ -44,6 +45,7 @@
     reset_share_of_ten: int = 0
     is_leaving: bool = False
     ran: list[str] = field(default_factory=list)
+    ran_headers: dict[str, dict[str, str]] = field(default_factory=dict)
     received: int = 0
     deadly_arrivals: list[DeadlyArrival] = field(default_factory=list)
     end: curio.Event = field(default_factory=curio.Event)
@@ -62,6 +64,7 @@
         if self.received % 10 < self.reset_share_of_ten:
             return StandinReply(drop=True)
         self.ran.append(attempt)
+        self.ran_headers[attempt] = dict(request.headers)
         if is_deadly:
             await self._end(request.path)
         await curio.sleep(self.work_s)
--- a/tests/platform_builders.py
+++ b/tests/platform_builders.py
@@ -56,6 +56,18 @@
     }
 
 
+def build_tenant(name: str, *keys: str, **changes: Any) -> dict[str, Any]:
+    """Builds a caller account, which the platform calls a tenant."""
+    return {
+        "name": name,
+        "apiKeys": list(keys),
+        "priority": 1,
+        "ratePerS": 100,
+        "burst": 100,
+        **changes,
+    }
+
+
 def build_entry(address: str = "127.0.0.1:9000", **changes: Any) -> dict[str, Any]:
     """Builds the entry of a target; `changes` replaces fields of its status."""
     return {
--- a/tests/platform_path.py
+++ b/tests/platform_path.py
@@ -14,7 +14,7 @@
 
 import curio
 
-from endivedrift.core import Address
+from endivedrift.core import Address, Headers
 from endivedrift.shell.exchange import ExchangeError, HttpReply, exchange
 from standins._http_server import serve_http
 from standins.platform_store import StoreStandin
@@ -162,12 +162,19 @@
         return await exchange(address, "GET", path, b"", CALL_TIMEOUT)
 
     async def call(
-        self, ip: str, method: str, path: str, attempt_id: str, body: bytes = b""
+        self,
+        ip: str,
+        method: str,
+        path: str,
+        attempt_id: str,
+        body: bytes = b"",
+        more_headers: Headers = (),
     ) -> HttpReply:
         """Sends a caller's request to a host."""
         headers = (
             (b"endivedrift-attempt-id", attempt_id.encode()),
             (b"endivedrift-deadline-ms", b"2000"),
+            *more_headers,
         )
         return await exchange(
             Address(f"{ip}:{FIRST_PORT}"), method, path, body, CALL_TIMEOUT, headers, LISTENER_HOST
