Run each test of the large fleets in a process of its own, first

Cause: the whole test run ended with minutes of one process, the large fleets' classes, while three were idle. Change: classes that say is_slow are split by test and started first.

--- a/tests/partition_test.py
+++ b/tests/partition_test.py
@@ -132,6 +132,7 @@
 
 
 class LargeFleetPartitionTest(PartitionTest):
+    is_slow = True
     host_count = 293
     entry_hosts = 9
     target_count = 60
--- a/tests/quarantine_test.py
+++ b/tests/quarantine_test.py
@@ -240,6 +240,7 @@
 
 
 class LargeFleetQuarantineTest(QuarantineTest):
+    is_slow = True
     host_count = 293
 
 
--- a/tests/rate_limit_test.py
+++ b/tests/rate_limit_test.py
@@ -142,6 +142,7 @@
 
 
 class LargeFleetRateLimitTest(RateLimitTest):
+    is_slow = True
     host_count = 293
     entry_hosts = 9
     target_count = 40
--- a/tests/run.py
+++ b/tests/run.py
@@ -67,11 +67,19 @@
 
 
 def group_by_class(suite: unittest.TestSuite) -> list[list[str]]:
-    """Returns the ids of the tests of a suite, one list for each class."""
+    """Returns the ids of the tests of a suite, one list for each class.
+
+    Classes with a true attribute `is_slow` take minutes. Each of their tests gets a list of its own,
+    before those of other classes, so that no process is left with minutes of work at the end.
+    """
+    slow: list[list[str]] = []
     groups: dict[type, list[str]] = {}
     for case in iterate_cases(suite):
-        groups.setdefault(type(case), []).append(case.id())
-    return list(groups.values())
+        if getattr(case, "is_slow", False):
+            slow.append([case.id()])
+        else:
+            groups.setdefault(type(case), []).append(case.id())
+    return slow + list(groups.values())
 
 
 def iterate_cases(suite: unittest.TestSuite) -> Iterator[unittest.TestCase]:
