--- a/tests/run.py
+++ b/tests/run.py
@@ -69,8 +69,8 @@
 def group_by_class(suite: unittest.TestSuite) -> list[list[str]]:
     """Returns the ids of the tests of a suite, one list for each class.
 
-    Classes with a true attribute `is_slow` take minutes. Each of their tests gets a list of its own,
-    before those of other classes, so that no process is left with minutes of work at the end.
+    Classes with a true attribute `is_slow` take minutes. Each of their tests has a list of its own
+    before those of other classes, so that no process has minutes of work left at the end.
     """
     slow: list[list[str]] = []
     groups: dict[type, list[str]] = {}
