--- a/endivedrift/policy/__init__.py
+++ b/endivedrift/policy/__init__.py
@@ -24,7 +24,7 @@
     update_typical_latency,
     update_usual_bad_rate,
 )
-from endivedrift.policy._fair_queue import AccountUse, FairQueue, QueuedRequest
+from endivedrift.policy._fair_queue import FairQueue, QueuedRequest, ServedShares
 from endivedrift.policy._keys import (
     CLAIMED_KEY_TTL,
     MAX_KEY_LENGTH,
@@ -102,7 +102,7 @@
     "PathState",
     "PeerInFlight",
     "Quarantine",
-    "AccountUse",
+    "ServedShares",
     "FairQueue",
     "QueuedRequest",
     "RateLimit",
--- a/endivedrift/policy/_fair_queue.py
+++ b/endivedrift/policy/_fair_queue.py
@@ -33,7 +33,7 @@
 
 
 @dataclass(slots=True)
-class AccountUse:
+class ServedShares:
     """Requests of each account that were sent to targets lately, as shares of its quota.
 
     The counts are kept as if they grew instead of decaying, so that a comparison of two accounts
@@ -93,7 +93,7 @@
         self._by_caller.setdefault(queued.caller, deque()).appendleft(queued)
         self._length += 1
 
-    def popleft(self, use: AccountUse) -> QueuedRequest:
+    def popleft(self, use: ServedShares) -> QueuedRequest:
         """Removes the first request of the account that was served least.
 
         Raises:
@@ -135,7 +135,7 @@
         """Returns the number of requests of an account."""
         return len(self._by_caller.get(caller, ()))
 
-    def count_ahead(self, caller: CallerName | None, use: AccountUse) -> int:
+    def count_ahead(self, caller: CallerName | None, use: ServedShares) -> int:
         """Estimates how many requests are served before a new one of an account."""
         own = self.count_own(caller)
         own_use = use.get(caller)
--- a/endivedrift/policy/_service.py
+++ b/endivedrift/policy/_service.py
@@ -25,7 +25,7 @@
     UpstreamGroup,
 )
 from endivedrift.policy._bucket import TokenBucket
-from endivedrift.policy._fair_queue import AccountUse, FairQueue
+from endivedrift.policy._fair_queue import FairQueue, ServedShares
 from endivedrift.policy._rate_limit import RateLimit
 
 INITIAL_LATENCY = timedelta(milliseconds=25)
@@ -187,7 +187,7 @@
       latency_samples: Answers from which `typical_latency` was learned, up to a few.
       usual_bad_rate: Median over the targets of the recent share of bad answers.
       queues: Queued requests by importance.
-      account_use: What caller accounts were served lately.
+      served_shares: What caller accounts were served lately.
       limit_per_target: Requests that this host may have in progress at one target.
       service_time: Moving average of the latency of answers.
       queued_since: Since when requests have been queued without a break, or None.
@@ -211,7 +211,7 @@
     queues: dict[Importance, FairQueue] = field(
         default_factory=lambda: {priority: FairQueue() for priority in Importance}
     )
-    account_use: AccountUse = field(default_factory=AccountUse)
+    served_shares: ServedShares = field(default_factory=ServedShares)
     limit_per_target: int = 1
     service_time: timedelta = INITIAL_LATENCY
     queued_since: Instant | None = None
@@ -329,7 +329,7 @@
     state.usual_bad_rate = previous.usual_bad_rate
     state.service_time = previous.service_time
     state.queues = previous.queues
-    state.account_use = previous.account_use
+    state.served_shares = previous.served_shares
     state.queued_since = previous.queued_since
     state.dequeue_interval = previous.dequeue_interval
     state.last_dequeue_at = previous.last_dequeue_at
--- a/endivedrift/policy/_waiting.py
+++ b/endivedrift/policy/_waiting.py
@@ -21,7 +21,7 @@
 ) -> timedelta:
     """Estimates how long a new request of this importance and account would wait in the queue."""
     ahead = sum(len(queue) for importance, queue in state.queues.items() if importance < priority)
-    ahead += state.queues[priority].count_ahead(caller, state.account_use)
+    ahead += state.queues[priority].count_ahead(caller, state.served_shares)
     if state.queued_count and state.dequeue_interval is not None:
         return state.dequeue_interval * (ahead + 1)
     slots = max(1, state.healthy_count * state.limit_per_target)
@@ -79,7 +79,7 @@
     """Removes and returns the next request in turn among the most important ones."""
     for queue in _iterate_queues(state):
         if queue:
-            return queue.popleft(state.account_use)
+            return queue.popleft(state.served_shares)
     return None
 
 
--- a/endivedrift/reducer/_attempts.py
+++ b/endivedrift/reducer/_attempts.py
@@ -439,7 +439,7 @@
     route = pending.route.route
     record = service.targets[name]
     _occupy_slot(state, service, record, request, at)
-    service.account_use.add(pending.head.caller, _get_quota(state, pending), at)
+    service.served_shares.add(pending.head.caller, _get_quota(state, pending), at)
     pending.attempt_count += 1
     pending.tried_targets = pending.tried_targets | {name}
     pending.target = name
--- a/tests/accounts_test.py
+++ b/tests/accounts_test.py
@@ -29,7 +29,7 @@
     check_sources,
     digest_account_key,
 )
-from endivedrift.policy import AccountUse, FairQueue, QueuedRequest
+from endivedrift.policy import FairQueue, QueuedRequest, ServedShares
 from tests.builders import (
     READ_PATH,
     HostHarness,
@@ -198,7 +198,7 @@
 
 class FairQueueTest(unittest.TestCase):
     def test_the_account_served_least_goes_first_and_the_longest_is_evicted(self) -> None:
-        queue, use, at = FairQueue(), AccountUse(), Instant(0)
+        queue, use, at = FairQueue(), ServedShares(), Instant(0)
         for number, caller in enumerate("aaab"):
             queue.append(QueuedRequest(RequestId(str(number)), at, at, CallerName(caller)))
         use.add(CallerName("a"), 1.0, at)
@@ -213,7 +213,7 @@
         self.assertEqual(len(queue), 0)
 
     def test_use_decays_and_is_divided_by_the_quota(self) -> None:
-        use = AccountUse()
+        use = ServedShares()
         use.add(ACME, 10.0, Instant(0))
         use.add(GLOBEX, 20.0, Instant(0))
         self.assertGreater(use.get(ACME), use.get(GLOBEX))
