Quotas of caller accounts apply to the fleet as a whole

Cause: each host had a token bucket of its own, so that an account got the full rate and burst at every host: up to 102 times its quota in a fleet of 102 hosts.

Ruled out: reports from every host to all hosts that serve callers (204 datagrams a host and second at 102 hosts, over 8 KB/s); shares as for limits that targets state (a share under one request, or a quota that is idle where the requests arrive); a fixed holder (its loss stops or doubles the quota).

Change: an account has three keepers, which add up cumulative counts of all hosts and reply with the tokens that are left. A host decides at once by the latest replies, admits only as many requests as there are tokens for all that arrive in the meantime, and uses the part of the rate that belongs to the keepers it hears and the hosts that are alive. The charge is the last check of a request and is returned if nothing was sent.

--- a/endivedrift/core/_records.py
+++ b/endivedrift/core/_records.py
@@ -262,6 +262,52 @@
     demand_per_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class QuotaReport:
+    """What a host has admitted of a caller account, sent to the keepers of the account.
+
+    Attributes:
+      account: The account.
+      epoch: Distinguishes the sender's present counts from earlier ones of the same process.
+      admitted: Requests admitted in this epoch, without those whose tokens were returned.
+      recent: Change of `admitted` that a keeper without an earlier report may not know of.
+      arrived: Requests that arrived in this epoch.
+      part: Part of the account's rate that the sender uses, up to 1.
+      tokens: Tokens of the account as the sender knows it, or None if no keeper has told it. A host
+        that has become a keeper begins with them.
+    """
+
+    account: CallerName
+    epoch: int
+    admitted: int
+    recent: int
+    arrived: int
+    part: float
+    tokens: float | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class QuotaStatus:
+    """The tokens of a caller account, sent by a keeper in reply to a report or to all hosts.
+
+    Attributes:
+      account: The account.
+      epoch, admitted: As in the latest report of the receiver; both 0 in a status for all hosts.
+      tokens: Tokens of the account, after what all hosts have reported; negative if it has a debt.
+      demand: Requests that arrived at other hosts within the time that a report takes.
+      requests_per_s: Rate at which requests arrive at other hosts.
+      certain: Whether the sender has counted for long enough to know of all earlier requests.
+    """
+
+    account: CallerName
+    epoch: int
+    admitted: int
+    tokens: float
+    demand: float
+    requests_per_s: float
+    certain: bool
+
+
 @dataclass(frozen=True, slots=True)
 class PeerMessage:
     """One datagram between two hosts.
@@ -282,6 +328,8 @@
       store_update: Report on the store, from a host that reads it.
       suspects: Reports on requests during which targets ended.
       rate_limits: Reports on limits that targets state.
+      quotas: What the sender has admitted of caller accounts that the receiver keeps.
+      quota_statuses: Tokens of caller accounts that the sender keeps.
     """
 
     kind: MessageKind
@@ -296,6 +344,8 @@
     store_update: StoreUpdate | None = None
     suspects: tuple[SuspectReport, ...] = ()
     rate_limits: tuple[RateLimitReport, ...] = ()
+    quotas: tuple[QuotaReport, ...] = ()
+    quota_statuses: tuple[QuotaStatus, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/endivedrift/fleet/__init__.py
+++ b/endivedrift/fleet/__init__.py
@@ -3,6 +3,8 @@
 from endivedrift.fleet._datagrams import (
     sample_alive,
     send_evidence,
+    send_quota_statuses,
+    send_quotas,
     send_rate_limits,
     send_store_update,
     send_suspects,
@@ -54,6 +56,8 @@
     "sample_alive",
     "select_near_hosts",
     "send_evidence",
+    "send_quota_statuses",
+    "send_quotas",
     "send_rate_limits",
     "send_store_update",
     "send_suspects",
--- a/endivedrift/fleet/_datagrams.py
+++ b/endivedrift/fleet/_datagrams.py
@@ -18,6 +18,8 @@
     MemberStatus,
     MessageKind,
     PeerMessage,
+    QuotaReport,
+    QuotaStatus,
     RateLimitReport,
     StoreUpdate,
     SuspectReport,
@@ -62,6 +64,21 @@
     return _send_each(view, receivers, replace(_build_notice(view, NO_CONFIG), rate_limits=reports))
 
 
+def send_quotas(
+    view: Membership, receivers: list[Member], reports: tuple[QuotaReport, ...]
+) -> list[Effect]:
+    """Sends what this host has admitted of caller accounts to their keepers."""
+    return _send_each(view, receivers, replace(_build_notice(view, NO_CONFIG), quotas=reports))
+
+
+def send_quota_statuses(
+    view: Membership, receivers: list[Member], statuses: tuple[QuotaStatus, ...]
+) -> list[Effect]:
+    """Sends the tokens of caller accounts that this host keeps."""
+    message = replace(_build_notice(view, NO_CONFIG), quota_statuses=statuses)
+    return _send_each(view, receivers, message)
+
+
 def _build_notice(view: Membership, config: ConfigRef) -> PeerMessage:
     """Builds a NOTICE without addresses and membership updates, for hosts that know the sender."""
     sender = replace(
--- a/endivedrift/policy/__init__.py
+++ b/endivedrift/policy/__init__.py
@@ -61,6 +61,23 @@
     record_answer,
     record_end,
 )
+from endivedrift.policy._quota import (
+    DEMAND_TIME_S,
+    YOUNG_TIME,
+    AccountUse,
+    Demand,
+    KeeperView,
+    KeptAccount,
+    QuotaDecision,
+    QuotaLevel,
+    QuotaLimit,
+    ReportedUse,
+    build_limit,
+    compute_first_tokens,
+    compute_part,
+    count_report,
+    decide,
+)
 from endivedrift.policy._rate_limit import (
     RateLimit,
     ReportedDemand,
@@ -87,6 +104,21 @@
 )
 
 __all__ = [
+    "DEMAND_TIME_S",
+    "YOUNG_TIME",
+    "AccountUse",
+    "Demand",
+    "KeeperView",
+    "KeptAccount",
+    "QuotaDecision",
+    "QuotaLevel",
+    "QuotaLimit",
+    "ReportedUse",
+    "build_limit",
+    "compute_first_tokens",
+    "compute_part",
+    "count_report",
+    "decide",
     "CLAIMED_KEY_TTL",
     "FAILURE_TTL",
     "MAX_KEYS",
--- a/endivedrift/reducer/__init__.py
+++ b/endivedrift/reducer/__init__.py
@@ -1,9 +1,11 @@
 """The decisions of one host: a reducer over events with effects as data."""
 
 from endivedrift.reducer._discovery import list_registered_targets
+from endivedrift.reducer._quotas import describe_quotas, list_quota_counts
 from endivedrift.reducer._reduce import reduce
 from endivedrift.reducer._state import (
     HostState,
+    QuotaCount,
     RequestState,
     build_host,
     list_entry_hosts,
@@ -15,10 +17,13 @@
 
 __all__ = [
     "HostState",
+    "QuotaCount",
     "RequestState",
     "build_host",
+    "describe_quotas",
     "list_entry_hosts",
     "list_primaries",
+    "list_quota_counts",
     "list_readers",
     "list_registered_targets",
     "rank_service_hosts",
--- a/endivedrift/reducer/_attempts.py
+++ b/endivedrift/reducer/_attempts.py
@@ -72,6 +72,7 @@
     is_quarantined,
     judge_attempt,
 )
+from endivedrift.reducer._quotas import return_charge
 from endivedrift.reducer._rate_limits import note_rate_limit
 from endivedrift.reducer._refusals import refuse
 from endivedrift.reducer._state import (
@@ -365,6 +366,8 @@
     if pending.failure_answer is not None:
         return end_with_answer(state, at, request, pending.failure_answer)
     del state.requests[request]
+    if not pending.attempt_count and not pending.asked_peers and not pending.may_have_run:
+        return_charge(state, pending)
     _record_outcome(state, pending, False, at)
     if pending.key is not None:
         phase = KeyPhase.UNCERTAIN if pending.may_have_run else KeyPhase.IDLE
--- a/endivedrift/reducer/_config.py
+++ b/endivedrift/reducer/_config.py
@@ -28,6 +28,7 @@
 from endivedrift.reducer._accounts import recheck_callers
 from endivedrift.reducer._attempts import end_with_refusal
 from endivedrift.reducer._discovery import place_registered_target
+from endivedrift.reducer._quotas import forget_removed_quotas
 from endivedrift.reducer._state import HostState
 from endivedrift.reducer._targets import apply_machine_list
 
@@ -121,7 +122,7 @@
         for name in objects.service
     }
     state.active_services = set(state.services)
-    state.caller_buckets.clear()
+    forget_removed_quotas(state)
     for route in state.split_positions.keys() - objects.route.keys():
         del state.split_positions[route]
     if state.phase is HostPhase.STARTING:
--- a/endivedrift/reducer/_keyed.py
+++ b/endivedrift/reducer/_keyed.py
@@ -41,6 +41,7 @@
 )
 from endivedrift.reducer._attempts import admit, end_with_refusal
 from endivedrift.reducer._forwarding import finish_peer_forward
+from endivedrift.reducer._quotas import return_charge
 from endivedrift.reducer._refusals import refuse
 from endivedrift.reducer._state import HostState, RequestState
 
@@ -237,6 +238,7 @@
     if pending.may_have_run:
         return end_with_refusal(state, at, request, reason, detail, retry_base)
     del state.requests[request]
+    return_charge(state, pending)
     return refuse(
         state,
         at,
--- a/endivedrift/reducer/_periodic.py
+++ b/endivedrift/reducer/_periodic.py
@@ -18,6 +18,7 @@
 from endivedrift.reducer._discovery import ask_for_targets, remove_lapsed_targets
 from endivedrift.reducer._paths import detect_lost_paths
 from endivedrift.reducer._quarantine import share_suspects
+from endivedrift.reducer._quotas import advance_quotas, forget_idle_quotas
 from endivedrift.reducer._rate_limits import advance_rate_limits
 from endivedrift.reducer._relaying import advance_relaying
 from endivedrift.reducer._state import HostState, list_watched_hosts, update_required_power
@@ -38,6 +39,7 @@
     effects += advance_relaying(state, event.at)
     effects += share_suspects(state, event.at)
     effects += advance_rate_limits(state, event.at)
+    effects += advance_quotas(state, event.at)
     effects += detect_lost_paths(state, event.at)
     for name in sorted(state.active_services):
         effects += _advance_service(state, name, event.at)
@@ -51,6 +53,7 @@
     if event.at >= state.next_cleanup_at:
         state.next_cleanup_at = event.at + CLEANUP_INTERVAL
         drop_expired_records(state.keys)
+        forget_idle_quotas(state, event.at)
     effects += advance_membership(state.membership, event.at)
     if event.at >= state.membership.next_watch:
         effects += watch_members(state.membership, event.at, list_watched_hosts(state))
--- a/endivedrift/reducer/_reduce.py
+++ b/endivedrift/reducer/_reduce.py
@@ -42,6 +42,11 @@
 from endivedrift.reducer._keyed import apply_claim_result, finish_forward
 from endivedrift.reducer._periodic import handle_tick
 from endivedrift.reducer._quarantine import apply_suspect_reports
+from endivedrift.reducer._quotas import (
+    apply_quota_reports,
+    apply_quota_statuses,
+    report_urgent_quotas,
+)
 from endivedrift.reducer._rate_limits import apply_rate_limit_reports
 from endivedrift.reducer._relaying import announce_changes, apply_store_update
 from endivedrift.reducer._requests import expire_queued, handle_disconnect, start_request
@@ -61,6 +66,8 @@
     effects = _reduce(event, state)
     if state.changed_targets:
         effects += share_changes(state)
+    if state.quotas.urgent:
+        effects += report_urgent_quotas(state, event.at)
     return effects
 
 
@@ -169,6 +176,10 @@
         effects += apply_suspect_reports(state, event.at, sender, event.message.suspects)
     if event.message.rate_limits:
         effects += apply_rate_limit_reports(state, event.at, sender, event.message.rate_limits)
+    if event.message.quotas:
+        effects += apply_quota_reports(state, event.at, sender, event.message.quotas)
+    if event.message.quota_statuses:
+        apply_quota_statuses(state, event.at, sender.host, event.message.quota_statuses)
     return effects + apply_evidence(state, event.at, sender.host, event.message.evidence)
 
 
--- a/endivedrift/reducer/_requests.py
+++ b/endivedrift/reducer/_requests.py
@@ -15,6 +15,7 @@
 from endivedrift.reducer._attempts import admit, end_with_refusal, refuse_queued
 from endivedrift.reducer._keyed import start_keyed_request
 from endivedrift.reducer._quarantine import refuse_quarantined
+from endivedrift.reducer._quotas import charge_account, explain_refusal
 from endivedrift.reducer._refusals import refuse
 from endivedrift.reducer._state import HostState, RequestState
 
@@ -70,6 +71,9 @@
         priority=get_priority(state, head, found),
     )
     refusal = refuse_quarantined(state, event.at, event.request, pending)
+    if refusal:
+        return refusal
+    refusal = _charge(state, event, pending)
     if refusal:
         return refusal
     state.requests[event.request] = pending
@@ -78,6 +82,27 @@
     return admit(state, event.at, event.request)
 
 
+def _charge(state: HostState, event: RequestArrived, pending: RequestState) -> list[Effect]:
+    """Charges a request to the quota of its account, and returns the refusal if there is no room.
+
+    This is the last check, so that a request that is refused for another reason costs nothing. A
+    request that another host has forwarded was charged there.
+    """
+    head = pending.head
+    if head.forwarded or head.for_peer or head.caller is None:
+        return []
+    wait = charge_account(state, event.at, head.caller)
+    if wait is None:
+        pending.charged_account = head.caller
+        return []
+    detail = explain_refusal(state, event.at, head.caller)
+    key = None if pending.route.route.repeatable else head.key
+    reason = RefusalReason.CALLER_LIMIT
+    return refuse(
+        state, event.at, event.request, head, reason, detail, wait, key=key, service=pending.service
+    )
+
+
 def expire_queued(state: HostState, event: QueueWaitExpired) -> list[Effect]:
     """Refuses a request that is still queued at the end of its maximum time in the queue."""
     pending = state.requests.get(event.request)
--- a/endivedrift/reducer/_state.py
+++ b/endivedrift/reducer/_state.py
@@ -4,7 +4,6 @@
 """
 
 import math
-from collections import OrderedDict
 from dataclasses import dataclass, field
 from random import Random
 
@@ -42,9 +41,16 @@
     sample_alive,
 )
 from endivedrift.objects import ObjectSet
-from endivedrift.policy import KeyTable, PathState, Quarantine, RateLimit, ServiceState, TokenBucket
+from endivedrift.policy import (
+    AccountUse,
+    KeptAccount,
+    KeyTable,
+    PathState,
+    Quarantine,
+    RateLimit,
+    ServiceState,
+)
 
-MAX_CALLER_BUCKETS = 4_096
 READERS_GROUP_NAME = "store readers"
 READERS_PER_DOMAIN = 2
 """Hosts of each failure domain that read the store: two, so that the failure of one at the moment
@@ -78,6 +84,7 @@
       asked_peers: Hosts to which it was forwarded.
       priority: Its importance in the queue: that of its caller account, or else of its route.
       key_withdrawn: Whether its account key was withdrawn, so that it gets no further attempt.
+      charged_account: Account whose quota it was charged to, or None.
       holds_retry: Whether a retry was taken from the budget for it while its attempt is aborted.
     """
 
@@ -100,6 +107,7 @@
     holds_retry: bool = False
     key_withdrawn: bool = False
     priority: Importance = Importance.NORMAL
+    charged_account: CallerName | None = None
 
     @property
     def service(self) -> ServiceName:
@@ -147,6 +155,50 @@
     era: int
 
 
+@dataclass(frozen=True, slots=True)
+class QuotaCount:
+    """Requests of an account that were admitted and refused by its quota at this host."""
+
+    admitted: int = 0
+    refused: int = 0
+
+
+@dataclass(slots=True)
+class QuotaTable:
+    """What a host knows of the quotas of caller accounts.
+
+    Attributes:
+      uses: Accounts of which requests have arrived here lately.
+      kept: Accounts that this host keeps, of which requests have arrived anywhere lately.
+      active: Accounts with requests that are not reported, or with a report that got no reply.
+      urgent: Those that are reported at once.
+      unanswered: When the first report was sent that a keeper has not replied to since, by host.
+      keepers: Cache of the keepers of each group of accounts, and the version of the membership
+        that it is for.
+      host_counts: Hosts that are alive, and hosts with those that were lost lately.
+      next_count_at: When the hosts are counted again.
+      short: Accounts kept here that have more requests than tokens, of which all hosts are told.
+      counts: Admitted and refused requests of the accounts that are counted separately.
+      other_counts: Those of all other accounts together.
+      has_old_peer: Whether a host that has run for some time has replied to this process.
+      last_epoch: Number of the last record in `uses`.
+    """
+
+    uses: dict[CallerName, AccountUse] = field(default_factory=dict)
+    kept: dict[CallerName, KeptAccount] = field(default_factory=dict)
+    active: set[CallerName] = field(default_factory=set)
+    urgent: set[CallerName] = field(default_factory=set)
+    unanswered: dict[HostId, Instant] = field(default_factory=dict)
+    keepers: tuple[int, dict[int, tuple[Member, ...]]] = (-1, {})
+    host_counts: tuple[int, int] = (1, 1)
+    next_count_at: Instant = Instant(0)
+    short: set[CallerName] = field(default_factory=set)
+    counts: dict[CallerName, QuotaCount] = field(default_factory=dict)
+    other_counts: QuotaCount = QuotaCount()
+    has_old_peer: bool = False
+    last_epoch: int = 0
+
+
 @dataclass(slots=True)
 class HostState:
     """The complete state of the reducer.
@@ -161,7 +213,7 @@
       fetching: Object set that is being fetched, or None.
       next_fetch_at: When a failed fetch is next retried.
       active_services: Services whose targets or queues need the periodic timer.
-      caller_buckets: Rate limits of caller accounts, the least recently used first.
+      quotas: What is known of the quotas of caller accounts.
       machines: The platform's latest machine list.
       ranking_cache: Cache of the ranked hosts of each service.
       required_power: Processor power in cores that each group of services needs at its hosts.
@@ -215,7 +267,7 @@
     services: dict[ServiceName, ServiceState] = field(default_factory=dict)
     active_services: set[ServiceName] = field(default_factory=set)
     requests: dict[RequestId, RequestState] = field(default_factory=dict)
-    caller_buckets: OrderedDict[CallerName, TokenBucket] = field(default_factory=OrderedDict)
+    quotas: QuotaTable = field(default_factory=QuotaTable)
     machines: tuple[ListedMachine, ...] = ()
     ranking_cache: dict[ServiceName, RankedHosts] = field(default_factory=dict)
     required_power: dict[str, float] = field(default_factory=dict)
--- a/endivedrift/shell/_codec.py
+++ b/endivedrift/shell/_codec.py
@@ -33,6 +33,8 @@
     MemberStatus,
     MessageKind,
     PeerMessage,
+    QuotaReport,
+    QuotaStatus,
     RateLimitReport,
     Refusal,
     RefusalReason,
@@ -59,6 +61,8 @@
 """Greatest numbers that are accepted. A host that refutes a report counts on from its number, which
 must still fit its field."""
 MAX_POWER_CORES = 1e6
+MAX_COUNT = 2**53
+"""Greatest count that is accepted: all smaller ones are exact as floating-point numbers."""
 MICROSECOND = timedelta(microseconds=1)
 MAX_DIGEST_BYTES = 64
 MAX_CONFIG_BYTES = 64 * 1024 * 1024
@@ -318,6 +322,12 @@
     rate_limits = datagram.init("rateLimits", len(message.rate_limits))
     for struct, limit in zip(rate_limits, message.rate_limits, strict=True):
         _set_rate_limit(struct, limit)
+    quotas = datagram.init("quotas", len(message.quotas))
+    for struct, quota in zip(quotas, message.quotas, strict=True):
+        _set_quota(struct, quota)
+    statuses = datagram.init("quotaStatuses", len(message.quota_statuses))
+    for struct, status in zip(statuses, message.quota_statuses, strict=True):
+        _set_quota_status(struct, status)
     if message.store_update is not None:
         _set_store_update(datagram.init("storeUpdate"), message.store_update)
     return datagram.to_bytes_packed()
@@ -350,6 +360,10 @@
         ),
         suspects=tuple(_get_suspect(report) for report in _get_bounded(datagram.suspects)),
         rate_limits=tuple(_get_rate_limit(limit) for limit in _get_bounded(datagram.rateLimits)),
+        quotas=tuple(_get_quota(quota) for quota in _get_bounded(datagram.quotas)),
+        quota_statuses=tuple(
+            _get_quota_status(status) for status in _get_bounded(datagram.quotaStatuses)
+        ),
     )
 
 
@@ -427,6 +441,59 @@
     )
 
 
+def _set_quota(struct: Any, report: QuotaReport) -> None:
+    struct.account = report.account
+    struct.epoch = report.epoch
+    struct.admitted = report.admitted
+    struct.recent = report.recent
+    struct.arrived = report.arrived
+    struct.part = report.part
+    struct.tokens = math.nan if report.tokens is None else report.tokens
+
+
+def _get_quota(struct: Any) -> QuotaReport:
+    if max(struct.admitted, struct.arrived) > MAX_COUNT or not 0.0 <= struct.part <= 1.0:
+        raise ValueError("a count or the part of a quota is out of bounds")
+    tokens = None if math.isnan(struct.tokens) else struct.tokens
+    if tokens is not None and not abs(tokens) <= MAX_COUNT:
+        raise ValueError("the tokens of a quota are out of bounds")
+    return QuotaReport(
+        account=CallerName(struct.account),
+        epoch=struct.epoch,
+        admitted=struct.admitted,
+        recent=struct.recent,
+        arrived=struct.arrived,
+        part=struct.part,
+        tokens=tokens,
+    )
+
+
+def _set_quota_status(struct: Any, status: QuotaStatus) -> None:
+    struct.account = status.account
+    struct.epoch = status.epoch
+    struct.admitted = status.admitted
+    struct.tokens = status.tokens
+    struct.demand = status.demand
+    struct.requestsPerS = status.requests_per_s
+    struct.certain = status.certain
+
+
+def _get_quota_status(struct: Any) -> QuotaStatus:
+    if struct.admitted > MAX_COUNT or not abs(struct.tokens) <= MAX_COUNT:
+        raise ValueError("the count or the tokens of a quota are out of bounds")
+    if not 0.0 <= min(struct.demand, struct.requestsPerS) <= MAX_COUNT:
+        raise ValueError("the demand of a quota is out of bounds")
+    return QuotaStatus(
+        account=CallerName(struct.account),
+        epoch=struct.epoch,
+        admitted=struct.admitted,
+        tokens=struct.tokens,
+        demand=struct.demand,
+        requests_per_s=struct.requestsPerS,
+        certain=struct.certain,
+    )
+
+
 def _set_member(struct: Any, member: Member) -> None:
     struct.host = member.host
     struct.incarnation = member.incarnation
--- a/endivedrift/shell/_metrics.py
+++ b/endivedrift/shell/_metrics.py
@@ -16,10 +16,12 @@
     Refusal,
     TargetState,
 )
-from endivedrift.reducer import HostState
+from endivedrift.reducer import HostState, list_quota_counts
 
 LATENCY_BUCKETS_SECONDS = (0.001, 0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10)
 INFINITE_BUCKET = "+Inf"
+OTHER_ACCOUNTS = "_other"
+"""Label of the accounts that are not counted separately; it is no valid name of an account."""
 
 
 @dataclass(slots=True)
@@ -92,10 +94,10 @@
         import prometheus_client
 
         registry = prometheus_client.CollectorRegistry()
-        registry.register(_Snapshot([*self._list_counters(), *_list_gauges(self, state)]))
+        registry.register(_Snapshot([*self._list_counters(state), *_list_gauges(self, state)]))
         return prometheus_client.generate_latest(registry)
 
-    def _list_counters(self) -> Iterator[Any]:
+    def _list_counters(self, state: HostState) -> Iterator[Any]:
         from prometheus_client.core import CounterMetricFamily, HistogramMetricFamily
 
         for name, text, labels, counts in (
@@ -124,6 +126,7 @@
             for key, count in counts.items():
                 family.add_metric([key] if isinstance(key, str) else list(key), count)
             yield family
+        yield from _list_quota_counters(state)
         text = "Datagrams and calls of peers that failed authentication or could not be read"
         name = "endivedrift_peer_rejected"
         yield CounterMetricFamily(name, text, value=self.rejected_peer_messages)
@@ -144,6 +147,19 @@
         return self._families
 
 
+def _list_quota_counters(state: HostState) -> Iterator[Any]:
+    """Lists use and refusals of the heaviest accounts, and of all others as one."""
+    from prometheus_client.core import CounterMetricFamily
+
+    text = "Requests of accounts with a quota, by account and whether the quota admitted them"
+    family = CounterMetricFamily("endivedrift_quota_requests", text, labels=("account", "result"))
+    counts, other = list_quota_counts(state)
+    for account, count in [*counts.items(), (OTHER_ACCOUNTS, other)]:
+        family.add_metric([account, "admitted"], count.admitted)
+        family.add_metric([account, "refused"], count.refused)
+    yield family
+
+
 def _list_gauges(metrics: Metrics, state: HostState) -> Iterator[Any]:
     from prometheus_client.core import GaugeMetricFamily
 
--- a/endivedrift/shell/_report.py
+++ b/endivedrift/shell/_report.py
@@ -5,7 +5,7 @@
 from endivedrift.core import Instant
 from endivedrift.fleet import HEARD_WINDOW, MemberRecord
 from endivedrift.policy import Quarantine, ServiceState, compute_quarantine_end
-from endivedrift.reducer import list_primaries
+from endivedrift.reducer import describe_quotas, list_primaries
 from endivedrift.shell._runtime import Runtime
 
 
@@ -24,6 +24,7 @@
         "wanted_version": state.newest_config.version,
         "requests": len(state.requests),
         "keys": len(state.keys.records),
+        "quotas": describe_quotas(state, now),
         "quarantined": _describe_quarantine(state.quarantine, now),
         "members": [_describe_member(record, now) for record in state.membership.records.values()],
         "services": {
--- a/endivedrift/shell/codec_test.py
+++ b/endivedrift/shell/codec_test.py
@@ -24,6 +24,8 @@
     MemberStatus,
     MessageKind,
     PeerMessage,
+    QuotaReport,
+    QuotaStatus,
     RateLimitReport,
     Refusal,
     RefusalReason,
@@ -95,6 +97,9 @@
         RateLimitReport(ServiceName(SERVICE), TargetName("t5"), 1_700_000_000_000, 1.3, age, 4.5),
         RateLimitReport(ServiceName(SERVICE), TargetName("t6"), 0, NO_RATE_LIMIT, age, 0.0),
     )
+    guest = CallerName("guest")
+    quotas = (QuotaReport(guest, 3, 70, -2, 90, 0.5, -4.25), QuotaReport(guest, 4, 0, 0, 1, 1.0))
+    statuses = (QuotaStatus(guest, 3, 70, -4.25, 2.5, 12.5, True),)
     config = build_ref(1)
     return PeerMessage(
         kind,
@@ -109,6 +114,8 @@
         update,
         suspects,
         rate_limits,
+        quotas,
+        statuses,
     )
 
 
--- a/endivedrift/shell/peer.capnp
+++ b/endivedrift/shell/peer.capnp
@@ -75,6 +75,28 @@
   demandPerS @5 :Float64;  # Requests that arrive at the sender for the service.
 }
 
+# What a host has admitted of a caller account, for the keepers of the account.
+struct Quota {
+  account @0 :Text;
+  epoch @1 :UInt32;  # Distinguishes the counts from earlier ones of the same process.
+  admitted @2 :UInt64;
+  recent @3 :Int32;  # Change of `admitted` that a keeper without an earlier report is to count.
+  arrived @4 :UInt64;
+  part @5 :Float32;  # Part of the account's rate that the sender uses.
+  tokens @6 :Float64;  # Not a number if no keeper has told the sender of the account.
+}
+
+# The tokens of a caller account, from one of its keepers.
+struct QuotaStatus {
+  account @0 :Text;
+  epoch @1 :UInt32;  # As in the receiver's latest report, like `admitted`.
+  admitted @2 :UInt64;
+  tokens @3 :Float64;
+  demand @4 :Float32;  # Requests that arrive at other hosts within a reporting interval.
+  certain @5 :Bool;
+  requestsPerS @6 :Float32;  # Requests that arrive at other hosts.
+}
+
 # Body of a UDP datagram, in the packed encoding.
 struct Datagram {
   kind @0 :Kind;
@@ -90,6 +112,8 @@
   storeUpdate @10 :StoreUpdate;
   suspects @11 :List(Suspect);
   rateLimits @12 :List(RateLimit);
+  quotas @13 :List(Quota);
+  quotaStatuses @14 :List(QuotaStatus);
 }
 
 struct Header {
