Let hosts admit requests within the excess that a quota allows, where counts are recent

Change: half of the excess that a quota allows (10 requests and .05 of a window) counts as room there, unless a keeper has counted for a short time only. What is admitted too much is paid back, as before.

--- a/endivedrift/policy/_quota.py
+++ b/endivedrift/policy/_quota.py
@@ -25,6 +25,12 @@
 """Time in s over which the rate of requests elsewhere is averaged."""
 FIRST_SHARE = 0.125
 """Share of the burst that a host may admit of an account before it knows what others have."""
+MIN_EXCESS = 10.0
+"""Requests that all hosts together may admit too much before they hear of each other: half of the
+excess that is allowed in any case."""
+EXCESS_SHARE = 0.05
+"""Further such requests, as a share of what the account may use in a window: half of the relative
+excess that is allowed."""
 MIN_FIRST_HOLDERS = 10.0
 """Least number of hosts that hold a token of an account after all were started at once: half of the
 excess that is allowed in any case."""
@@ -138,10 +144,14 @@
         """Estimates how many tokens there are for each request since the report.
 
         Other hosts share the tokens that the account gains, so that a host with few requests
-        must not take all of them for its next one.
+        must not take all of them for its next one. What the hosts admit too much before they
+        hear of each other is paid back later, and stays within the excess that is allowed. A
+        keeper that has not counted for long leaves no room for that.
         """
         age = (at - self.received_at).total_seconds()
         tokens = self.base + limit.rate_per_s * part * age
+        excess = MIN_EXCESS + EXCESS_SHARE * (limit.rate_per_s * WINDOW_S + limit.cap)
+        tokens += excess * part if self.certain else 0.0
         return tokens / (1.0 + self.estimate_demand(at))
 
     def estimate_demand(self, at: Instant) -> float:
