--- a/endivedrift/shell/_request_log.py
+++ b/endivedrift/shell/_request_log.py
@@ -35,6 +35,7 @@
         "digest": head.digest.hex(),
         "path": f"{head.method} {head.host}{head.path}",
         "service": service,
+        "account": head.caller or "",
         "took_ms": round(duration.total_seconds() * 1000.0, 1),
         "attempts": [_describe_attempt(end) for end in served.attempts],
     }
