Prefer targets with few earlier failures for requests without a retry

Cause: callers saw 502 for non-idempotent requests sent to targets whose pause of 2 s had ended while their period of resets had not, or that had failed in earlier periods, while targets without any failure had room.

Change: each target has a record of its periods of failures (policy/_failure_record.py), which decays over two minutes and is estimated as a risk. Requests that have no retry left rank targets by the level of that risk first and by load within a level; no target is excluded. Levels that only reflect earlier periods are disregarded while a refusal by a full target would end the request. When a failing service has to use more targets, those with the better record come first. Hosts that use a service without being its primaries are now told of pauses, since they saw none of them.

--- a/endivedrift/policy/_choice.py
+++ b/endivedrift/policy/_choice.py
@@ -5,9 +5,11 @@
 one with less than half of its slots in use before one with more. One in another failure domain
 counts as half a target busier, since traffic between domains is expensive. Among equals it is the
 one with the most recent good answer, because a target that stops answering is noticed first by the
-lack of good answers. Targets that failed recently are avoided while another target is usable, and
-get one request at a time until they give a good answer. If the service fails many of its requests
-in spite of this, requests are spread so that at least as many targets as the floor are in use.
+lack of good answers. A request that has no retry left goes to a target that is less likely to fail
+it, by the record of earlier failures, while one has room. Targets that failed recently are avoided
+while another target is usable, and get one request at a time until they give a good answer. If the
+service fails many of its requests in spite of this, requests are spread so that at least as many
+targets as the floor are in use.
 """
 
 import math
@@ -16,6 +18,7 @@
 from typing import TypeAlias
 
 from endivedrift.core import FailureDomain, Instant, TargetName, TargetState
+from endivedrift.policy._failure_record import RISK_LEVELS
 from endivedrift.policy._service import ServiceState, TargetRecord
 
 SCAN_LIMIT = 128
@@ -50,6 +53,11 @@
 """Time between two trials of a target while all targets of a service are paused."""
 LAST_RESORT_RANK = 2.0
 """Rank of targets that are used only when no other target has room."""
+RISK_LEVEL_RANK = 1.0 / (RISK_LEVELS + 1)
+"""Difference between the ranks of two levels of risk. All are better than the last resort."""
+MAX_DISREGARDED_LEVEL = 2
+"""Level of risk up to which the records of targets are disregarded while a target that refuses the
+request would end it. Higher levels are those of targets that failed a few seconds ago."""
 NEW_TARGET_DELAY = timedelta(milliseconds=300)
 """Time after which a new target gets its first request in preference to all others."""
 
@@ -115,6 +123,9 @@
     # No attempt follows the second one, so it waits longer for a target with no recent failure.
     has_retry_left = is_repeatable and not tried_targets
     has_waited = waited >= (UNREPEATABLE_MAX_WAIT if not tried_targets else RETRY_MAX_WAIT)
+    # A refusal by a full target would end the request.
+    is_last_try = bool(tried_targets) or not state.retry_budget.has_token(at)
+    disregarded_level = MAX_DISREGARDED_LEVEL if is_last_try else 0
     avoids_last_resort = not has_waited and not has_retry_left
     best: list[tuple[TargetName, TargetRecord]] = []
     best_cost = (math.inf, math.inf)
@@ -129,12 +140,18 @@
             and record.last_request_at is not None
             and record.avoided_until <= at
             and not record.score
+            and (has_retry_left or not record.failures.count)
         )
         half = max(1, state.get_slots(record) // 2)
         load = in_flight // half + 1.0
         if record.target.failure_domain != home_domain:
             load += 1.0
-        cost = (1.0, load) if is_unsuspected else _compute_cost(state, record, load, at)
+        if is_unsuspected:
+            cost = (1.0, load)
+        else:
+            level = 0 if has_retry_left else record.get_risk_level(at)
+            level = level if level > disregarded_level else 0
+            cost = _compute_cost(state, record, load, level, at)
         if cost > best_cost or (avoids_last_resort and cost[0] >= LAST_RESORT_RANK):
             continue
         if cost < best_cost:
@@ -215,11 +232,15 @@
 
 
 def _find_unused_target(candidates: list[_Candidate], at: Instant) -> TargetName | None:
-    """Finds the target that has been unused for longest, paused targets last."""
+    """Finds the target that has been unused for longest, among those with the best records."""
     unused = [c for c in candidates if at - (c[1].last_request_at or Instant(0)) >= UNUSED_AFTER]
     found = min(
         unused,
-        key=lambda c: (c[1].paused_until > at, c[1].last_request_at or Instant(0)),
+        key=lambda c: (
+            c[1].paused_until > at,
+            c[1].get_risk_level(at),
+            c[1].last_request_at or Instant(0),
+        ),
         default=None,
     )
     return found[0] if found is not None else None
@@ -253,12 +274,12 @@
 
 
 def _compute_cost(
-    state: ServiceState, record: TargetRecord, load: float, at: Instant
+    state: ServiceState, record: TargetRecord, load: float, level: int, at: Instant
 ) -> tuple[float, float]:
     """Returns the rank of a target and, within the rank, its load; the lowest cost is preferred.
 
-    A target that is due its first request comes first. One that is on probation, or still avoided
-    after a failure, comes last.
+    A target that is due its first request comes first. Others are ranked by the level of their
+    risk. One that is on probation, or still avoided after a failure, comes last.
     """
     factor = OVER_THRESHOLD_COST_FACTOR if record.score >= state.threshold else 1.0
     load *= factor
@@ -267,7 +288,7 @@
     is_new_and_due = (
         record.last_request_at is None and Instant(0) < at - NEW_TARGET_DELAY > record.state_since
     )
-    return (0.0 if is_new_and_due else 1.0, load)
+    return (0.0 if is_new_and_due else 1.0 + level * RISK_LEVEL_RANK, load)
 
 
 def _pick_latest_success(
--- a/endivedrift/policy/_evidence.py
+++ b/endivedrift/policy/_evidence.py
@@ -14,6 +14,7 @@
 from datetime import timedelta
 
 from endivedrift.core import AttemptOutcome, EvidenceDelta, Instant, PauseCause, TargetName
+from endivedrift.policy._failure_record import FailureRecord
 from endivedrift.policy._service import ServiceState, TargetRecord
 
 TYPICAL_LATENCY_STEP = 1.02
@@ -146,6 +147,7 @@
     if cause is PauseCause.REFUSED:
         record.paused_until = at + min(pause, REFUSED_PAUSE)
         return True
+    record.failures.add_failure(at)
     failed_again = record.last_success_at is None or record.last_success_at < record.paused_until
     record.repeated_pauses = record.repeated_pauses + 1 if failed_again else 0
     record.paused_until = at + pause
@@ -162,6 +164,7 @@
     record.avoided_until = Instant(0)
     record.repeated_pauses = 0
     record.last_failure_at = Instant(0)
+    record.failures = FailureRecord()
     record.unsent_bad = 0
     record.unsent_pause = False
 
--- /dev/null
+++ b/endivedrift/policy/_failure_record.py
@@ -0,0 +1,76 @@
+"""Estimates from earlier failures how likely a target is to fail the next request.
+
+Targets fail in periods of seconds, and often the same ones again. The estimate is the sum of two
+probabilities: that the period of the last failure has not ended, which falls to zero within the
+longest usual period or with the next good answer, and that another one has begun, which is the rate
+of earlier periods times their usual length. The rate is a count that decays over minutes.
+"""
+
+import math
+from dataclasses import dataclass
+from datetime import timedelta
+
+from endivedrift.core import Instant
+
+MAX_PERIOD = timedelta(seconds=9)
+"""Time after a failure from which its period has ended: periods last one to eight seconds, and
+failures were seen up to nine seconds after the first one."""
+PROOF_DELAY = timedelta(seconds=2)
+"""Time after a failure before which a good answer proves nothing: the target was still at work on
+requests that it got before. It is the usual pause, in which it gets no others."""
+MEAN_PERIOD = timedelta(seconds=4.5)
+"""Mean length of the usual periods."""
+DECAY_TIME = timedelta(minutes=2)
+"""Time constant with which the number of earlier periods decays."""
+MAX_COUNT = 6.0
+"""Greatest number of earlier periods that is kept, so that every target is regarded as sound again
+at most three minutes after its last failure."""
+NEGLIGIBLE_RISK = 0.05
+"""Probability up to which a target is regarded as sound. One earlier period is below it, so that a
+target that failed once is used as before when that period has ended."""
+RISK_LEVELS = 8
+"""Number of levels of greater probabilities. Targets of one level are chosen by their load."""
+
+
+@dataclass(slots=True)
+class FailureRecord:
+    """The periods in which a target failed.
+
+    Attributes:
+      count: Number of periods, decayed until `counted_at`.
+      counted_at: When the last period was counted.
+      last_failure_at: When the target last failed a request, other than for want of room.
+    """
+
+    count: float = 0.0
+    counted_at: Instant = Instant(0)
+    last_failure_at: Instant = Instant(0)
+
+    def add_failure(self, at: Instant) -> None:
+        """Records a failure, which counts as a new period if the last one must have ended."""
+        self.last_failure_at = at
+        if not self.count or at - self.counted_at >= MAX_PERIOD:
+            self.count = min(MAX_COUNT, self._decay_count(at) + 1.0)
+            self.counted_at = at
+
+    def estimate_risk(self, last_success_at: Instant | None, at: Instant) -> float:
+        """Estimates the probability that the target fails now.
+
+        Args:
+          last_success_at: When it last gave a good answer, or None.
+          at: Current time.
+        """
+        if not self.count:
+            return 0.0
+        risk = self._decay_count(at) * (MEAN_PERIOD / DECAY_TIME)
+        if last_success_at is None or last_success_at < self.last_failure_at + PROOF_DELAY:
+            risk += max(0.0, 1.0 - (at - self.last_failure_at) / MAX_PERIOD)
+        return min(1.0, risk)
+
+    def get_level(self, last_success_at: Instant | None, at: Instant) -> int:
+        """Returns the level of the risk, from 0 for a sound target to RISK_LEVELS."""
+        risk = self.estimate_risk(last_success_at, at)
+        return math.ceil(risk * RISK_LEVELS) if risk > NEGLIGIBLE_RISK else 0
+
+    def _decay_count(self, at: Instant) -> float:
+        return self.count * math.exp(-(at - self.counted_at) / DECAY_TIME)
--- a/endivedrift/policy/_service.py
+++ b/endivedrift/policy/_service.py
@@ -25,6 +25,7 @@
     UpstreamGroup,
 )
 from endivedrift.policy._bucket import TokenBucket
+from endivedrift.policy._failure_record import FailureRecord
 from endivedrift.policy._fair_queue import FairQueue
 from endivedrift.policy._rate_limit import RateLimit
 
@@ -77,6 +78,7 @@
       avoided_until: End of the time for which it is used only if a request would otherwise wait.
       repeated_pauses: Further pauses since the last one that followed a good answer.
       last_failure_at: When it last failed a request.
+      failures: The periods in which it failed requests at any host.
       held_until: Until when it wants no request from this host, as it stated in a refusal.
       rate_limit: Limit on the requests of all hosts that it states, or None.
       reported_in_flight: Requests in progress as last reported to other hosts.
@@ -114,6 +116,7 @@
     avoided_until: Instant = Instant(0)
     repeated_pauses: int = 0
     last_failure_at: Instant = Instant(0)
+    failures: FailureRecord = field(default_factory=FailureRecord)
     held_until: Instant = Instant(0)
     rate_limit: RateLimit | None = None
     unsent_in_flight: bool = False
@@ -128,6 +131,10 @@
         """The stronger of the two sequential tests."""
         return max(self.own_score, self.shared_score)
 
+    def get_risk_level(self, at: Instant) -> int:
+        """Returns the level of the risk that it fails a request; see `FailureRecord`."""
+        return self.failures.get_level(self.last_success_at, at)
+
     def takes_requests(self, at: Instant) -> bool:
         """Tells whether this host may send it a request, as far as the target has stated."""
         if self.held_until > at:
@@ -193,6 +200,7 @@
       dequeue_interval: Moving average of the time between two dequeued requests.
       last_dequeue_at: When a queued request was last sent to a target.
       recent_outcomes: Recent ends of requests, which show whether the service is failing.
+      users: When each other host last reported requests or outcomes of the service.
     """
 
     name: ServiceName
@@ -216,6 +224,7 @@
     dequeue_interval: timedelta | None = None
     last_dequeue_at: Instant = Instant(0)
     recent_outcomes: RecentOutcomes = field(default_factory=RecentOutcomes)
+    users: dict[HostId, Instant] = field(default_factory=dict)
 
     @property
     def queued_count(self) -> int:
@@ -332,6 +341,7 @@
     state.last_dequeue_at = previous.last_dequeue_at
     state.limit_per_target = previous.limit_per_target
     state.recent_outcomes = previous.recent_outcomes
+    state.users = previous.users
     if state.group.discovered:
         state.targets.update({n: r for n, r in previous.targets.items() if r.entry is not None})
     state.retry_budget.tokens = min(state.retry_budget.cap, previous.retry_budget.tokens)
--- a/endivedrift/reducer/_targets.py
+++ b/endivedrift/reducer/_targets.py
@@ -8,6 +8,8 @@
 paused or leaves.
 """
 
+from datetime import timedelta
+
 from endivedrift.core import (
     AuditEntry,
     AuditKind,
@@ -17,6 +19,7 @@
     LeavingSource,
     PauseCause,
     ServiceName,
+    TargetName,
 )
 from endivedrift.core.effects import Effect, RecordAudit
 from endivedrift.fleet import send_evidence
@@ -32,8 +35,11 @@
     take_unsent_evidence,
 )
 from endivedrift.reducer._attempts import dispatch_queued
-from endivedrift.reducer._state import HostState, list_primaries
+from endivedrift.reducer._state import HostState, is_primary, list_primaries
 
+USER_TTL = timedelta(minutes=2)
+"""Time after a report of a host on a service for which it is told of targets that fail: the time
+constant of the records of failures."""
 MAX_PRIMARIES_TOLD_ALL = 4
 """Number of primaries up to which all of them are told of each attempt."""
 
@@ -71,9 +77,10 @@
             continue
         state.active_services.add(delta.service)
         record = service.targets[delta.target]
+        service.users[sender] = at
         add_shared_evidence(service, record, delta)
         if service.service.share_at_once:
-            effects += _apply_in_flight(service, record, sender, at, delta)
+            effects += _apply_in_flight(state, service, record, sender, at, delta)
             services.add(delta.service)
         if delta.leaving:
             cause = "another host says it is draining"
@@ -87,7 +94,12 @@
 
 
 def _apply_in_flight(
-    service: ServiceState, record: TargetRecord, sender: HostId, at: Instant, delta: EvidenceDelta
+    state: HostState,
+    service: ServiceState,
+    record: TargetRecord,
+    sender: HostId,
+    at: Instant,
+    delta: EvidenceDelta,
 ) -> list[Effect]:
     before = record.peers_in_flight.get(sender)
     record.peers_in_flight[sender] = PeerInFlight(delta.running, at)
@@ -98,11 +110,14 @@
     if delta.paused and pause_target(service, record, at, PauseCause.BROKEN):
         cause = f"{sender} saw it fail"
         entry = AuditEntry(at, AuditKind.PAUSED, delta.target, cause, service.name)
-        return [RecordAudit(entry)]
+        passed_on: list[Effect] = []
+        if _relays_pauses(state, service.name, sender):
+            passed_on = _tell_users(state, at, service.name, [delta.target])
+        return [RecordAudit(entry), *passed_on]
     return []
 
 
-def share_changes(state: HostState) -> list[Effect]:
+def share_changes(state: HostState, at: Instant) -> list[Effect]:
     """Reports attempts that began or ended to the primaries of their services at once."""
     changed, state.changed_targets = state.changed_targets, {}
     effects: list[Effect] = []
@@ -114,6 +129,7 @@
         flagged = [delta for delta in deltas if delta.paused or delta.leaving]
         far = take_far_evidence(service, flagged) if has_far else ()
         effects += _send_by_domain(state, name, deltas, far)
+        effects += _tell_users(state, at, name, [d.target for d in deltas if d.paused])
     return effects
 
 
@@ -170,3 +186,37 @@
             receivers = [member for member in primaries if member.failure_domain == domain]
             effects += send_evidence(state.membership, receivers, deltas)
     return effects
+
+
+def _relays_pauses(state: HostState, name: ServiceName, sender: HostId) -> bool:
+    """Tells whether this host passes on pauses that another one has told it.
+
+    A primary tells the other users of the service itself. Other hosts know only the primaries, the
+    first of which passes their pauses on.
+    """
+    primaries = list_primaries(state, name)
+    if not primaries or primaries[0].host != state.identity.host:
+        return False
+    return all(member.host != sender for member in primaries)
+
+
+def _tell_users(
+    state: HostState, at: Instant, name: ServiceName, paused: list[TargetName]
+) -> list[Effect]:
+    """Tells hosts that use a service and are not its primaries which targets have failed."""
+    service = state.services[name]
+    if not paused or not is_primary(state, name):
+        return []
+    known = {member.host for member in list_primaries(state, name)}
+    users = [
+        record.member
+        for host, seen_at in service.users.items()
+        if host not in known
+        and at - seen_at < USER_TTL
+        and (record := state.membership.records.get(host)) is not None
+    ]
+    deltas = tuple(
+        EvidenceDelta(name, target, 0, 0, False, len(service.targets[target].attempts), True)
+        for target in paused
+    )
+    return send_evidence(state.membership, users, deltas) if users else []
