Regard a target as likely to fail again where others of its group did

Ruled out: regarding every target as unsound after one period. Change: the share of failed targets of the group that failed again raises the expected rate of further periods, up to three times.

--- a/endivedrift/policy/_choice.py
+++ b/endivedrift/policy/_choice.py
@@ -115,7 +115,7 @@
 ) -> TargetName | None:
     candidates = _list_candidates(state, names, tried_targets, at)
     if not tried_targets and uses_too_few_targets(state, at):
-        unused = _find_unused_target(candidates, at)
+        unused = _find_unused_target(state, candidates, at)
         if unused is not None:
             return unused
     if _are_all_paused(state, at):
@@ -149,7 +149,7 @@
         if is_unsuspected:
             cost = (1.0, load)
         else:
-            level = 0 if has_retry_left else record.get_risk_level(at)
+            level = 0 if has_retry_left else record.get_risk_level(at, state.repeat_share)
             level = level if level > disregarded_level else 0
             cost = _compute_cost(state, record, load, level, at)
         if cost > best_cost or (avoids_last_resort and cost[0] >= LAST_RESORT_RANK):
@@ -231,14 +231,16 @@
     return used < state.floor
 
 
-def _find_unused_target(candidates: list[_Candidate], at: Instant) -> TargetName | None:
+def _find_unused_target(
+    state: ServiceState, candidates: list[_Candidate], at: Instant
+) -> TargetName | None:
     """Finds the target that has been unused for longest, among those with the best records."""
     unused = [c for c in candidates if at - (c[1].last_request_at or Instant(0)) >= UNUSED_AFTER]
     found = min(
         unused,
         key=lambda c: (
             c[1].paused_until > at,
-            c[1].get_risk_level(at),
+            c[1].get_risk_level(at, state.repeat_share),
             c[1].last_request_at or Instant(0),
         ),
         default=None,
--- a/endivedrift/policy/_evidence.py
+++ b/endivedrift/policy/_evidence.py
@@ -14,7 +14,7 @@
 from datetime import timedelta
 
 from endivedrift.core import AttemptOutcome, EvidenceDelta, Instant, PauseCause, TargetName
-from endivedrift.policy._failure_record import FailureRecord
+from endivedrift.policy._failure_record import FailureRecord, compute_repeat_share
 from endivedrift.policy._service import ServiceState, TargetRecord
 
 TYPICAL_LATENCY_STEP = 1.02
@@ -211,6 +211,12 @@
     state.usual_bad_rate = statistics.median(rates) if rates else 0.0
 
 
+def update_repeat_share(state: ServiceState, at: Instant) -> None:
+    """Sets the share of the targets of the group that failed in several periods."""
+    records = (record.failures for record in state.targets.values())
+    state.repeat_share = compute_repeat_share(records, at)
+
+
 def take_unsent_evidence(
     state: ServiceState,
     refresh: bool = False,
--- a/endivedrift/policy/_failure_record.py
+++ b/endivedrift/policy/_failure_record.py
@@ -7,6 +7,7 @@
 """
 
 import math
+from collections.abc import Iterable
 from dataclasses import dataclass
 from datetime import timedelta
 
@@ -28,6 +29,14 @@
 NEGLIGIBLE_RISK = 0.05
 """Probability up to which a target is regarded as sound. One earlier period is below it, so that a
 target that failed once is used as before when that period has ended."""
+REPEAT_WEIGHT = 2.0
+"""Weight of the share of targets that failed again, in the rate of periods that is expected of one
+that has failed. Where most fail again, it is not regarded as sound after one period."""
+MIN_REMEMBERED_COUNT = 0.25
+"""Decayed number of periods from which a target counts in that share."""
+MIN_REPEATED_COUNT = 1.2
+"""Number of periods, decayed until the last one, from which a target has failed again: the one
+before was counted within the last three minutes."""
 RISK_LEVELS = 8
 """Number of levels of greater probabilities. Targets of one level are chosen by their load."""
 
@@ -53,24 +62,41 @@
             self.count = min(MAX_COUNT, self._decay_count(at) + 1.0)
             self.counted_at = at
 
-    def estimate_risk(self, last_success_at: Instant | None, at: Instant) -> float:
+    def estimate_risk(
+        self, last_success_at: Instant | None, at: Instant, repeat_share: float = 0.0
+    ) -> float:
         """Estimates the probability that the target fails now.
 
         Args:
           last_success_at: When it last gave a good answer, or None.
           at: Current time.
+          repeat_share: Share of the targets that failed in its group that failed again.
         """
         if not self.count:
             return 0.0
-        risk = self._decay_count(at) * (MEAN_PERIOD / DECAY_TIME)
+        rate = self._decay_count(at) * (1.0 + REPEAT_WEIGHT * repeat_share)
+        risk = rate * (MEAN_PERIOD / DECAY_TIME)
         if last_success_at is None or last_success_at < self.last_failure_at + PROOF_DELAY:
             risk += max(0.0, 1.0 - (at - self.last_failure_at) / MAX_PERIOD)
         return min(1.0, risk)
 
-    def get_level(self, last_success_at: Instant | None, at: Instant) -> int:
+    def get_level(
+        self, last_success_at: Instant | None, at: Instant, repeat_share: float = 0.0
+    ) -> int:
         """Returns the level of the risk, from 0 for a sound target to RISK_LEVELS."""
-        risk = self.estimate_risk(last_success_at, at)
+        risk = self.estimate_risk(last_success_at, at, repeat_share)
         return math.ceil(risk * RISK_LEVELS) if risk > NEGLIGIBLE_RISK else 0
 
+    def is_remembered(self, at: Instant) -> bool:
+        """Tells whether the target failed in the last minutes."""
+        return self.count > 0.0 and self._decay_count(at) >= MIN_REMEMBERED_COUNT
+
     def _decay_count(self, at: Instant) -> float:
         return self.count * math.exp(-(at - self.counted_at) / DECAY_TIME)
+
+
+def compute_repeat_share(records: Iterable[FailureRecord], at: Instant) -> float:
+    """Returns the share of the targets that failed in the last minutes that failed again."""
+    counts = [record.count for record in records if record.is_remembered(at)]
+    repeated = sum(count >= MIN_REPEATED_COUNT for count in counts)
+    return repeated / len(counts) if counts else 0.0
--- a/endivedrift/policy/_service.py
+++ b/endivedrift/policy/_service.py
@@ -131,9 +131,9 @@
         """The stronger of the two sequential tests."""
         return max(self.own_score, self.shared_score)
 
-    def get_risk_level(self, at: Instant) -> int:
+    def get_risk_level(self, at: Instant, repeat_share: float) -> int:
         """Returns the level of the risk that it fails a request; see `FailureRecord`."""
-        return self.failures.get_level(self.last_success_at, at)
+        return self.failures.get_level(self.last_success_at, at, repeat_share)
 
     def takes_requests(self, at: Instant) -> bool:
         """Tells whether this host may send it a request, as far as the target has stated."""
@@ -200,6 +200,7 @@
       dequeue_interval: Moving average of the time between two dequeued requests.
       last_dequeue_at: When a queued request was last sent to a target.
       recent_outcomes: Recent ends of requests, which show whether the service is failing.
+      repeat_share: Share of the targets that failed in the last minutes that failed again.
       users: When each other host last reported requests or outcomes of the service.
     """
 
@@ -224,6 +225,7 @@
     dequeue_interval: timedelta | None = None
     last_dequeue_at: Instant = Instant(0)
     recent_outcomes: RecentOutcomes = field(default_factory=RecentOutcomes)
+    repeat_share: float = 0.0
     users: dict[HostId, Instant] = field(default_factory=dict)
 
     @property
@@ -341,6 +343,7 @@
     state.last_dequeue_at = previous.last_dequeue_at
     state.limit_per_target = previous.limit_per_target
     state.recent_outcomes = previous.recent_outcomes
+    state.repeat_share = previous.repeat_share
     state.users = previous.users
     if state.group.discovered:
         state.targets.update({n: r for n, r in previous.targets.items() if r.entry is not None})
