--- a/endivedrift/policy/__init__.py
+++ b/endivedrift/policy/__init__.py
@@ -21,7 +21,7 @@
     should_eject,
     take_far_evidence,
     take_unsent_evidence,
-    update_repeat_share,
+    update_failure_records,
     update_typical_latency,
     update_usual_bad_rate,
 )
@@ -157,7 +157,7 @@
     "take_unsent_evidence",
     "update_rate_limit",
     "update_states",
-    "update_repeat_share",
+    "update_failure_records",
     "update_typical_latency",
     "update_usual_bad_rate",
 ]
--- a/endivedrift/policy/_choice.py
+++ b/endivedrift/policy/_choice.py
@@ -55,6 +55,11 @@
 """Rank of targets that are used only when no other target has room."""
 RISK_LEVEL_RANK = 1.0 / (RISK_LEVELS + 1)
 """Difference between the ranks of two levels of risk. All are better than the last resort."""
+TEST_LEVEL = -1
+"""Level of a target that is due for a test, for a request that can be repeated elsewhere."""
+TEST_INTERVAL = timedelta(seconds=2)
+"""Time without requests after which a target that is likely to fail gets a request that can be
+repeated elsewhere, in preference to others: the usual pause, in which a period may begin or end."""
 MAX_DISREGARDED_LEVEL = 2
 """Level of risk up to which the records of targets are disregarded while a target that refuses the
 request would end it. Higher levels are those of targets that failed a few seconds ago."""
@@ -140,7 +145,7 @@
             and record.last_request_at is not None
             and record.avoided_until <= at
             and not record.score
-            and (has_retry_left or not record.failures.count)
+            and not record.failures.count
         )
         half = max(1, state.get_slots(record) // 2)
         load = in_flight // half + 1.0
@@ -149,8 +154,11 @@
         if is_unsuspected:
             cost = (1.0, load)
         else:
-            level = 0 if has_retry_left else record.get_risk_level(at, state.repeat_share)
-            level = level if level > disregarded_level else 0
+            level = record.get_risk_level(at, state.repeat_share)
+            if has_retry_left:
+                level = TEST_LEVEL if not is_last_try and _is_test_due(record, level, at) else 0
+            elif level <= disregarded_level:
+                level = 0
             cost = _compute_cost(state, record, load, level, at)
         if cost > best_cost or (avoids_last_resort and cost[0] >= LAST_RESORT_RANK):
             continue
@@ -264,6 +272,13 @@
     return at - record.last_failure_at >= REPEATABLE_TRIAL_DELAY and not record.count_in_flight(at)
 
 
+def _is_test_due(record: TargetRecord, level: int, at: Instant) -> bool:
+    """Tells whether a request that can be repeated elsewhere shall show how a target is now."""
+    if not level or record.last_request_at is None or record.count_in_flight(at):
+        return False
+    return at - record.last_request_at >= TEST_INTERVAL
+
+
 def _find_trial_target(candidates: list[_Candidate], at: Instant) -> TargetName | None:
     """Finds the target to try while all are paused: the one whose last failure is oldest.
 
@@ -281,7 +296,8 @@
     """Returns the rank of a target and, within the rank, its load; the lowest cost is preferred.
 
     A target that is due its first request comes first. Others are ranked by the level of their
-    risk. One that is on probation, or still avoided after a failure, comes last.
+    risk, or come before these if they are due for a test. One that is on probation, or still
+    avoided after a failure, comes last.
     """
     factor = OVER_THRESHOLD_COST_FACTOR if record.score >= state.threshold else 1.0
     load *= factor
--- a/endivedrift/policy/_evidence.py
+++ b/endivedrift/policy/_evidence.py
@@ -211,10 +211,12 @@
     state.usual_bad_rate = statistics.median(rates) if rates else 0.0
 
 
-def update_repeat_share(state: ServiceState, at: Instant) -> None:
-    """Sets the share of the targets of the group that failed in several periods."""
-    records = (record.failures for record in state.targets.values())
-    state.repeat_share = compute_repeat_share(records, at)
+def update_failure_records(state: ServiceState, at: Instant) -> None:
+    """Drops old records of failures and updates the share of targets that failed again."""
+    records = [record.failures for record in state.targets.values() if record.failures.count]
+    for record in records:
+        record.forget(at)
+    state.repeat_share = compute_repeat_share(records)
 
 
 def take_unsent_evidence(
--- a/endivedrift/policy/_failure_record.py
+++ b/endivedrift/policy/_failure_record.py
@@ -32,8 +32,8 @@
 REPEAT_WEIGHT = 2.0
 """Weight of the share of targets that failed again, in the rate of periods that is expected of one
 that has failed. Where most fail again, it is not regarded as sound after one period."""
-MIN_REMEMBERED_COUNT = 0.25
-"""Decayed number of periods from which a target counts in that share."""
+MIN_COUNT = 0.25
+"""Decayed number of periods below which a record is dropped. Its risk is negligible."""
 MIN_REPEATED_COUNT = 1.2
 """Number of periods, decayed until the last one, from which a target has failed again: the one
 before was counted within the last three minutes."""
@@ -87,16 +87,17 @@
         risk = self.estimate_risk(last_success_at, at, repeat_share)
         return math.ceil(risk * RISK_LEVELS) if risk > NEGLIGIBLE_RISK else 0
 
-    def is_remembered(self, at: Instant) -> bool:
-        """Tells whether the target failed in the last minutes."""
-        return self.count > 0.0 and self._decay_count(at) >= MIN_REMEMBERED_COUNT
+    def forget(self, at: Instant) -> None:
+        """Drops a record that is too old to matter."""
+        if at - self.last_failure_at >= MAX_PERIOD and self._decay_count(at) < MIN_COUNT:
+            self.count = 0.0
 
     def _decay_count(self, at: Instant) -> float:
         return self.count * math.exp(-(at - self.counted_at) / DECAY_TIME)
 
 
-def compute_repeat_share(records: Iterable[FailureRecord], at: Instant) -> float:
+def compute_repeat_share(records: Iterable[FailureRecord]) -> float:
     """Returns the share of the targets that failed in the last minutes that failed again."""
-    counts = [record.count for record in records if record.is_remembered(at)]
+    counts = [record.count for record in records if record.count]
     repeated = sum(count >= MIN_REPEATED_COUNT for count in counts)
     return repeated / len(counts) if counts else 0.0
--- a/endivedrift/reducer/_periodic.py
+++ b/endivedrift/reducer/_periodic.py
@@ -10,7 +10,7 @@
     advance_date,
     count_overdue_attempts,
     drop_expired_records,
-    update_repeat_share,
+    update_failure_records,
     update_states,
     update_usual_bad_rate,
 )
@@ -63,7 +63,7 @@
     if not state.path.is_cut:
         count_overdue_attempts(service, at)
     update_usual_bad_rate(service)
-    update_repeat_share(service, at)
+    update_failure_records(service, at)
     effects: list[Effect] = [RecordAudit(entry) for entry in update_states(service, at)]
     return effects + dispatch_queued(state, service, at)
 
--- a/tests/resetting_targets.py
+++ b/tests/resetting_targets.py
@@ -46,6 +46,7 @@
       seconds: How long requests arrive.
       fails_once: Whether every target fails once, for two seconds, instead.
       entry_hosts: Least number of primaries.
+      repeatable_share: Share of the requests that can be repeated elsewhere.
       seed: The seed of requests and failures.
     """
 
@@ -56,6 +57,7 @@
     seconds: float = 60.0
     fails_once: bool = False
     entry_hosts: int = 2
+    repeatable_share: float = 0.0
     seed: int = 1
 
     @property
@@ -124,7 +126,9 @@
         }
         at = 0.0
         while (at := at + self.traffic.expovariate(self.load.requests_per_s)) < self.load.seconds:
-            self.schedule(timedelta(seconds=at), partial(self.send, b"", None, True))
+            share = self.load.repeatable_share
+            is_write = not share or self.traffic.random() >= share
+            self.schedule(timedelta(seconds=at), partial(self.send, b"", None, is_write))
         self.run(self.load.seconds + 3.0)
 
     def is_failing(self, target: TargetName) -> bool:
