--- a/endivedrift/policy/__init__.py
+++ b/endivedrift/policy/__init__.py
@@ -21,6 +21,7 @@
     should_eject,
     take_far_evidence,
     take_unsent_evidence,
+    update_failure_records,
     update_typical_latency,
     update_usual_bad_rate,
 )
@@ -189,6 +190,7 @@
     "take_unsent_evidence",
     "update_rate_limit",
     "update_states",
+    "update_failure_records",
     "update_typical_latency",
     "update_usual_bad_rate",
 ]
--- a/endivedrift/policy/_evidence.py
+++ b/endivedrift/policy/_evidence.py
@@ -14,6 +14,7 @@
 from datetime import timedelta
 
 from endivedrift.core import AttemptOutcome, EvidenceDelta, Instant, PauseCause, TargetName
+from endivedrift.policy._failure_record import FailureRecord, compute_repeat_share
 from endivedrift.policy._service import ServiceState, TargetRecord
 
 TYPICAL_LATENCY_STEP = 1.02
@@ -146,6 +147,7 @@
     if cause is PauseCause.REFUSED:
         record.paused_until = at + min(pause, REFUSED_PAUSE)
         return True
+    record.failures.add_failure(at)
     failed_again = record.last_success_at is None or record.last_success_at < record.paused_until
     record.repeated_pauses = record.repeated_pauses + 1 if failed_again else 0
     record.paused_until = at + pause
@@ -162,6 +164,7 @@
     record.avoided_until = Instant(0)
     record.repeated_pauses = 0
     record.last_failure_at = Instant(0)
+    record.failures = FailureRecord()
     record.unsent_bad = 0
     record.unsent_pause = False
 
@@ -208,6 +211,14 @@
     state.usual_bad_rate = statistics.median(rates) if rates else 0.0
 
 
+def update_failure_records(state: ServiceState, at: Instant) -> None:
+    """Drops old records of failures and updates the share of targets that failed again."""
+    records = [record.failures for record in state.targets.values() if record.failures.count]
+    for record in records:
+        record.forget(at)
+    state.repeat_share = compute_repeat_share(records)
+
+
 def take_unsent_evidence(
     state: ServiceState,
     refresh: bool = False,
--- a/endivedrift/reducer/_reduce.py
+++ b/endivedrift/reducer/_reduce.py
@@ -65,7 +65,7 @@
     """
     effects = _reduce(event, state)
     if state.changed_targets:
-        effects += share_changes(state)
+        effects += share_changes(state, event.at)
     if state.quotas.urgent:
         effects += report_urgent_quotas(state, event.at)
     return effects
