--- a/tests/resetting_targets.py
+++ b/tests/resetting_targets.py
@@ -15,11 +15,13 @@
     FailureDomain,
     RefusalReason,
     RequestId,
+    ServiceName,
     TargetEntry,
     TargetName,
 )
 from endivedrift.core.effects import SendToTarget
 from endivedrift.core.events import TargetsObserved
+from endivedrift.reducer import list_primaries
 from tests.builders import SERVICE, build_discovered_set, build_target_entry
 from tests.crashing_targets import FAST_FAILURE, CrashingFleet, Run
 
@@ -47,6 +49,7 @@
       fails_once: Whether every target fails once, for two seconds, instead.
       entry_hosts: Least number of primaries.
       repeatable_share: Share of the requests that can be repeated elsewhere.
+      at_primaries: Whether all requests arrive at the service's primaries, and not only half.
       seed: The seed of requests and failures.
     """
 
@@ -58,6 +61,7 @@
     fails_once: bool = False
     entry_hosts: int = 2
     repeatable_share: float = 0.0
+    at_primaries: bool = False
     seed: int = 1
 
     @property
@@ -131,6 +135,12 @@
             self.schedule(timedelta(seconds=at), partial(self.send, b"", None, is_write))
         self.run(self.load.seconds + 3.0)
 
+    def _choose_host(self) -> str:
+        if not self.load.at_primaries:
+            return super()._choose_host()
+        primaries = list_primaries(self.hosts["h0"].state, ServiceName(SERVICE))
+        return str(self.traffic.choice(primaries).host)
+
     def is_failing(self, target: TargetName) -> bool:
         """Tells whether a target is in one of its periods of failures."""
         return any(start <= self.now < end for start, end in self.periods.get(target, ()))
