Object sets and ENDIVEDRIFT_HEDGE_SHARE limit hedged requests

Cause: operators had no way to accept extra work at targets for a shorter tail; a caller whose first attempt met a slow response waited for it.

Ruled out: a constant in the program (the share is the operators' to decide), and a field of the users' configuration (it has no such object).

Change: [hedge_rule.NAME] with max_extra_share, a service's optional hedge_rule, a route's max_hedge_share. On the users' platform the variable ENDIVEDRIFT_HEDGE_SHARE of the process sets it through FleetBounds; a value that is no number from 0 to 1 ends the start with an error that names it. Nothing reads the rule yet. Absent or 0: no rule is derived.

--- a/endivedrift/objects/__init__.py
+++ b/endivedrift/objects/__init__.py
@@ -7,6 +7,7 @@
     build_discovered_service,
     build_drain_rule,
     build_ejection_limit,
+    build_hedge_rules,
     build_retry_rule,
 )
 from endivedrift.objects._canonical import (
@@ -28,6 +29,7 @@
     ConnectionLimit,
     DrainRule,
     EjectionLimit,
+    HedgeRule,
     Name,
     ObjectSet,
     RetryRule,
@@ -56,6 +58,7 @@
     "DrainRule",
     "EjectionLimit",
     "FleetBounds",
+    "HedgeRule",
     "Length",
     "Name",
     "ObjectChange",
@@ -74,6 +77,7 @@
     "build_discovered_service",
     "build_drain_rule",
     "build_ejection_limit",
+    "build_hedge_rules",
     "build_retry_rule",
     "check_address",
     "check_sources",
--- a/endivedrift/objects/_bounds.py
+++ b/endivedrift/objects/_bounds.py
@@ -9,6 +9,7 @@
 from endivedrift.objects._schema import (
     DrainRule,
     EjectionLimit,
+    HedgeRule,
     RetryRule,
     Service,
     UpstreamGroup,
@@ -36,12 +37,14 @@
       retry_burst: Retries allowed at one time in addition to that ratio.
       floor_share: Share of a service's targets that must remain in use.
       entry_hosts: Minimum number of hosts to which callers of a service are sent.
+      hedge_share: Share of a service's requests that may be hedged; 0 disables hedging.
     """
 
     retry_ratio: float
     retry_burst: int
     floor_share: float
     entry_hosts: int
+    hedge_share: float = 0.0
 
 
 def build_ejection_limit(bounds: FleetBounds) -> EjectionLimit:
@@ -66,6 +69,13 @@
     )
 
 
+def build_hedge_rules(bounds: FleetBounds) -> dict[str, HedgeRule]:
+    """Builds the hedge rule of all services by name; empty if nothing may be hedged."""
+    if not bounds.hedge_share:
+        return {}
+    return {BOUNDS_RULE_NAME: HedgeRule(max_extra_share=bounds.hedge_share)}
+
+
 def build_drain_rule() -> DrainRule:
     """Builds the drain rule, which sets how long new targets are warmed up."""
     return DrainRule(warm_up_ms=3_000)
@@ -78,6 +88,7 @@
         ejection_limit=BOUNDS_RULE_NAME,
         drain_rule=BOUNDS_RULE_NAME,
         retry_rule=BOUNDS_RULE_NAME,
+        hedge_rule=BOUNDS_RULE_NAME if bounds.hedge_share else "",
         entry_hosts=bounds.entry_hosts,
         slots_per_core=SLOTS_PER_CORE,
         share_at_once=True,
--- a/endivedrift/objects/_consistency.py
+++ b/endivedrift/objects/_consistency.py
@@ -39,9 +39,10 @@
 
 def _check_references(objects: ObjectSet) -> Iterator[Inconsistency]:
     for name, service in objects.service.items():
-        for field in ("upstream_group", "ejection_limit", "drain_rule", "retry_rule"):
+        for field in ("upstream_group", "ejection_limit", "drain_rule", "retry_rule", "hedge_rule"):
             referenced_name = getattr(service, field)
-            if referenced_name not in getattr(objects, field):
+            is_absent = field == "hedge_rule" and not referenced_name
+            if not is_absent and referenced_name not in getattr(objects, field):
                 yield Inconsistency(
                     f"service.{name}", field, f"there is no {field}.{referenced_name}"
                 )
--- a/endivedrift/objects/_schema.py
+++ b/endivedrift/objects/_schema.py
@@ -22,10 +22,13 @@
 ACCOUNT_KEY_DIGEST_BYTES = 16
 
 NAME_PATTERN = Pattern(r"^[A-Za-z0-9][A-Za-z0-9._-]{0,126}$")
+OPTIONAL_NAME_PATTERN = Pattern(r"^(|[A-Za-z0-9][A-Za-z0-9._-]{0,126})$")
 KEY_DIGEST_PATTERN = Pattern(r"^[0-9a-f]{32}$")
 Name = Annotated[str, NAME_PATTERN]
+OptionalName = Annotated[str, OPTIONAL_NAME_PATTERN]
 Milliseconds = Annotated[int, Range(ge=1, le=MAX_DEADLINE_MS)]
 Probability = Annotated[float, Range(gt=0.0, lt=1.0)]
+ShareOfAll = Annotated[float, Range(ge=0.0, le=1.0)]
 
 
 def check_address(text: str) -> str:
@@ -163,12 +166,26 @@
     budget_cap: Annotated[int, Range(ge=0, le=10_000)] = 20
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class HedgeRule:
+    """How much extra work hedged requests may cause.
+
+    Attributes:
+      max_extra_share: Share of a service's requests that may be hedged, over the whole fleet; 0
+        disables hedging.
+    """
+
+    __pydantic_config__: ClassVar[dict[str, Any]] = STRICT
+    max_extra_share: ShareOfAll = 0.0
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Service:
     """A service that callers can reach.
 
     Attributes:
       upstream_group, ejection_limit, drain_rule, retry_rule: Names of other objects.
+      hedge_rule: Name of the rule on hedged requests; empty for no hedging.
       entry_hosts: Minimum number of primaries: the hosts that serve the service, and that callers
         are sent to, in normal operation.
       slots_per_core: Number of target slots for which the primaries need one core of processor
@@ -182,6 +199,7 @@
     ejection_limit: Name
     drain_rule: Name
     retry_rule: Name
+    hedge_rule: OptionalName = ""
     entry_hosts: Annotated[int, Range(ge=1, le=1_000)] = 2
     slots_per_core: Annotated[int, Range(ge=0, le=1_000_000)] = 0
     queue_length: Annotated[int, Range(ge=0, le=100_000)] = 256
@@ -209,6 +227,8 @@
       split: Services among which the requests are divided; empty if all go to `service`.
       max_attempts: Maximum number of attempts for one request, including the first; 0 applies the
         retry rule's.
+      max_hedge_share: Share of the route's requests that may be hedged, if that is less than the
+        service's hedge rule allows; 0 disables hedging.
       methods: HTTP methods, or an asterisk for any.
       repeatable: Whether the request is idempotent, so that it may run more than once.
       key_required: Whether a request must carry an idempotency key.
@@ -230,6 +250,7 @@
     hosts: tuple[str, ...] = ()
     split: tuple[Share, ...] = ()
     max_attempts: Annotated[int, Range(ge=0, le=MAX_ATTEMPTS)] = 0
+    max_hedge_share: ShareOfAll = 1.0
     repeatable: bool
     key_required: bool = False
     deadline_ms: Milliseconds
@@ -312,6 +333,7 @@
     ejection_limit: dict[Name, EjectionLimit] = field(default_factory=dict)
     drain_rule: dict[Name, DrainRule] = field(default_factory=dict)
     retry_rule: dict[Name, RetryRule] = field(default_factory=dict)
+    hedge_rule: dict[Name, HedgeRule] = field(default_factory=dict)
     route: dict[Name, Route] = field(default_factory=dict)
     caller: dict[Name, Caller] = field(default_factory=dict)
     connection_limit: dict[Name, ConnectionLimit] = field(default_factory=dict)
--- a/endivedrift/platform/_node_file.py
+++ b/endivedrift/platform/_node_file.py
@@ -5,6 +5,7 @@
 """
 
 import os
+import re
 import tomllib
 from dataclasses import dataclass
 from pathlib import Path
@@ -46,6 +47,10 @@
 """Link bandwidth of the requests that one core serves: 700 per second of the usual 1.5 KB."""
 OPERATORS_PORT_VARIABLE = "ENDIVEDRIFT_METRICS_PORT"
 """Environment variable with the port for metrics and state; by default, the last internal port."""
+HEDGE_SHARE_VARIABLE = "ENDIVEDRIFT_HEDGE_SHARE"
+"""Environment variable with the share of requests that may be hedged, from 0 to 1; by default 0."""
+
+_DECIMAL = re.compile(r"\d{1,15}(\.\d{1,15})?", re.ASCII)
 
 
 @dataclass(frozen=True, slots=True)
@@ -73,7 +78,7 @@
     """Reads the settings file.
 
     Raises:
-      WireError: If the file is unreadable or a field is missing or invalid.
+      WireError: If the file is unreadable, or a field or an environment variable is invalid.
     """
     try:
         document = tomllib.loads(path.read_text("utf-8"))
@@ -85,6 +90,7 @@
         retry_burst=int(read_number(document, "bounds.budgetSlack")),
         floor_share=min(1.0, read_number(document, "bounds.floorShare")),
         entry_hosts=max(1, len(read_field(document, "zones", dict))),
+        hedge_share=_read_hedge_share(),
     )
     return NodeFile(
         settings=settings,
@@ -96,6 +102,18 @@
     )
 
 
+def _read_hedge_share() -> float:
+    """Returns the share of requests that may be hedged.
+
+    Raises:
+      WireError: If the variable is set to anything but a number from 0 to 1.
+    """
+    text = os.environ.get(HEDGE_SHARE_VARIABLE, "0").strip()
+    if _DECIMAL.fullmatch(text) is None or float(text) > 1.0:
+        raise WireError(f"{HEDGE_SHARE_VARIABLE}: {text[:80]!r} is not a number from 0 to 1")
+    return float(text)
+
+
 def _read_power(document: dict[str, Any]) -> float:
     """Returns the processor power of one thread in cores, limited to what the link can carry.
 
--- a/endivedrift/platform/platform_test.py
+++ b/endivedrift/platform/platform_test.py
@@ -1,19 +1,22 @@
 """Tests that values from the platform are converted, and invalid ones rejected with their cause."""
 
+import os
 import tempfile
 import unittest
+from dataclasses import replace
 from datetime import timedelta
 from pathlib import Path
+from unittest import mock
 
 from expression import Result
 
 from endivedrift.core import Address, Instant, Refusal, RefusalReason, RequestId, Verdict
 from endivedrift.fleet import build_routes, find_route
-from endivedrift.objects import ObjectSet, decode_object_set
+from endivedrift.objects import FleetBounds, ObjectSet, decode_object_set
 from endivedrift.platform._configuration import read_configuration
 from endivedrift.platform._entries import read_entry
 from endivedrift.platform._headers import describe_refusal
-from endivedrift.platform._node_file import read_node_file
+from endivedrift.platform._node_file import HEDGE_SHARE_VARIABLE, read_node_file
 from endivedrift.platform._values import WireError, read_duration
 from tests.platform_builders import (
     BOUNDS,
@@ -27,8 +30,8 @@
 )
 
 
-def read_objects(document: object) -> ObjectSet:
-    fetched = read_configuration(document, BOUNDS, Instant(0))
+def read_objects(document: object, bounds: FleetBounds = BOUNDS) -> ObjectSet:
+    fetched = read_configuration(document, bounds, Instant(0))
     match decode_object_set(fetched.canonical):
         case Result(tag="ok", ok=objects):
             return objects
@@ -67,6 +70,13 @@
         route = read_objects(document).route[f"read.{LISTENER_HOST}"]
         self.assertEqual(route.max_attempts, 10)
 
+    def test_hedges_are_off_unless_the_bounds_allow_them(self) -> None:
+        self.assertEqual(read_objects(build_configuration()).hedge_rule, {})
+        bounds = replace(BOUNDS, hedge_share=0.05)
+        objects = read_objects(build_configuration(), bounds)
+        rule = objects.hedge_rule[objects.service[SERVICE].hedge_rule]
+        self.assertEqual(rule.max_extra_share, 0.05)
+
     def test_only_kinds_that_are_known_as_idempotent_are_repeated(self) -> None:
         kinds = ("safe", "download", "unsafe", "odd", "Safe", "")
         rules = [build_rule(f"r{n}", kind, f"/{n}/") for n, kind in enumerate(kinds)]
@@ -179,6 +189,20 @@
         with self.assertRaisesRegex(WireError, "grace"):
             self.read(text.replace('grace = "6s"', ""))
 
+    # Guards against a limit that is mistyped and taken for another, or for none.
+    def test_the_share_of_hedges_comes_from_the_environment(self) -> None:
+        text = build_node_file("127.0.0.1", "127.0.0.2:80", [], 7000)
+        for value, share in ((None, 0.0), ("0", 0.0), ("0.05", 0.05), ("1", 1.0)):
+            environment = {} if value is None else {HEDGE_SHARE_VARIABLE: value}
+            with self.subTest(value), mock.patch.dict(os.environ, environment):
+                self.read(text)
+                self.assertEqual(self.node_file.bounds.hedge_share, share)
+        for value in ("", "1.1", "-0.1", "nan", "5%", "0,05"):
+            environment = {HEDGE_SHARE_VARIABLE: value}
+            is_rejected = self.assertRaisesRegex(WireError, HEDGE_SHARE_VARIABLE)
+            with self.subTest(value), mock.patch.dict(os.environ, environment), is_rejected:
+                self.read(text)
+
     def test_durations_need_a_unit(self) -> None:
         self.assertEqual(read_duration({"f": "2.5s"}, "f"), timedelta(seconds=2.5))
         for value in ("2", "s", 3, "-1s", "1m", "9" * 31 + "s", "100000s", None):
