Hedge late idempotent requests within a fleet-wide limit

Cause: where 2 in 100 responses take ten times as long, 2 in 100 callers waited for them although another target would have answered at once.

Ruled out: a constant delay (wrong for every other route); counts exchanged between hosts (wrong by what is lost; each primary's own share of a token for each request that it sends sums up to the limit without messages); a bucket that refills by time or starts full (restarts would add hedges).

Change: each primary tracks a quantile of the response times of a route's first attempts. A later request gets a second attempt at a healthy target that keeps a free slot beside it. It takes a token of the route and a retry from the budget. None starts while requests of the service are queued, while the service is slow as a whole, or at a host that stops or reaches no target. The first response counts. A loser that took as long as a slow answer is evidence against its target. A failure ends the request only if no other attempt is in progress. Without a hedge rule nothing changes.

--- a/endivedrift/core/effects.py
+++ b/endivedrift/core/effects.py
@@ -27,7 +27,7 @@
     is limited by `connect_timeout`. If `close_delimited` is set, an answer without a length ends
     when the target closes the connection. `caller` is the account that the target is told of, or
     None. AttemptLate is raised each time `late_after` passes
-    without an answer.
+    without an answer, and HedgeDue once after `hedge_after`, unless that is None.
     """
 
     request: RequestId
@@ -43,6 +43,23 @@
     connect_timeout: timedelta = timedelta(seconds=1)
     close_delimited: bool = False
     caller: CallerName | None = None
+    hedge_after: timedelta | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class StartHedge:
+    """Make a second attempt at another target while the first one goes on.
+
+    The first response counts. As soon as the request ends, the other attempt is cancelled and its
+    connection closed.
+    """
+
+    attempt: SendToTarget
+
+    @property
+    def request(self) -> RequestId:
+        """The request that is hedged."""
+        return self.attempt.request
 
 
 @dataclass(frozen=True, slots=True)
@@ -158,6 +175,7 @@
 
 Effect: TypeAlias = (
     SendToTarget
+    | StartHedge
     | AbortAttempt
     | QueueRequest
     | DeliverAnswer
@@ -174,6 +192,7 @@
 )
 RequestEffect: TypeAlias = (
     SendToTarget
+    | StartHedge
     | AbortAttempt
     | QueueRequest
     | DeliverAnswer
--- a/endivedrift/core/events.py
+++ b/endivedrift/core/events.py
@@ -50,7 +50,8 @@
     attempt, as a process does that has ended. `rate_limit` is the number of requests a second that
     the target takes from all hosts together, as its answer states: NO_RATE_LIMIT if it states none,
     None if nothing is known, since there was no answer or its statement could not be read.
-    `new_connection` tells whether a connection was opened for the attempt.
+    `new_connection` tells whether a connection was opened for the attempt, `is_hedge` whether it is
+    a hedge.
     """
 
     at: Instant
@@ -65,6 +66,7 @@
     target_ended: bool = False
     rate_limit: float | None = None
     new_connection: bool = False
+    is_hedge: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -76,6 +78,15 @@
     target: TargetName
 
 
+@dataclass(frozen=True, slots=True)
+class HedgeDue:
+    """A first attempt has taken so long without an answer that a hedge may help."""
+
+    at: Instant
+    request: RequestId
+    target: TargetName
+
+
 @dataclass(frozen=True, slots=True)
 class CallerDisconnected:
     """The caller closed its connection before it received an answer."""
@@ -228,6 +239,7 @@
     | QueueWaitExpired
     | AttemptFinished
     | AttemptLate
+    | HedgeDue
     | CallerDisconnected
     | KeyClaimSettled
     | ForwardFinished
--- a/endivedrift/policy/_service.py
+++ b/endivedrift/policy/_service.py
@@ -20,12 +20,14 @@
     EjectionLimit,
     ObjectSet,
     RetryRule,
+    Route,
     Service,
     Target,
     UpstreamGroup,
 )
 from endivedrift.policy._bucket import TokenBucket
 from endivedrift.policy._fair_queue import FairQueue
+from endivedrift.policy._hedging import Hedging
 from endivedrift.policy._rate_limit import RateLimit
 
 INITIAL_LATENCY = timedelta(milliseconds=25)
@@ -193,6 +195,7 @@
       dequeue_interval: Moving average of the time between two dequeued requests.
       last_dequeue_at: When a queued request was last sent to a target.
       recent_outcomes: Recent ends of requests, which show whether the service is failing.
+      hedging: Its hedged requests, or None if it has none.
     """
 
     name: ServiceName
@@ -216,6 +219,7 @@
     dequeue_interval: timedelta | None = None
     last_dequeue_at: Instant = Instant(0)
     recent_outcomes: RecentOutcomes = field(default_factory=RecentOutcomes)
+    hedging: Hedging | None = None
 
     @property
     def queued_count(self) -> int:
@@ -273,9 +277,10 @@
         targets={},
         threshold=math.log(1.0 / ejection.false_ejection_rate),
         retry_budget=_build_budget(service, retry, at),
+        hedging=_build_hedging(service, objects),
     )
     if previous is not None:
-        _copy_learned_state(state, previous)
+        _copy_learned_state(state, previous, objects.route)
     for target in group.targets:
         record = _build_target(target, previous, at)
         state.targets[TargetName(target.name)] = record
@@ -292,6 +297,11 @@
     return TokenBucket(cap, 0.0, 0.0 if service.share_at_once else cap, at)
 
 
+def _build_hedging(service: Service, objects: ObjectSet) -> Hedging | None:
+    rule = objects.hedge_rule.get(service.hedge_rule)
+    return Hedging(rule.max_extra_share) if rule is not None and rule.max_extra_share else None
+
+
 def register_target(state: ServiceState, entry: TargetEntry, at: Instant) -> bool:
     """Adds a target that registered itself, or updates its registration.
 
@@ -321,7 +331,9 @@
     return True
 
 
-def _copy_learned_state(state: ServiceState, previous: ServiceState) -> None:
+def _copy_learned_state(
+    state: ServiceState, previous: ServiceState, routes: dict[str, Route]
+) -> None:
     state.typical_latency = previous.typical_latency
     state.latency_samples = previous.latency_samples
     state.usual_bad_rate = previous.usual_bad_rate
@@ -332,6 +344,11 @@
     state.last_dequeue_at = previous.last_dequeue_at
     state.limit_per_target = previous.limit_per_target
     state.recent_outcomes = previous.recent_outcomes
+    if state.hedging is not None and previous.hedging is not None:
+        state.hedging.late_share = previous.hedging.late_share
+        state.hedging.routes = {
+            name: known for name, known in previous.hedging.routes.items() if name in routes
+        }
     if state.group.discovered:
         state.targets.update({n: r for n, r in previous.targets.items() if r.entry is not None})
     state.retry_budget.tokens = min(state.retry_budget.cap, previous.retry_budget.tokens)
--- a/endivedrift/reducer/_attempts.py
+++ b/endivedrift/reducer/_attempts.py
@@ -45,11 +45,13 @@
     choose_target,
     classify_outcome,
     dequeue_request,
+    earn_hedge,
     enqueue_request,
     estimate_wait,
     has_faster_target,
     has_standing_queue,
     mark_leaving,
+    observe_response,
     pause_target,
     record_dequeue,
     record_empty_queue,
@@ -208,9 +210,10 @@
       The effects, none if the request has already ended.
     """
     pending = state.requests.get(event.request)
-    if pending is None or pending.target != event.target:
+    if pending is None or event.target not in (pending.target, pending.hedge_target):
         return []
-    pending.target = None
+    other = pending.hedge_target if event.target == pending.target else pending.target
+    pending.target, pending.hedge_target = other, None
     if event.outcome is AttemptOutcome.NOT_CONNECTED:
         pending.attempt_count -= 1
         pending.failed_connections += 1
@@ -226,6 +229,16 @@
         reserved = _release_reservation(state, service, pending, event.request)
     answer = event.answer if event.outcome is AttemptOutcome.ANSWERED else None
     served = answer is not None and answer.status < SERVER_ERROR
+    hedging = service.hedging if service is not None else None
+    if hedging is not None and pending.is_measured and served:
+        observe_response(hedging, pending.route.name, event.latency, event.at)
+    pending.is_measured = False
+    if other is not None:
+        if not served and event.outcome is not AttemptOutcome.CANCELLED:
+            pending.failure_answer = answer or pending.failure_answer
+            return effects + (dispatch_queued(state, service, event.at) if service else [])
+        effects += _cancel_other_attempt(state, service, event, other)
+        pending.target = None
     forwarded: list[Effect] = []
     if service is not None:
         _return_held_retry(service, pending)
@@ -265,7 +278,7 @@
         return False
     if pending.key_withdrawn:
         return False
-    if not _has_retry_left(service, pending, at):
+    if not has_retry_left(service, pending, at):
         return False
     return not pending.attempt_count or service.retry_budget.take(at)
 
@@ -318,7 +331,9 @@
     attempt = record.attempts.get(event.request) if record is not None else None
     if record is None or attempt is None or pending.reserved_target is not None:
         return []
-    if not pending.route.route.repeatable or not _has_retry_left(service, pending, event.at):
+    if pending.hedge_target is not None:
+        return []
+    if not pending.route.route.repeatable or not has_retry_left(service, pending, event.at):
         return []
     if state.path.is_cut and not pending.head.for_peer and service.retry_budget.take(event.at):
         pending.holds_retry = True
@@ -435,14 +450,23 @@
 def _send_to_target(
     state: HostState, service: ServiceState, at: Instant, request: RequestId, name: TargetName
 ) -> list[Effect]:
+    effect = begin_attempt(state, service, at, request, name)
+    state.requests[request].target = name
+    return [effect]
+
+
+def begin_attempt(
+    state: HostState, service: ServiceState, at: Instant, request: RequestId, name: TargetName
+) -> SendToTarget:
+    """Occupies a slot at a target for an attempt, and returns the attempt."""
     pending = state.requests[request]
     route = pending.route.route
     record = service.targets[name]
+    hedge_after = _measure_first_attempt(state, service, pending, at)
     _occupy_slot(state, service, record, request, at)
     pending.attempt_count += 1
     pending.tried_targets = pending.tried_targets | {name}
-    pending.target = name
-    effect = SendToTarget(
+    return SendToTarget(
         request=request,
         service=service.name,
         target=name,
@@ -456,8 +480,49 @@
         connect_timeout=timedelta(milliseconds=service.group.connect_ms),
         close_delimited=service.group.close_delimited,
         caller=pending.head.caller,
+        hedge_after=hedge_after,
     )
-    return [effect]
+
+
+def _measure_first_attempt(
+    state: HostState, service: ServiceState, pending: RequestState, at: Instant
+) -> timedelta | None:
+    """Counts the request for the hedges of its route, if this is its first attempt.
+
+    Hosts that are no primaries hedge nothing: they are many, and what each saves up would add up.
+    A request that another host forwarded has counted there.
+
+    Returns:
+      The time after which the attempt may be hedged, or None if it is not.
+    """
+    route = pending.route.route
+    if service.hedging is None or pending.tried_targets or pending.head.for_peer:
+        return None
+    if not route.repeatable or not route.max_hedge_share or not is_primary(state, service.name):
+        return None
+    count = len(list_primaries(state, service.name))
+    known = earn_hedge(service.hedging, pending.route.name, route.max_hedge_share, count, at)
+    pending.is_measured = True
+    return known.delay
+
+
+def _cancel_other_attempt(
+    state: HostState, service: ServiceState | None, event: AttemptFinished, target: TargetName
+) -> list[Effect]:
+    """Notes the end of the attempt that another one has made superfluous.
+
+    The shell cancels it when the request ends. It frees its slot at once, and is evidence against
+    its target if it has taken as long as a slow answer.
+    """
+    record = service.targets.get(target) if service is not None else None
+    attempt = record.attempts.get(event.request) if record is not None else None
+    if service is None or attempt is None:
+        return []
+    latency = event.at - attempt.started
+    if event.outcome is AttemptOutcome.CANCELLED:
+        latency = timedelta(0)
+    cancelled = AttemptFinished(event.at, event.request, target, AttemptOutcome.CANCELLED, latency)
+    return _record_attempt(state, service, cancelled)
 
 
 def _occupy_slot(
@@ -657,12 +722,12 @@
         return False
     if pending.may_have_run and not pending.route.route.repeatable:
         return False
-    if not is_reserved and not _has_retry_left(service, pending, event.at):
+    if not is_reserved and not has_retry_left(service, pending, event.at):
         return False
     return not pending.attempt_count or service.retry_budget.take(event.at)
 
 
-def _has_retry_left(service: ServiceState, pending: RequestState, at: Instant) -> bool:
+def has_retry_left(service: ServiceState, pending: RequestState, at: Instant) -> bool:
     """Tells whether attempts are left, and enough time for one more to be answered."""
     if pending.attempt_count >= _get_max_attempts(service, pending):
         return False
--- a/endivedrift/reducer/_reduce.py
+++ b/endivedrift/reducer/_reduce.py
@@ -17,6 +17,7 @@
     ConfigHeadObserved,
     Event,
     ForwardFinished,
+    HedgeDue,
     KeyClaimSettled,
     MachineListRead,
     PeerMessageReceived,
@@ -39,6 +40,7 @@
     record_store_outage,
     record_store_recovery,
 )
+from endivedrift.reducer._hedging import start_hedge
 from endivedrift.reducer._keyed import apply_claim_result, finish_forward
 from endivedrift.reducer._periodic import handle_tick
 from endivedrift.reducer._quarantine import apply_suspect_reports
@@ -89,6 +91,11 @@
     return handle_late_attempt(state, event)
 
 
+@_reduce.register
+def _(event: HedgeDue, state: HostState) -> list[Effect]:
+    return start_hedge(state, event)
+
+
 @_reduce.register
 def _(event: CallerDisconnected, state: HostState) -> list[Effect]:
     return handle_disconnect(state, event)
--- a/endivedrift/reducer/_state.py
+++ b/endivedrift/reducer/_state.py
@@ -66,6 +66,9 @@
       attempt_count: Attempts made, without those that could not connect.
       tried_targets: Targets of its attempts, including attempts that could not connect.
       target: Target of the attempt in progress, or None.
+      hedge_target: Target of the hedge in progress beside that attempt, or None.
+      is_measured: Whether the response time of its first attempt, which is in progress, counts for
+        the time after which requests are hedged.
       reserved_target: Target at which room is kept for the retry that follows the abort of the
         attempt in progress, or None. The retry has been taken from the retry budget.
       may_have_run: Whether any attempt may have run.
@@ -88,6 +91,8 @@
     attempt_count: int = 0
     tried_targets: frozenset[TargetName] = frozenset()
     target: TargetName | None = None
+    hedge_target: TargetName | None = None
+    is_measured: bool = False
     reserved_target: TargetName | None = None
     may_have_run: bool = False
     key: IdempotencyKey | None = None
