Run hedges beside the first attempt, and show them in metrics and logs

Cause: the reducer decides on hedges, but the shell ran one attempt of a request at a time and could not start them.

Ruled out: two tasks for every request (one attempt without a hedge delay is run as before, without a further task).

Change: an attempt with a hedge delay runs in a task group. When the delay has passed, HedgeDue is reported, and the hedge that the reducer may start runs beside the first attempt. When the request ends, or its caller disconnects, the attempts in progress are cancelled, which closes their connections. The metric endivedrift_hedges counts hedges by outcome; the log line of a hedged request marks the hedge and names the target that won.

--- a/endivedrift/shell/_metrics.py
+++ b/endivedrift/shell/_metrics.py
@@ -9,13 +9,13 @@
 
 from endivedrift.core import (
     Answer,
-    AttemptOutcome,
     AuditEntry,
     HostPhase,
     MemberStatus,
     Refusal,
     TargetState,
 )
+from endivedrift.core.events import AttemptFinished
 from endivedrift.reducer import HostState
 
 LATENCY_BUCKETS_SECONDS = (0.001, 0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10)
@@ -54,6 +54,8 @@
       requests: Requests of callers by service and result.
       request_seconds: Time from a request's arrival to its answer, by service.
       attempts: Attempts at targets by service and outcome.
+      hedges: Hedges by service and outcome: `answered` if the hedge won, `cancelled` if the first
+        attempt did.
       audit: Audit entries by kind.
       platform_failures: Calls to the platform without an answer, by service or table.
       peer_bytes: Bytes of datagrams by direction.
@@ -66,6 +68,7 @@
         self.requests: Counter[tuple[str, str]] = Counter()
         self.request_seconds: dict[str, Durations] = {}
         self.attempts: Counter[tuple[str, str]] = Counter()
+        self.hedges: Counter[tuple[str, str]] = Counter()
         self.audit: Counter[str] = Counter()
         self.platform_failures: Counter[str] = Counter()
         self.peer_bytes: Counter[str] = Counter()
@@ -83,9 +86,11 @@
         durations = self.request_seconds.setdefault(service, Durations())
         durations.observe(duration.total_seconds())
 
-    def count_attempt(self, service: str, outcome: AttemptOutcome) -> None:
+    def count_attempt(self, service: str, finished: AttemptFinished) -> None:
         """Counts a finished attempt by its outcome."""
-        self.attempts[service, outcome.value] += 1
+        self.attempts[service, finished.outcome.value] += 1
+        if finished.is_hedge:
+            self.hedges[service, finished.outcome.value] += 1
 
     def render(self, state: HostState) -> bytes:
         """Returns all metrics, and gauges of the state, in the text format."""
@@ -111,6 +116,12 @@
                 ("service", "outcome"),
                 self.attempts,
             ),
+            (
+                "endivedrift_hedges",
+                "Hedges by service and outcome, which count as attempts too",
+                ("service", "outcome"),
+                self.hedges,
+            ),
             ("endivedrift_audit_entries", "Audit entries by kind", ("kind",), self.audit),
             ("endivedrift_peer_bytes", "Bytes of datagrams", ("direction",), self.peer_bytes),
             (
--- a/endivedrift/shell/_request_log.py
+++ b/endivedrift/shell/_request_log.py
@@ -2,7 +2,7 @@
 
 from datetime import timedelta
 
-from endivedrift.core import NO_RATE_LIMIT, Answer, RequestHead, RequestId
+from endivedrift.core import NO_RATE_LIMIT, Answer, AttemptOutcome, RequestHead, RequestId
 from endivedrift.core.events import AttemptFinished
 from endivedrift.shell._log import make_logger
 from endivedrift.shell._serving import ServedRequest
@@ -38,6 +38,8 @@
         "took_ms": round(duration.total_seconds() * 1000.0, 1),
         "attempts": [_describe_attempt(end) for end in served.attempts],
     }
+    if any(finished.is_hedge for finished in served.attempts):
+        fields["won"] = _name_winner(served)
     if served.peers:
         fields["forwarded_to"] = list(served.peers)
     if isinstance(result, Answer):
@@ -52,12 +54,21 @@
     )
 
 
+def _name_winner(served: ServedRequest) -> str:
+    """Returns the target whose answer to a hedged request was delivered, or an empty string."""
+    answered = [end for end in served.attempts if end.outcome is AttemptOutcome.ANSWERED]
+    # A server error is delivered only if no later attempt was answered.
+    return answered[-1].target if answered and isinstance(served.result, Answer) else ""
+
+
 def _describe_attempt(finished: AttemptFinished) -> str:
     """Formats target, outcome and latency of an attempt, and the load and limit it reported."""
     text = (
         f"{finished.target} {finished.outcome.value} "
         f"{finished.latency.total_seconds() * 1000.0:.1f} ms"
     )
+    if finished.is_hedge:
+        text += ", hedge"
     if finished.target_ended:
         text += ", target ended"
     if finished.load is not None:
--- a/endivedrift/shell/_runtime.py
+++ b/endivedrift/shell/_runtime.py
@@ -37,6 +37,7 @@
     SendPeerMessage,
     SendToTarget,
     SetStoreReading,
+    StartHedge,
 )
 from endivedrift.core.events import AttemptFinished, Event
 from endivedrift.reducer import HostState, reduce
@@ -124,6 +125,7 @@
 
 for _effect_type in (
     SendToTarget,
+    StartHedge,
     AbortAttempt,
     QueueRequest,
     DeliverAnswer,
--- a/endivedrift/shell/_serving.py
+++ b/endivedrift/shell/_serving.py
@@ -28,12 +28,14 @@
     RefuseRequest,
     RequestEffect,
     SendToTarget,
+    StartHedge,
 )
 from endivedrift.core.events import (
     AttemptFinished,
     AttemptLate,
     CallerDisconnected,
     ForwardFinished,
+    HedgeDue,
     KeyClaimSettled,
     QueueWaitExpired,
     RequestArrived,
@@ -175,18 +177,81 @@
 ) -> None:
     runtime = context.runtime
 
+    if effect.hedge_after is not None:
+        await _run_hedged_attempt(context, mailbox, effect, request, effect.hedge_after)
+        return
+    finished = await _exchange(context, mailbox, effect, request)
+    _record_attempt(runtime, mailbox, effect, finished)
+    await runtime.dispatch(finished)
+
+
+async def _run_hedged_attempt(
+    context: ServingContext,
+    mailbox: Mailbox,
+    effect: SendToTarget,
+    request: TargetRequest,
+    hedge_after: timedelta,
+) -> None:
+    """Makes an attempt and, if the reducer starts one after `hedge_after`, a hedge beside it.
+
+    The attempt that is still in progress when the reducer has ended the request is cancelled, which
+    closes its connection. So are both if the caller disconnects.
+    """
+    runtime = context.runtime
+    async with curio.TaskGroup() as group:
+        first = await group.spawn(_exchange, context, mailbox, effect, request)
+        running = {first.id: (effect, runtime.clock.monotonic())}
+        async with curio.ignore_after(hedge_after.total_seconds()):
+            await first.wait()
+        if not first.terminated:
+            now = runtime.clock.monotonic()
+            await runtime.dispatch(HedgeDue(now, effect.request, effect.target))
+            for hedge in [e for e in mailbox.effects if isinstance(e, StartHedge)]:
+                mailbox.effects.remove(hedge)
+                task = await group.spawn(_exchange, context, mailbox, hedge.attempt, request)
+                running[task.id] = (hedge.attempt, runtime.clock.monotonic())
+        async for task in group:
+            attempt, _ = running.pop(task.id)
+            finished = replace(task.result, is_hedge=attempt is not effect)
+            _record_attempt(runtime, mailbox, attempt, finished)
+            await runtime.dispatch(finished)
+            if mailbox.effects:
+                break
+        await group.cancel_remaining()
+    for attempt, started in running.values():
+        now = runtime.clock.monotonic()
+        cancelled = replace(
+            cancel_attempt(now, attempt.request, attempt.target),
+            latency=now - started,
+            is_hedge=attempt is not effect,
+        )
+        _record_attempt(runtime, mailbox, attempt, cancelled)
+
+
+async def _exchange(
+    context: ServingContext, mailbox: Mailbox, effect: SendToTarget, request: TargetRequest
+) -> AttemptFinished:
+    """Makes one attempt, which the reducer may abort when it is late."""
+    runtime = context.runtime
+
     async def is_aborted() -> bool:
         """Reports the late attempt to the reducer, which aborts it or lets it continue."""
         now = runtime.clock.monotonic()
         await runtime.dispatch(AttemptLate(now, effect.request, effect.target))
-        aborted = any(isinstance(posted, AbortAttempt) for posted in mailbox.effects)
-        mailbox.effects.clear()
-        return aborted
+        aborts = [posted for posted in mailbox.effects if isinstance(posted, AbortAttempt)]
+        for abort in aborts:
+            mailbox.effects.remove(abort)
+        return bool(aborts)
+
+    return await context.pool.attempt(effect, request, is_aborted)
+
 
-    finished = await context.pool.attempt(effect, request, is_aborted)
-    runtime.metrics.count_attempt(effect.service, finished.outcome)
+def _record_attempt(
+    runtime: Runtime, mailbox: Mailbox, effect: SendToTarget, finished: AttemptFinished
+) -> None:
+    """Counts an attempt that ended, and keeps it for the log line of its request."""
+    runtime.metrics.count_attempt(effect.service, finished)
     mailbox.attempts.append(finished)
-    await runtime.dispatch(finished)
 
 
 async def _report_cancellation(runtime: Runtime, request: RequestId) -> None:
