Count a first attempt that a hedge has overtaken against its target

Cause: a target that answers nothing lost its requests to hedges before they were slow enough to be evidence.

Ruled out: a pause of the target for each request that it loses, since one in fifty responses is slow at every target.

Change: a cancelled attempt is a bad outcome if its target has had the request for more than twice as long as the one that answered. The time after which a route's requests are hedged follows the route's own share, if that is less than the service's. Tests of saved-up hedges, of the retry budget, of services with many routes and of late attempts beside a hedge.

--- a/endivedrift/policy/_hedging.py
+++ b/endivedrift/policy/_hedging.py
@@ -61,6 +61,7 @@
 
     Attributes:
       budget: Hedges that this host may start.
+      tail: Share of the requests that are expected to be late.
       samples: The first response times in seconds, until there are enough.
       sample_count: Number of response times seen.
       delay_s: Time after which a request is late, in seconds.
@@ -70,6 +71,7 @@
     """
 
     budget: TokenBucket
+    tail: float
     samples: list[float] = field(default_factory=list)
     sample_count: int = 0
     delay_s: float = 0.0
@@ -99,8 +101,8 @@
 
     @property
     def tail(self) -> float:
-        """Share of the requests that are expected to be late."""
-        return min(self.max_share * TAIL_PER_SHARE, MAX_TAIL)
+        """Greatest share of a route's requests that are expected to be late."""
+        return _compute_tail(self.max_share)
 
 
 def earn_hedge(
@@ -117,11 +119,14 @@
     Returns:
       What is known of the route.
     """
+    share = min(hedging.max_share, route_share)
     route = hedging.routes.get(name)
     if route is None:
-        route = hedging.routes[name] = RouteHedging(TokenBucket(0.0, 0.0, 0.0, at), updated=at)
+        bucket = TokenBucket(0.0, 0.0, 0.0, at)
+        route = hedging.routes[name] = RouteHedging(bucket, 0.0, updated=at)
+    route.tail = _compute_tail(share)
     route.budget.cap = max(MIN_SAVED_HEDGES, SAVED_HEDGES / max(1, primary_count))
-    route.budget.add(min(hedging.max_share, route_share))
+    route.budget.add(share)
     return route
 
 
@@ -152,6 +157,10 @@
     return route.median_s > route.usual_s * SLOW_FACTOR
 
 
+def _compute_tail(share: float) -> float:
+    return min(share * TAIL_PER_SHARE, MAX_TAIL)
+
+
 def _learn(route: RouteHedging, seconds: float, at: Instant) -> None:
     route.sample_count += 1
     route.samples.append(seconds)
@@ -170,7 +179,7 @@
     route.sample_count += 1
     hedging.late_share += (float(is_late) - hedging.late_share) * LATE_SHARE_WEIGHT
     step = max(DELAY_STEP, LEARNING_STEPS / route.sample_count)
-    route.delay_s *= math.exp(step * (1.0 - hedging.tail if is_late else -hedging.tail))
+    route.delay_s *= math.exp(step * (1.0 - route.tail if is_late else -route.tail))
     route.median_s *= math.exp(MEDIAN_STEP if is_over_median else -MEDIAN_STEP)
     weight = 1.0 - math.exp(-(at - route.updated) / USUAL_TIME_CONSTANT)
     route.usual_s += (route.median_s - route.usual_s) * weight
--- a/endivedrift/reducer/_attempts.py
+++ b/endivedrift/reducer/_attempts.py
@@ -114,6 +114,9 @@
 LONG_REQUEST_FACTOR = 4
 """Multiple of the typical latency that a long request takes. About one request in a hundred takes
 longer, since the amount of work varies."""
+LOST_FACTOR = 2
+"""Multiple of the time of the answered attempt from which a cancelled one is evidence against its
+target, as for attempts that are aborted."""
 NON_PRIMARY_BUDGET_CAP = 1.0
 """Cap of the retry budget of a host that is not a primary: the least that allows a retry."""
 MAX_FAILED_CONNECTIONS = 4
@@ -511,18 +514,20 @@
 ) -> list[Effect]:
     """Notes the end of the attempt that another one has made superfluous.
 
-    The shell cancels it when the request ends. It frees its slot at once, and is evidence against
-    its target if it has taken as long as a slow answer.
+    The shell cancels it when the request ends. It frees its slot at once. A target that has had the
+    request for more than twice as long as the one that answered is slow, or does not answer at all.
+    Without a cancellation, its answer or its silence would soon be evidence against it.
     """
     record = service.targets.get(target) if service is not None else None
     attempt = record.attempts.get(event.request) if record is not None else None
     if service is None or attempt is None:
         return []
     latency = event.at - attempt.started
-    if event.outcome is AttemptOutcome.CANCELLED:
-        latency = timedelta(0)
-    cancelled = AttemptFinished(event.at, event.request, target, AttemptOutcome.CANCELLED, latency)
-    return _record_attempt(state, service, cancelled)
+    lost = event.outcome is AttemptOutcome.ANSWERED and latency > event.latency * LOST_FACTOR
+    cancelled = AttemptFinished(
+        event.at, event.request, target, AttemptOutcome.CANCELLED, timedelta(0)
+    )
+    return _record_attempt(state, service, cancelled, lost)
 
 
 def _occupy_slot(
@@ -660,8 +665,18 @@
 
 
 def _record_attempt(
-    state: HostState, service: ServiceState, event: AttemptFinished
+    state: HostState, service: ServiceState, event: AttemptFinished, lost: bool = False
 ) -> list[Effect]:
+    """Updates what is known of a target with the end of an attempt.
+
+    Args:
+      state: The host.
+      service: The service of the target.
+      event: The end of the attempt.
+      lost: Whether another attempt was answered in much less time, which makes its end a bad one.
+    Returns:
+      Audit entries.
+    """
     record = service.targets.get(event.target)
     if record is None:
         return []
@@ -671,7 +686,7 @@
         _mark_in_flight_changed(state, service, record)
         return []
     status = event.answer.status if event.answer is not None else 0
-    bad = classify_outcome(service, event.outcome, status, event.latency)
+    bad = lost or classify_outcome(service, event.outcome, status, event.latency)
     if bad is not None:
         if attempt is None or not attempt.overdue_count:
             add_own_evidence(service, record, bad)
--- a/endivedrift/shell/hedging_test.py
+++ b/endivedrift/shell/hedging_test.py
@@ -112,7 +112,7 @@
             assert service.hedging is not None
             budget = TokenBucket(2.0, 0.0, 2.0, clock.monotonic())
             service.hedging.routes[RouteName("read")] = RouteHedging(
-                budget, [], MIN_SAMPLES, DELAY_S, DELAY_S, DELAY_S, clock.monotonic()
+                budget, 0.1, [], MIN_SAMPLES, DELAY_S, DELAY_S, DELAY_S, clock.monotonic()
             )
             claims: Any = None
             context = ServingContext(runtime, TargetPool(clock), claims, SECRET)
--- a/tests/hedging_test.py
+++ b/tests/hedging_test.py
@@ -13,6 +13,7 @@
     RefusalReason,
     RequestDigest,
     RequestId,
+    RouteName,
     TargetName,
     Verdict,
 )
@@ -37,11 +38,15 @@
 from endivedrift.objects import HedgeRule, ObjectSet
 from endivedrift.policy import (
     Attempt,
+    Hedging,
     RateLimit,
     ServiceState,
     TargetRecord,
     TokenBucket,
     earn_hedge,
+    is_service_slow,
+    observe_late,
+    observe_response,
     record_end,
 )
 from endivedrift.policy import _hedging as hedging_policy
@@ -65,7 +70,7 @@
 USUAL = timedelta(milliseconds=100)
 LATE = timedelta(milliseconds=250)
 VERY_LATE = timedelta(milliseconds=500)
-"""Time in which an attempt is evidence against its target: over three times the usual one."""
+"""Time in which a slow target answers: five times the usual one."""
 TARGETS = 6
 SLOTS = 4
 MAX_ATTEMPTS = 3
@@ -224,13 +229,15 @@
         self.driver.finish(request, number=0)
         self.check_answered(request)
 
-    def test_a_target_that_loses_as_a_slow_one_does_is_evidence(self) -> None:
-        request = self.driver.send()
-        self.driver.advance(VERY_LATE)
-        self.assertTrue(self.driver.report_late(request))
-        self.driver.finish(request, number=1)
-        self.assertEqual(self.driver.find_record(request, 0).unsent_bad, 1)
-        self.assertEqual(self.driver.find_record(request, 1).unsent_bad, 0)
+    def test_a_target_that_has_had_the_request_for_much_longer_is_slow(self) -> None:
+        for hedge_time, bad in ((USUAL, 1), (2 * LATE, 0)):
+            request = self.driver.send_hedged()
+            records = [self.driver.find_record(request, number) for number in range(2)]
+            for record in records:
+                record.unsent_bad = 0
+            self.driver.advance(hedge_time)
+            self.driver.finish(request, number=1)
+            self.assertEqual(records[0].unsent_bad, bad)
 
     def test_a_hedge_that_loses_is_no_evidence(self) -> None:
         request = self.driver.send()
@@ -299,6 +306,7 @@
 
     def test_a_caller_that_disconnects_ends_both(self) -> None:
         request = self.driver.send_hedged()
+        self.driver.advance(USUAL)
         effects = self.driver.apply(CallerDisconnected(self.driver.now, request))
         self.assertEqual(effects, [AbandonRequest(request)])
         target = self.driver.harness.state.requests[request].target
@@ -306,12 +314,20 @@
         self.driver.apply(cancel_attempt(self.driver.now, request, target))
         self.assertEqual(self.driver.list_occupied(), [])
         self.assertEqual(self.driver.harness.state.requests, {})
+        for number in range(2):
+            self.assertEqual(self.driver.find_record(request, number).unsent_bad, 0)
 
     def test_a_first_attempt_beside_a_hedge_is_not_aborted(self) -> None:
-        request = self.driver.send_hedged()
-        self.driver.advance(VERY_LATE)
-        for target in self.driver.sent[request]:
-            self.assertEqual(self.driver.apply(AttemptLate(self.driver.now, request, target)), [])
+        for is_hedged in (True, False):
+            request = self.driver.send_hedged() if is_hedged else self.driver.send()
+            self.driver.advance(VERY_LATE)
+            faster = self.driver.service.targets[name_target(5)]
+            self.assertNotIn(name_target(5), self.driver.sent[request])
+            faster.last_answer_at, faster.last_latency = self.driver.now, USUAL
+            target = self.driver.sent[request][0]
+            effects = self.driver.apply(AttemptLate(self.driver.now, request, target))
+            is_aborted = any(isinstance(effect, AbortAttempt) for effect in effects)
+            self.assertEqual(is_aborted, not is_hedged)
 
 
 class FewAttemptsTest(HedgeTest):
@@ -392,6 +408,37 @@
             self.driver.apply(QueueWaitExpired(self.driver.now, request))
         self.assertTrue(self.driver.report_late(later))
 
+    def test_no_retry_is_taken_from_the_budget_where_the_route_has_no_hedge_left(self) -> None:
+        (route,) = self.driver.service.hedging.routes.values()  # type: ignore[union-attr]
+        request = self.driver.send()
+        route.budget.tokens = 0.5
+        before = self.driver.service.retry_budget.tokens
+        self.driver.advance(LATE)
+        self.assertFalse(self.driver.report_late(request))
+        self.assertEqual(self.driver.service.retry_budget.tokens, before)
+
+    def test_a_host_that_has_just_started_hedges_no_more_than_the_limit(self) -> None:
+        self.driver = Driver(build_set(LIMIT))
+        with inject_fault(_hedging, "is_service_slow", lambda *arguments: False):
+            for _ in range(200):
+                request = self.driver.send()
+                self.driver.report_late(request)
+                self.driver.finish(request)
+                allowed = LIMIT * len(self.driver.sent)
+                self.assertLessEqual(len(self.driver.hedges), allowed)
+        self.assertGreater(len(self.driver.hedges), 0.9 * allowed - 1)
+
+    def test_a_service_with_many_routes_is_found_slow_before_each_of_them_is(self) -> None:
+        hedging = Hedging(LIMIT)
+        names = [RouteName(f"route-{number}") for number in range(50)]
+        for name in names * (hedging_policy.MIN_SAMPLES + 20):
+            earn_hedge(hedging, name, 1.0, 1, Instant(0))
+            observe_response(hedging, name, USUAL, Instant(0))
+        self.assertFalse(any(is_service_slow(hedging, name) for name in names))
+        for name in names[:8]:
+            observe_late(hedging, name, Instant(0))
+        self.assertTrue(all(is_service_slow(hedging, name) for name in names))
+
     def test_hosts_that_are_no_primaries_hedge_nothing(self) -> None:
         with inject_fault(_attempts, "is_primary", lambda *arguments: False):
             self.check_not_hedged()
