--- a/endivedrift/platform/input_test.py
+++ b/endivedrift/platform/input_test.py
@@ -194,13 +194,13 @@
 
 
 class SettingsFileTest(unittest.TestCase):
-    def run_host(self, text: str) -> subprocess.CompletedProcess[str]:
+    def run_host(self, text: str, **variables: str) -> subprocess.CompletedProcess[str]:
         with tempfile.NamedTemporaryFile("w", suffix=".toml") as file:
             file.write(text)
             file.flush()
             return subprocess.run(
                 [sys.executable, "-m", "endivedrift.platform"],
-                env={**os.environ, "ENDIVEDRIFT_NODE_FILE": file.name},
+                env={**os.environ, "ENDIVEDRIFT_NODE_FILE": file.name, **variables},
                 cwd=ROOT,
                 capture_output=True,
                 text=True,
@@ -223,6 +223,12 @@
                 self.assertEqual(done.stderr.count("\n"), 1, done.stderr)
                 self.assertIn(field, done.stderr)
 
+    def test_an_invalid_share_of_hedges_ends_the_start_with_one_line_that_names_it(self) -> None:
+        done = self.run_host(NODE_TEXT, ENDIVEDRIFT_HEDGE_SHARE="5%")
+        self.assertEqual(done.returncode, 2, done.stderr)
+        self.assertEqual(done.stderr.count("\n"), 1, done.stderr)
+        self.assertIn("ENDIVEDRIFT_HEDGE_SHARE", done.stderr)
+
 
 class ReloadTest(unittest.TestCase):
     def test_an_invalid_file_leaves_the_settings_in_force(self) -> None:
