--- a/endivedrift/policy/_service.py
+++ b/endivedrift/policy/_service.py
@@ -20,6 +20,7 @@
     EjectionLimit,
     ObjectSet,
     RetryRule,
+    Route,
     Service,
     Target,
     UpstreamGroup,
@@ -27,6 +28,7 @@
 from endivedrift.policy._bucket import TokenBucket
 from endivedrift.policy._failure_record import FailureRecord
 from endivedrift.policy._fair_queue import FairQueue, ServedShares
+from endivedrift.policy._hedging import Hedging
 from endivedrift.policy._rate_limit import RateLimit
 
 INITIAL_LATENCY = timedelta(milliseconds=25)
@@ -203,6 +205,7 @@
       recent_outcomes: Recent ends of requests, which show whether the service is failing.
       repeat_share: Share of the targets that failed in the last minutes that failed again.
       users: When each other host last reported requests or outcomes of the service.
+      hedging: Its hedged requests, or None if it has none.
     """
 
     name: ServiceName
@@ -229,6 +232,7 @@
     recent_outcomes: RecentOutcomes = field(default_factory=RecentOutcomes)
     repeat_share: float = 0.0
     users: dict[HostId, Instant] = field(default_factory=dict)
+    hedging: Hedging | None = None
 
     @property
     def queued_count(self) -> int:
@@ -286,9 +290,10 @@
         targets={},
         threshold=math.log(1.0 / ejection.false_ejection_rate),
         retry_budget=_build_budget(service, retry, at),
+        hedging=_build_hedging(service, objects),
     )
     if previous is not None:
-        _copy_learned_state(state, previous)
+        _copy_learned_state(state, previous, objects.route)
     for target in group.targets:
         record = _build_target(target, previous, at)
         state.targets[TargetName(target.name)] = record
@@ -305,6 +310,11 @@
     return TokenBucket(cap, 0.0, 0.0 if service.share_at_once else cap, at)
 
 
+def _build_hedging(service: Service, objects: ObjectSet) -> Hedging | None:
+    rule = objects.hedge_rule.get(service.hedge_rule)
+    return Hedging(rule.max_extra_share) if rule is not None and rule.max_extra_share else None
+
+
 def register_target(state: ServiceState, entry: TargetEntry, at: Instant) -> bool:
     """Adds a target that registered itself, or updates its registration.
 
@@ -334,7 +344,9 @@
     return True
 
 
-def _copy_learned_state(state: ServiceState, previous: ServiceState) -> None:
+def _copy_learned_state(
+    state: ServiceState, previous: ServiceState, routes: dict[str, Route]
+) -> None:
     state.typical_latency = previous.typical_latency
     state.latency_samples = previous.latency_samples
     state.usual_bad_rate = previous.usual_bad_rate
@@ -348,6 +360,11 @@
     state.recent_outcomes = previous.recent_outcomes
     state.repeat_share = previous.repeat_share
     state.users = previous.users
+    if state.hedging is not None and previous.hedging is not None:
+        state.hedging.late_share = previous.hedging.late_share
+        state.hedging.routes = {
+            name: known for name, known in previous.hedging.routes.items() if name in routes
+        }
     if state.group.discovered:
         state.targets.update({n: r for n, r in previous.targets.items() if r.entry is not None})
     state.retry_budget.tokens = min(state.retry_budget.cap, previous.retry_budget.tokens)
