One budget of bytes for answers and request bodies, with fair shares

Cause: a caller that stops reading kept its whole answer in memory for 30 s, three times over while it was sent, and outside the limit on answers, which ended with the read from the target. 200 such callers of 540 KB at a host of 200 MB are 108 MB, each several times.

Ruled out: passing answers on as they come (a cut answer could look complete); a fixed share for each account (idle where few are active); a larger kernel buffer (the same memory, out of sight).

Change: request bodies and answers count from their first byte until the caller has taken them. The limit follows from the memory of the host (limits.memoryMb, settings: limits.memory_mb). A connection or an account may hold four times what is free. Above half of the limit, answers that are taken at less than 16 KB/s over a second are closed, the slowest first, with a log line and a metric. An answer waits 1.5 s at most for memory, and then ends as no-memory, which is no evidence against the target. Large bodies are written without a copy.

--- a/endivedrift/core/_states.py
+++ b/endivedrift/core/_states.py
@@ -60,6 +60,7 @@
     TIMED_OUT = "timed-out"
     MALFORMED = "malformed"
     TOO_LARGE = "too-large"
+    NO_MEMORY = "no-memory"
     CANCELLED = "cancelled"
 
 
@@ -133,6 +134,7 @@
     HEADERS_TOO_LARGE = "headers-too-large"
     UNSUPPORTED = "unsupported"
     SLOW_CALLER = "slow-caller"
+    NO_MEMORY = "no-memory"
     TOO_MANY_CONNECTIONS = "too-many-connections"
 
 
--- a/endivedrift/platform/_node_file.py
+++ b/endivedrift/platform/_node_file.py
@@ -108,6 +108,16 @@
     return power
 
 
+def _read_memory(document: dict[str, Any]) -> float:
+    """Returns the memory of the host in MB; that of the smallest hosts if the file has none."""
+    if "memoryMb" not in read_field(document, "limits", dict):
+        return LimitsSection().memory_mb
+    memory_mb = read_number(document, "limits.memoryMb")
+    if not memory_mb:
+        raise WireError("limits.memoryMb: is 0")
+    return memory_mb
+
+
 def _read_internal_ports(document: dict[str, Any]) -> range:
     """Returns the ports that are free for traffic between hosts.
 
@@ -167,6 +177,7 @@
             seeds=_read_seeds(document, peer_port),
         ),
         limits=LimitsSection(
+            memory_mb=_read_memory(document),
             entry_max_age_s=ENTRY_MAX_AGE_S,
             leave_wait_s=leave_wait_s,
             drain_s=max(0.1, grace_s - leave_wait_s - EXIT_MARGIN_S),
--- a/endivedrift/policy/_evidence.py
+++ b/endivedrift/policy/_evidence.py
@@ -46,7 +46,12 @@
     }
 )
 _NEUTRAL_OUTCOMES = frozenset(
-    {AttemptOutcome.SHED, AttemptOutcome.DRAINING, AttemptOutcome.MISDIRECTED}
+    {
+        AttemptOutcome.SHED,
+        AttemptOutcome.DRAINING,
+        AttemptOutcome.MISDIRECTED,
+        AttemptOutcome.NO_MEMORY,
+    }
 )
 
 
--- a/endivedrift/reducer/_attempts.py
+++ b/endivedrift/reducer/_attempts.py
@@ -92,8 +92,11 @@
     AttemptOutcome.TIMED_OUT: RefusalReason.TARGET_TIMEOUT,
     AttemptOutcome.MALFORMED: RefusalReason.TARGET_MALFORMED,
     AttemptOutcome.TOO_LARGE: RefusalReason.TARGET_TOO_LARGE,
+    AttemptOutcome.NO_MEMORY: RefusalReason.TARGET_TOO_LARGE,
 }
-_FINAL_OUTCOMES = frozenset({AttemptOutcome.CANCELLED, AttemptOutcome.TOO_LARGE})
+_FINAL_OUTCOMES = frozenset(
+    {AttemptOutcome.CANCELLED, AttemptOutcome.TOO_LARGE, AttemptOutcome.NO_MEMORY}
+)
 _PAUSE_CAUSES = {
     AttemptOutcome.CUT: PauseCause.BROKEN,
     AttemptOutcome.MALFORMED: PauseCause.BROKEN,
--- a/endivedrift/settings.py
+++ b/endivedrift/settings.py
@@ -106,6 +106,7 @@
       head_s: Maximum time from the first byte of a request to its last, including the body.
       entry_max_age_s: Time for which callers may cache an entry answer, the list of a service's
         hosts.
+      memory_mb: Memory that the host may use, in MB; the budget for bodies is derived from it.
       body_bytes: Maximum size of the body of a request without a route.
       leave_wait_s: Time for which a stopping host still accepts new requests; 0 means one second
         more than `entry_max_age_s`.
@@ -117,6 +118,7 @@
     idle_s: Annotated[float, Range(gt=0, le=600)] = 60.0
     head_s: Annotated[float, Range(gt=0, le=60)] = 10.0
     entry_max_age_s: Annotated[float, Range(gt=0, le=300)] = 5.0
+    memory_mb: Annotated[float, Range(gt=0, le=1_000_000)] = 200.0
     body_bytes: Annotated[int, Range(ge=0)] = 65_536
     leave_wait_s: Annotated[float, Range(ge=0, le=600)] = 0.0
     drain_s: Annotated[float, Range(gt=0, le=600)] = 150.0
--- a/endivedrift/shell/_callers.py
+++ b/endivedrift/shell/_callers.py
@@ -29,6 +29,7 @@
 from endivedrift.core.events import CallerDisconnected
 from endivedrift.fleet import NamedRoute, find_route
 from endivedrift.objects import ConnectionLimit
+from endivedrift.policy import MIN_RATE, SMALL_BYTES, Holding
 from endivedrift.settings import LimitsSection
 from endivedrift.shell._answers import HttpAnswer, make_refusal
 from endivedrift.shell._entry import ENTRY_PATH, answer_entry
@@ -41,10 +42,12 @@
     measure_head,
     parse_endpoint,
 )
+from endivedrift.shell._memory import ClosingReason, Sending
 from endivedrift.shell._request_log import log_request
 from endivedrift.shell._requests import (
     HeaderError,
     build_target_request,
+    identify_account,
     read_head,
     read_host,
 )
@@ -54,6 +57,11 @@
 MAX_PIPELINED_REQUESTS = 16
 """Maximum number of requests of one connection in progress; further ones are not read."""
 WRITE_TIMEOUT = timedelta(seconds=30)
+"""Time within which a caller must take the rest of an answer, or at least MIN_RATE of it."""
+MAX_UNSENT_BYTES = 131_072
+"""Bytes of a large answer that the kernel buffers besides those in transit. More would count as
+taken by the caller, and are memory of the host too. The fastest hosts have 35 KB in transit."""
+NO_MEMORY_RETRY_AFTER = timedelta(seconds=1)
 CLOSING_IDLE_TIMEOUT = timedelta(milliseconds=500)
 LISTEN_BACKLOG = 1_024
 OVERLOAD_RETRY_AFTER = timedelta(seconds=1)
@@ -84,6 +92,8 @@
     Attributes:
       http: Parser that read the request and frames the answer.
       caller_request_id: The request id that the caller sent, or None.
+      holding: The bytes that the host holds for the request.
+      body: Body of the request until it is served.
       is_done: Whether serving has ended; if there is no answer then, the request was abandoned.
     """
 
@@ -91,6 +101,8 @@
     request_id: RequestId
     caller_request_id: bytes | None
     method: str
+    holding: Holding
+    body: bytes = b""
     answer: HttpAnswer | None = None
     is_done: bool = False
 
@@ -151,6 +163,7 @@
         """
         self._context = context
         self._runtime = context.runtime
+        self._memory = context.pool.memory
         self._limits = limits
         self._default_limits = ConnectionLimit(
             head_ms=round(limits.head_s * 1000.0), idle_ms=round(limits.idle_s * 1000.0)
@@ -231,6 +244,7 @@
             await reader.cancel(blocking=False)
             with contextlib.suppress(OSError):
                 await connection.sock.close()
+            self._release_unsent(connection)
             del self._connections[id(connection)]
             self._runtime.metrics.connections = len(self._connections)
 
@@ -286,20 +300,24 @@
         self._check_head(request, headers, method)
         path = request.target.decode("ascii").partition("?")[0]
         named_route = find_route(self._runtime.state.routes, method, path, read_host(headers))
-        body = await self._read_body(connection, headers, named_route)
-        if connection.close_announced:
-            return False
         http = connection.http
         caller_request_id = find_header(headers, self._context.conventions.request_id_header)
-        exchange = _Exchange(http, request_id, caller_request_id, method)
+        holding = self._memory.open(request_id, id(connection))
+        exchange = _Exchange(http, request_id, caller_request_id, method, holding)
+        try:
+            exchange.body = await self._read_body(connection, headers, named_route, holding)
+        except BaseException:
+            self._memory.close(holding)
+            raise
+        if connection.close_announced:
+            self._memory.close(holding)
+            return False
         connection.exchanges.append(exchange)
         connection.is_reading = False
         is_final = http.their_state is not h11.DONE
         if not is_final:
             self._start_next_parser(connection)
-        await curio.spawn(
-            self._serve_exchange(connection, exchange, request, headers, body), daemon=True
-        )
+        await curio.spawn(self._serve_exchange(connection, exchange, request, headers), daemon=True)
         if is_final:
             return False
         max_in_progress = (
@@ -369,7 +387,11 @@
                 await connection.wakeup.wait()
 
     async def _read_body(
-        self, connection: _Connection, headers: Headers, named_route: NamedRoute | None
+        self,
+        connection: _Connection,
+        headers: Headers,
+        named_route: NamedRoute | None,
+        holding: Holding,
     ) -> bytes:
         limit = (
             self._limits.body_bytes
@@ -395,11 +417,30 @@
                 if len(body) > limit:
                     detail = f"the body is limited to {limit} bytes"
                     raise _RequestRefusedError(make_refusal(RefusalReason.TOO_LARGE, detail))
+                needed = max(len(body), int(declared or 0))
+                if needed > holding.size:
+                    await self._reserve_body(connection, headers, holding, needed)
             elif isinstance(event, h11.EndOfMessage):
                 return bytes(body)
             else:
                 raise _ConnectionEndedError
 
+    async def _reserve_body(
+        self, connection: _Connection, headers: Headers, holding: Holding, needed: int
+    ) -> None:
+        """Waits until the host has room for the body, while no more of it is read."""
+        if needed > SMALL_BYTES:
+            account = identify_account(
+                self._context.conventions, headers, self._runtime.state.routes
+            )
+            self._memory.assign_account(holding, account)
+        remaining = connection.read_deadline - self._runtime.clock.monotonic()
+        if not await self._memory.reserve(holding, needed - holding.size, remaining):
+            detail = "this host has no memory for the body"
+            raise _RequestRefusedError(
+                make_refusal(RefusalReason.NO_MEMORY, detail, NO_MEMORY_RETRY_AFTER)
+            )
+
     async def _next_event_before_deadline(self, connection: _Connection) -> object:
         """Returns the next event of the request, which is refused if it misses its deadline."""
         remaining = connection.read_deadline - self._runtime.clock.monotonic()
@@ -415,22 +456,24 @@
         exchange: _Exchange,
         request: h11.Request,
         headers: Headers,
-        body: bytes,
     ) -> None:
+        body_bytes = len(exchange.body)
         try:
-            exchange.answer = await self._build_answer(exchange, request, headers, body)
+            exchange.answer = await self._build_answer(exchange, request, headers)
             # A cancellation that came too late to be delivered must not interrupt the write.
             await curio.check_cancellation()
         except curio.CancelledError:
             pass
         finally:
             exchange.is_done = True
+            self._memory.release(exchange.holding, body_bytes)
         await self._send_ready_answers(connection)
 
     async def _build_answer(
-        self, exchange: _Exchange, request: h11.Request, headers: Headers, body: bytes
+        self, exchange: _Exchange, request: h11.Request, headers: Headers
     ) -> HttpAnswer:
         runtime, conventions = self._runtime, self._context.conventions
+        body, exchange.body = exchange.body, b""
         path, _, query = request.target.decode("ascii").partition("?")
         if self._serves_entry and path == ENTRY_PATH:
             max_age = timedelta(seconds=self._limits.entry_max_age_s)
@@ -444,6 +487,7 @@
         except HeaderError as error:
             refusal = make_refusal(RefusalReason.BAD_REQUEST, str(error))
             return conventions.describe_refusal(refusal, exchange.request_id)
+        self._memory.assign_account(exchange.holding, head.caller)
         started_at = runtime.clock.monotonic()
         served = await serve_request(self._context, exchange.request_id, head, target_request)
         duration = runtime.clock.monotonic() - started_at
@@ -466,13 +510,17 @@
         """Sends a refusal after the answers to earlier requests, and closes the connection."""
         request_id = self._runtime.new_request_id()
         answer = self._context.conventions.describe_refusal(refusal, request_id)
-        exchange = _Exchange(connection.http, request_id, None, "", answer, is_done=True)
+        holding = self._memory.open(request_id, id(connection))
+        exchange = _Exchange(
+            connection.http, request_id, None, "", holding, answer=answer, is_done=True
+        )
         connection.is_closing = True
         with contextlib.suppress(OSError, h11.LocalProtocolError, curio.TaskTimeout):
             await self._await_answers(connection)
             if not connection.close_announced:
                 await self._send_answer(connection, exchange, is_last=True)
             await self._close_gracefully(connection)
+        self._memory.close(holding)
 
     async def _close_gracefully(self, connection: _Connection) -> None:
         """Shuts down the sending side and waits until the caller closes the connection.
@@ -501,12 +549,22 @@
                     break
                 await self._send_answer(connection, exchange, self._is_last(connection, exchange))
                 connection.exchanges.popleft()
+                self._memory.close(exchange.holding)
         except (OSError, curio.TaskTimeout, h11.LocalProtocolError):
             connection.is_ended = True
         finally:
             connection.is_writing = False
+            if connection.is_ended:
+                self._release_unsent(connection)
             await connection.wakeup.set()
 
+    def _release_unsent(self, connection: _Connection) -> None:
+        """Drops the answers that can no longer be sent; the requests of others go on."""
+        for exchange in connection.exchanges:
+            if exchange.is_done and not connection.is_writing:
+                exchange.answer = None
+                self._memory.close(exchange.holding)
+
     def _is_last(self, connection: _Connection, exchange: _Exchange) -> bool:
         """Tells whether the connection ends after this answer, which must be the last one due.
 
@@ -532,12 +590,46 @@
             headers.append((b"content-length", str(len(answer.body)).encode()))
         if is_last:
             headers.append((b"connection", b"close"))
-        data = http.send(h11.Response(status_code=answer.status, headers=headers))
-        if method != "HEAD" and answer.body:
-            data += http.send(h11.Data(data=answer.body))
-        data += http.send(h11.EndOfMessage())
-        async with curio.timeout_after(WRITE_TIMEOUT.total_seconds()):
-            await connection.sock.sendall(data)
+        head = http.send(h11.Response(status_code=answer.status, headers=headers))
+        assert head is not None
+        body = answer.body if method != "HEAD" else b""
+        if body:
+            http.send_with_data_passthrough(h11.Data(data=body))
+        http.send(h11.EndOfMessage())
+        sock = connection.sock
+        sending = await self._memory.start_sending(exchange.holding, sock, len(head) + len(body))
+        try:
+            await self._write(sending, head, body)
+        finally:
+            self._memory.finish_sending(sending)
+
+    async def _write(self, sending: Sending, head: bytes, body: bytes) -> None:
+        """Writes an answer, without a copy of a large body.
+
+        Raises:
+          OSError: If the caller or the host closed the connection.
+          curio.TaskTimeout: If the caller takes too little of the answer in WRITE_TIMEOUT.
+        """
+        sock = sending.sock
+        if len(body) > SMALL_BYTES:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NOTSENT_LOWAT, MAX_UNSENT_BYTES)
+            buffers = [memoryview(head), memoryview(body)]
+        else:
+            buffers = [memoryview(head + body)]
+        taken_before = 0
+        while buffers:
+            try:
+                async with curio.timeout_after(WRITE_TIMEOUT.total_seconds()):
+                    while buffers:
+                        written = await sock.sendmsg(buffers)
+                        sending.written += written
+                        buffers = _drop_bytes(buffers, written)
+            except curio.TaskTimeout:
+                taken = sending.count_taken()
+                if taken - taken_before < MIN_RATE * WRITE_TIMEOUT.total_seconds():
+                    await self._memory.close_sending(sending, ClosingReason.TOO_SLOW)
+                    raise
+                taken_before = taken
 
     def _build_id_header(self, exchange: _Exchange, answer: HttpAnswer) -> Headers:
         conventions = self._context.conventions
@@ -549,6 +641,16 @@
         return ((name, exchange.caller_request_id),)
 
 
+def _drop_bytes(buffers: list[memoryview], count: int) -> list[memoryview]:
+    """Returns what is left of the buffers after their first `count` bytes."""
+    rest = []
+    for buffer in buffers:
+        if count < len(buffer):
+            rest.append(buffer[count:])
+        count = max(0, count - len(buffer))
+    return rest
+
+
 def _parse_event(connection: _Connection) -> object:
     """Returns the next event in the bytes received so far, or NEED_DATA."""
     connection.wakeup.clear()
--- a/endivedrift/shell/_daemon.py
+++ b/endivedrift/shell/_daemon.py
@@ -25,6 +25,7 @@
 from endivedrift.shell._callers import CallerServer
 from endivedrift.shell._environment import HostEnvironment
 from endivedrift.shell._log import make_logger
+from endivedrift.shell._memory import BodyMemory
 from endivedrift.shell._metrics import Metrics
 from endivedrift.shell._operators import OperatorServer
 from endivedrift.shell._peers import PeerTransport
@@ -41,6 +42,7 @@
 """
 INCARNATION_RANDOM_BITS = 20
 EXIT_FAILED = 1
+BYTES_PER_MB = 1_000_000
 
 _log = make_logger("daemon")
 
@@ -80,9 +82,11 @@
     identity = _build_identity(settings, clock)
     secret = settings.fleet.key.encode()
     state = build_host(identity, secret, secrets.randbits(64), environment.store_is_relayed)
-    runtime = Runtime(state, clock, Metrics())
+    metrics = Metrics()
+    runtime = Runtime(state, clock, metrics)
     conventions = environment.conventions
-    pool = TargetPool(clock, conventions)
+    memory = BodyMemory(clock, metrics, settings.limits.memory_mb * BYTES_PER_MB)
+    pool = TargetPool(clock, conventions, memory)
     context = ServingContext(runtime, pool, environment.claims, secret, conventions)
     operators = OperatorServer(runtime, identity.operator_address)
     peers = PeerTransport(context, identity.peer_address, environment.read_object)
--- a/endivedrift/shell/_http.py
+++ b/endivedrift/shell/_http.py
@@ -6,8 +6,10 @@
 from dataclasses import dataclass
 
 import h11
+from curio import socket
 
 from endivedrift.core import Address, Headers
+from endivedrift.policy import SMALL_BYTES
 
 READ_BYTES = 65_536
 EVENTS_PER_TURN = 128
@@ -48,6 +50,23 @@
     return Endpoint(ip, int(port))
 
 
+async def send_message(sock: socket.socket, head: bytes, body: bytes) -> None:
+    """Sends a head and a body without a copy of a large body.
+
+    Raises:
+      OSError: If the connection is closed.
+    """
+    if len(body) <= SMALL_BYTES:
+        await sock.sendall(head + body)
+        return
+    sent = await sock.sendmsg([head, body])
+    if sent < len(head):
+        await sock.sendall(head[sent:])
+        sent = len(head)
+    with memoryview(body) as view:
+        await sock.sendall(view[sent - len(head) :])
+
+
 def strip_hop_headers(headers: Headers) -> Headers:
     """Removes hop-by-hop headers, those named in the Connection header, and Content-Length."""
     named: set[bytes] = set()
--- a/endivedrift/shell/_metrics.py
+++ b/endivedrift/shell/_metrics.py
@@ -16,6 +16,7 @@
     Refusal,
     TargetState,
 )
+from endivedrift.policy import ByteBudget
 from endivedrift.reducer import HostState
 
 LATENCY_BUCKETS_SECONDS = (0.001, 0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10)
@@ -59,6 +60,8 @@
       peer_bytes: Bytes of datagrams by direction.
       rejected_peer_messages: Datagrams and calls of peers that could not be read.
       connections: Open connections of callers.
+      closed_answers: Answers whose connection was closed before the caller took them, by reason.
+      held_bytes: Bytes of request bodies and answers, and their limit.
     """
 
     def __init__(self) -> None:
@@ -71,6 +74,8 @@
         self.peer_bytes: Counter[str] = Counter()
         self.rejected_peer_messages = 0
         self.connections = 0
+        self.closed_answers: Counter[str] = Counter()
+        self.held_bytes = ByteBudget(0)
 
     def count_audit(self, entry: AuditEntry) -> None:
         """Counts an audit entry."""
@@ -112,6 +117,12 @@
                 self.attempts,
             ),
             ("endivedrift_audit_entries", "Audit entries by kind", ("kind",), self.audit),
+            (
+                "endivedrift_closed_answers",
+                "Answers closed before the caller had taken them",
+                ("reason",),
+                self.closed_answers,
+            ),
             ("endivedrift_peer_bytes", "Bytes of datagrams", ("direction",), self.peer_bytes),
             (
                 "endivedrift_platform_failures",
@@ -160,6 +171,16 @@
             "Remembered idempotency keys",
             len(state.keys.records),
         ),
+        (
+            "endivedrift_held_bytes",
+            "Bytes of request bodies and answers that are held",
+            metrics.held_bytes.used,
+        ),
+        (
+            "endivedrift_held_bytes_limit",
+            "Limit on the bytes that are held",
+            metrics.held_bytes.limit,
+        ),
         ("endivedrift_serving", "1 while the host serves, else 0", serving),
     ):
         yield GaugeMetricFamily(name, text, value=value)
--- a/endivedrift/shell/_peer_calls.py
+++ b/endivedrift/shell/_peer_calls.py
@@ -52,7 +52,13 @@
         self.sent = sent
 
 
-async def call_peer(secret: bytes, address: Address, call: Call, timeout: timedelta) -> Reply:
+async def call_peer(
+    secret: bytes,
+    address: Address,
+    call: Call,
+    timeout: timedelta,
+    reserve: Callable[[int], Awaitable[bool]] | None = None,
+) -> Reply:
     """Sends a call to another host and waits for its reply.
 
     Args:
@@ -60,6 +66,7 @@
       address: Peer address of the host.
       call: The call.
       timeout: Limit of the time from connecting to the end of the reply.
+      reserve: Reserves memory for the bytes of the reply; without room, the call fails.
     Returns:
       The reply.
     Raises:
@@ -74,7 +81,7 @@
             sent = True
             await _write_frame(sock, secret, nonce, CALL_LABEL, encode_call(call))
             reply = decode_reply(
-                await _read_frame(sock, secret, nonce, REPLY_LABEL, MAX_REPLY_BYTES)
+                await _read_frame(sock, secret, nonce, REPLY_LABEL, MAX_REPLY_BYTES, reserve)
             )
     except curio.TaskTimeout:
         raise PeerCallError("no reply in time", sent) from None
@@ -124,12 +131,19 @@
 
 
 async def _read_frame(
-    sock: socket.socket, secret: bytes, nonce: bytes, label: bytes, limit: int
+    sock: socket.socket,
+    secret: bytes,
+    nonce: bytes,
+    label: bytes,
+    limit: int,
+    reserve: Callable[[int], Awaitable[bool]] | None = None,
 ) -> bytes:
     head = await _read_exactly(sock, LENGTH_BYTES + MAC_BYTES)
     length = int.from_bytes(head[:LENGTH_BYTES], "big")
     if length > limit:
         raise ValueError("the frame is too large")
+    if reserve is not None and not await reserve(length):
+        raise ValueError("this host has no memory for the reply")
     body = await _read_exactly(sock, length)
     if not verify_mac(secret, head[LENGTH_BYTES:], nonce, label, body):
         raise ValueError("the frame is not authentic")
--- a/endivedrift/shell/_peers.py
+++ b/endivedrift/shell/_peers.py
@@ -27,6 +27,7 @@
     PeerTargetsReceived,
 )
 from endivedrift.objects import digest_bytes
+from endivedrift.policy import Holding
 from endivedrift.reducer import list_registered_targets
 from endivedrift.shell._codec import (
     MAX_DATAGRAM_BYTES,
@@ -84,6 +85,7 @@
         self._tcp.bind(sockaddr)
         self._tcp.listen(MAX_PEER_CONNECTIONS)
         self._open_calls = 0
+        self._holdings: dict[socket.socket, Holding] = {}
         # The reducer often sends one message to several hosts; it is encoded only once.
         self._last_encoded: tuple[PeerMessage | None, bytes] = (None, b"")
         self._runtime.send_datagram = self.send_message
@@ -180,6 +182,8 @@
                 self._runtime.metrics.rejected_peer_messages += 1
         finally:
             self._open_calls -= 1
+            if sock in self._holdings:
+                self._context.pool.memory.close(self._holdings.pop(sock))
             with contextlib.suppress(OSError):
                 await sock.close()
 
@@ -190,6 +194,9 @@
         if isinstance(call, TargetsQuery):
             return KnownTargets(*list_registered_targets(self._runtime.state))
         request_id = self._runtime.new_request_id()
+        memory = self._context.pool.memory
+        self._holdings[sock] = memory.open(request_id, id(sock), call.caller)
+        memory.add(self._holdings[sock], len(call.body))
         if not call.for_peer:
             return await self._serve_forwarded(request_id, call)
         watching = await curio.spawn(self._watch_sender(sock, request_id), daemon=True)
--- a/endivedrift/shell/_requests.py
+++ b/endivedrift/shell/_requests.py
@@ -97,6 +97,14 @@
     )
 
 
+def identify_account(
+    conventions: HttpConventions, headers: Headers, routes: RouteTable
+) -> CallerName | None:
+    """Returns the account of a request, or None if it has none."""
+    account_key = _read_account_key(conventions, headers)
+    return _identify_caller(conventions, headers, account_key, routes)
+
+
 def read_host(headers: Headers) -> str:
     """Returns the name in the Host header, in lower case and without a port."""
     value = (find_header(headers, b"host") or b"").decode("latin-1").strip().lower()
--- a/endivedrift/shell/_serving.py
+++ b/endivedrift/shell/_serving.py
@@ -43,6 +43,7 @@
 from endivedrift.shell._peer_calls import PeerCallError, call_peer
 from endivedrift.shell._runtime import Mailbox, Runtime
 from endivedrift.shell._targets import (
+    MAX_MEMORY_WAIT,
     TargetPool,
     TargetRequest,
     cancel_attempt,
@@ -286,8 +287,15 @@
     context: ServingContext, request: RequestId, address: Address, call: ForwardedRequest
 ) -> None:
     clock = context.runtime.clock
+    holding = context.pool.memory.find(request)
+
+    async def reserve(size: int) -> bool:
+        if holding is None:
+            return True
+        return await context.pool.memory.reserve(holding, size, MAX_MEMORY_WAIT)
+
     try:
-        reply = await call_peer(context.secret, address, call, call.timeout)
+        reply = await call_peer(context.secret, address, call, call.timeout, reserve)
     except PeerCallError as error:
         failed = ForwardFinished(
             clock.monotonic(), request, ForwardOutcome.BROKEN, connected=error.sent
--- a/endivedrift/shell/_targets.py
+++ b/endivedrift/shell/_targets.py
@@ -33,6 +33,7 @@
 )
 from endivedrift.core.effects import SendToTarget
 from endivedrift.core.events import AttemptFinished
+from endivedrift.policy import Holding
 from endivedrift.shell._conventions import DEFAULT_CONVENTIONS, HttpConventions
 from endivedrift.shell._http import (
     EVENTS_PER_TURN,
@@ -42,15 +43,15 @@
     find_header,
     is_framed,
     parse_endpoint,
+    send_message,
     strip_hop_headers,
 )
+from endivedrift.shell._memory import BodyMemory
 
 MAX_IDLE_TIME = timedelta(seconds=10)
-MAX_BUFFERED_BYTES = 32 * 1024 * 1024
-"""Limit on the answers that a host holds in memory at one time while it reads them. A body takes up
-to three times its size until it is sent, and the smallest hosts have 200 MB."""
-SMALL_ANSWER_BYTES = 65_536
-"""Size up to which an answer is read even while others fill that memory."""
+MAX_MEMORY_WAIT = timedelta(seconds=1.5)
+"""Limit on the time that an answer waits for memory. Targets cut off an answer that is not read for
+some seconds; answers that callers do not take are closed within 1.1 s."""
 MAX_INFORMATIONAL_RESPONSES = 16
 MAX_FRAMING_BYTES = 256 * 1024
 """Bytes beyond its body that an answer may take, as heads, chunk headers and trailers."""
@@ -104,17 +105,24 @@
     retry_after: timedelta | None = None
     rate_limit: float | None = None
     new_connection: bool = False
+    memory_wait: timedelta = timedelta(0)
 
 
 class TargetPool:
     """Idle connections to targets, by address."""
 
-    def __init__(self, clock: Clock, conventions: HttpConventions = DEFAULT_CONVENTIONS) -> None:
-        """Creates an empty pool."""
+    def __init__(
+        self,
+        clock: Clock,
+        conventions: HttpConventions = DEFAULT_CONVENTIONS,
+        memory: BodyMemory | None = None,
+    ) -> None:
+        """Creates an empty pool; answers are held in `memory`, by default one of the pool's own."""
+        self.memory = memory or BodyMemory(clock)
         self._clock = clock
         self._conventions = conventions
         self._idle: dict[Address, deque[_Connection]] = {}
-        self._buffered = _ByteBudget(MAX_BUFFERED_BYTES)
+        self._buffered = self.memory.budget
 
     async def attempt(
         self,
@@ -136,7 +144,8 @@
         """
         started = self._clock.monotonic()
         attempt_result = await self._connect_and_exchange(effect, request, started, is_aborted)
-        latency = self._clock.monotonic() - started
+        # The wait for memory says nothing about the target.
+        latency = self._clock.monotonic() - started - attempt_result.memory_wait
         target_ended = False
         if attempt_result.outcome is AttemptOutcome.CUT:
             target_ended = await self._refuses_connections(effect)
@@ -205,7 +214,17 @@
             await _close(connection.sock)
             return _AttemptResult(AttemptOutcome.NOT_CONNECTED)
         attempt_result = _AttemptResult(AttemptOutcome.TIMED_OUT)
-        reader = _AnswerReader(self._conventions, effect, request, connection, self._buffered)
+        holding = self.memory.find(effect.request)
+        owned = self.memory.open(effect.request, id(connection)) if holding is None else None
+        reader = _AnswerReader(
+            self._conventions,
+            effect,
+            request,
+            connection,
+            self.memory,
+            holding or owned or Holding(effect.request, id(connection)),
+            self._clock,
+        )
         try:
             async with curio.ignore_after(remaining):
                 await self._send(connection, effect, request, remaining)
@@ -213,7 +232,7 @@
                 while read_result is None:
                     async with curio.ignore_after(effect.late_after.total_seconds()):
                         read_result = await reader.read()
-                    if read_result is None and await is_aborted():
+                    if read_result is None and not reader.waits_for_memory and await is_aborted():
                         read_result = attempt_result
                 attempt_result = read_result
         except OSError:
@@ -221,7 +240,10 @@
         except h11.RemoteProtocolError:
             attempt_result = _AttemptResult(AttemptOutcome.MALFORMED)
         finally:
-            reader.release_buffer()
+            reader.release_buffer(attempt_result.answer is not None)
+            if owned is not None:
+                self.memory.close(owned)
+        attempt_result = replace(attempt_result, memory_wait=reader.memory_wait)
         if attempt_result.outcome in _BROKEN_OFF_OUTCOMES and reader.states_leaving():
             attempt_result = replace(attempt_result, leaving=True)
         await self._release(effect, connection, attempt_result)
@@ -313,11 +335,12 @@
         if request.body or request.method not in ("GET", "HEAD", "DELETE", "OPTIONS"):
             headers.append((b"content-length", str(len(request.body)).encode()))
         http = connection.http
-        data = http.send(h11.Request(method=request.method, target=request.target, headers=headers))
+        head = http.send(h11.Request(method=request.method, target=request.target, headers=headers))
+        assert head is not None
         if request.body:
-            data += http.send(h11.Data(data=request.body))
-        data += http.send(h11.EndOfMessage())
-        await connection.sock.sendall(data)
+            http.send_with_data_passthrough(h11.Data(data=request.body))
+        http.send(h11.EndOfMessage())
+        await send_message(connection.sock, head, request.body)
 
 
 def cancel_attempt(at: Instant, request: RequestId, target: TargetName) -> AttemptFinished:
@@ -325,14 +348,6 @@
     return AttemptFinished(at, request, target, AttemptOutcome.CANCELLED, timedelta(0))
 
 
-@dataclass(slots=True)
-class _ByteBudget:
-    """The bytes of answers that are being read, and their limit."""
-
-    limit: int
-    used: int = 0
-
-
 @dataclass(slots=True)
 class _AnswerReader:
     """Reads one answer; `read` may be called again after it was interrupted by a timeout.
@@ -345,7 +360,12 @@
     effect: SendToTarget
     request: TargetRequest
     connection: _Connection
-    budget: _ByteBudget
+    memory: BodyMemory
+    holding: Holding
+    clock: Clock
+    needed_bytes: int = 0
+    reserved_bytes: int = 0
+    memory_wait: timedelta = timedelta(0)
     received_bytes: int = 0
     informational_count: int = 0
     response: h11.Response | None = None
@@ -357,6 +377,8 @@
         attempt_result = None
         event_count = 0
         while attempt_result is None:
+            if self.waits_for_memory and not await self._reserve():
+                return _AttemptResult(AttemptOutcome.NO_MEMORY)
             event_count += 1
             if not event_count % EVENTS_PER_TURN:
                 await curio.sleep(0)
@@ -374,6 +396,24 @@
                 attempt_result = self._process_event(event)
         return attempt_result
 
+    @property
+    def waits_for_memory(self) -> bool:
+        """Whether the answer needs memory that is not reserved yet."""
+        return self.needed_bytes > self.reserved_bytes
+
+    async def _reserve(self) -> bool:
+        """Reserves the memory that the answer needs, and tells whether there was room in time."""
+        size = self.needed_bytes - self.reserved_bytes
+        began = self.clock.monotonic()
+        try:
+            reserved = await self.memory.reserve(
+                self.holding, size, MAX_MEMORY_WAIT - self.memory_wait
+            )
+        finally:
+            self.memory_wait += self.clock.monotonic() - began
+        self.reserved_bytes += size if reserved else 0
+        return reserved
+
     def _is_close_delimited(self) -> bool:
         response = self.response
         return (
@@ -388,14 +428,17 @@
             self.headers = copy_headers(event.headers)
             if not self._is_trustworthy(event):
                 return _AttemptResult(AttemptOutcome.MALFORMED)
+            # Memory is reserved for the whole answer at once where its size is known. Otherwise
+            # many answers, each read in part, could wait for one another.
+            if self.request.method != "HEAD" and event.status_code not in (204, 304):
+                declared = find_header(self.headers, b"content-length")
+                self.needed_bytes = int(declared) if declared is not None else 0
+            if self.needed_bytes > self.effect.answer_limit_bytes:
+                return _AttemptResult(AttemptOutcome.TOO_LARGE)
         elif isinstance(event, h11.Data):
             self.body += event.data
-            self.budget.used += len(event.data)
-            is_over_limit = len(self.body) > self.effect.answer_limit_bytes
-            is_out_of_memory = (
-                self.budget.used > self.budget.limit and len(self.body) > SMALL_ANSWER_BYTES
-            )
-            if is_over_limit or is_out_of_memory:
+            self.needed_bytes = max(self.needed_bytes, len(self.body))
+            if len(self.body) > self.effect.answer_limit_bytes:
                 return _AttemptResult(AttemptOutcome.TOO_LARGE)
         elif isinstance(event, h11.EndOfMessage) and self.response is not None:
             if self.connection.http.trailing_data[0] and not self._has_proof_header():
@@ -409,9 +452,13 @@
             return _AttemptResult(AttemptOutcome.MALFORMED)
         return None
 
-    def release_buffer(self) -> None:
-        """Returns the bytes of the body to the budget when the attempt has ended."""
-        self.budget.used -= len(self.body)
+    def release_buffer(self, is_answered: bool) -> None:
+        """Drops the buffer when the attempt has ended.
+
+        The bytes of an answer stay counted until it has been sent to the caller.
+        """
+        if not is_answered:
+            self.memory.release(self.holding, self.reserved_bytes)
         self.body = bytearray()
 
     def _has_proof_header(self) -> bool:
--- a/endivedrift/shell/endless_test.py
+++ b/endivedrift/shell/endless_test.py
@@ -144,7 +144,7 @@
             return finished
 
         outcomes = {finished.outcome for finished in curio.run(run)}
-        self.assertEqual(outcomes, {AttemptOutcome.TOO_LARGE})
+        self.assertEqual(outcomes, {AttemptOutcome.NO_MEMORY})
 
 
 if __name__ == "__main__":
