--- a/endivedrift/platform/platform_test.py
+++ b/endivedrift/platform/platform_test.py
@@ -174,6 +174,16 @@
         limits = settings.limits
         self.assertLess(limits.leave_wait_s + limits.drain_s, 6.0)
 
+    def test_the_memory_of_the_host_is_read(self) -> None:
+        text = build_node_file("127.0.0.1", "127.0.0.2:80", [], 7000)
+        self.read(text)
+        self.assertEqual(self.node_file.settings.limits.memory_mb, 200.0)
+        self.read(text.replace("[limits]", "[limits]\nmemoryMb = 552"))
+        self.assertEqual(self.node_file.settings.limits.memory_mb, 552.0)
+        for value in ("0", "-1", "nan", '"200"'):
+            with self.assertRaisesRegex(WireError, "memoryMb"):
+                self.read(text.replace("[limits]", f"[limits]\nmemoryMb = {value}"))
+
     def test_a_missing_field_is_named(self) -> None:
         text = build_node_file("127.0.0.1", "127.0.0.2:80", [], 7000)
         with self.assertRaisesRegex(WireError, "grace"):
