Bound large request bodies in progress at one target

Cause: a target ends when the requests that it holds exceed its memory, and hosts bounded only their number.

Ruled out: the stated load of a target, which counts requests, not bytes; a gate in the shell, where a body that waits would occupy a slot; sizes in the messages between hosts, which change the format for a bound that shares of slots give already.

Change: the choice of a target passes over those at which large bodies (over 256 KB) of this host fill 1 MB for each slot of its share; one body always has room. Large bodies that wait are passed over in the queue.

--- a/endivedrift/core/_records.py
+++ b/endivedrift/core/_records.py
@@ -51,6 +51,7 @@
       earlier_attempts: Attempts at targets that such a host has made.
       digest: Digest of host name, caller, method, path, query and body, by which a request is
         recognised when it comes again. Empty if it is not known.
+      body_bytes: Size of the body.
     """
 
     method: str
@@ -65,6 +66,7 @@
     for_peer: bool = False
     earlier_attempts: int = 0
     digest: RequestDigest = NO_DIGEST
+    body_bytes: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/endivedrift/policy/__init__.py
+++ b/endivedrift/policy/__init__.py
@@ -1,7 +1,7 @@
 """Rules for requests and targets: evidence, ejection, selection, queues, limits and keys."""
 
 from endivedrift.policy._bucket import TokenBucket
-from endivedrift.policy._choice import choose_target, has_faster_target
+from endivedrift.policy._choice import choose_target, has_faster_target, is_large_body
 from endivedrift.policy._ejection import (
     mark_leaving,
     record_trial,
@@ -155,6 +155,7 @@
     "has_standing_queue",
     "hold_bytes",
     "is_known_harmless",
+    "is_large_body",
     "is_short",
     "list_reportable",
     "mark_leaving",
--- a/endivedrift/policy/_choice.py
+++ b/endivedrift/policy/_choice.py
@@ -52,6 +52,12 @@
 """Rank of targets that are used only when no other target has room."""
 NEW_TARGET_DELAY = timedelta(milliseconds=300)
 """Time after which a new target gets its first request in preference to all others."""
+LARGE_BODY_BYTES = 262_144
+"""Size above which a request body is large. Smaller ones are bounded by the slots of a target."""
+BODY_BYTES_PER_SLOT = 1_048_576
+"""Bytes of large bodies that a target holds for each slot. Targets state slots, running and waiting
+requests, but not their memory; this is what a slot needs anyway for the greatest answer of a route
+by default."""
 
 _USABLE_STATES = (TargetState.HEALTHY, TargetState.WARMING, TargetState.PROBATION)
 """States in which a target may get requests. Membership in a tuple is tested by identity first."""
@@ -67,6 +73,7 @@
     random: Random,
     at: Instant = Instant(0),
     waited: timedelta = timedelta(0),
+    body_bytes: int = 0,
 ) -> TargetName | None:
     """Selects a target that has room for one more request.
 
@@ -79,6 +86,7 @@
       random: Source of randomness.
       at: Current time.
       waited: Time since the request arrived.
+      body_bytes: Size of the request's body.
     Returns:
       The target, or None if none has room.
     """
@@ -86,12 +94,12 @@
     if len(names) > SCAN_LIMIT:
         sample = random.sample(names, SAMPLE_SIZE)
         chosen = _choose_among(
-            state, sample, home_domain, tried_targets, is_repeatable, random, at, waited
+            state, sample, home_domain, tried_targets, is_repeatable, random, at, waited, body_bytes
         )
         if chosen is not None:
             return chosen
     return _choose_among(
-        state, names, home_domain, tried_targets, is_repeatable, random, at, waited
+        state, names, home_domain, tried_targets, is_repeatable, random, at, waited, body_bytes
     )
 
 
@@ -104,8 +112,11 @@
     random: Random,
     at: Instant,
     waited: timedelta,
+    body_bytes: int,
 ) -> TargetName | None:
     candidates = _list_candidates(state, names, tried_targets, at)
+    if is_large_body(body_bytes):
+        candidates = [c for c in candidates if _has_room_for_body(state, c[1], body_bytes)]
     if not tried_targets and uses_too_few_targets(state, at):
         unused = _find_unused_target(candidates, at)
         if unused is not None:
@@ -162,6 +173,20 @@
     return candidates
 
 
+def is_large_body(body_bytes: int) -> bool:
+    """Tells whether a request body is so large that the memory of its target is considered."""
+    return body_bytes > LARGE_BODY_BYTES
+
+
+def _has_room_for_body(state: ServiceState, record: TargetRecord, body_bytes: int) -> bool:
+    """Tells whether a target has room for a large body beside those that this host has sent it.
+
+    Each host uses what belongs to its share of the slots. One body always has room.
+    """
+    held = sum(attempt.body_bytes for attempt in record.attempts.values())
+    return not held or held + body_bytes <= state.limit_per_target * BODY_BYTES_PER_SLOT
+
+
 def _has_failed_last(record: TargetRecord) -> bool:
     """Tells whether a target has failed a request and given no good answer since."""
     if not record.last_failure_at:
--- a/endivedrift/policy/_service.py
+++ b/endivedrift/policy/_service.py
@@ -36,10 +36,17 @@
 
 @dataclass(slots=True)
 class Attempt:
-    """A request in progress at a target. `overdue_count` is how often it was counted as slow."""
+    """A request in progress at a target.
+
+    Attributes:
+      started: When it was sent.
+      overdue_count: How often it was counted as slow.
+      body_bytes: Size of its body.
+    """
 
     started: Instant
     overdue_count: int = 0
+    body_bytes: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/endivedrift/reducer/_attempts.py
+++ b/endivedrift/reducer/_attempts.py
@@ -15,6 +15,7 @@
     AuditEntry,
     AuditKind,
     HostPhase,
+    Importance,
     Instant,
     KeyPhase,
     LeavingSource,
@@ -49,6 +50,7 @@
     estimate_wait,
     has_faster_target,
     has_standing_queue,
+    is_large_body,
     mark_leaving,
     pause_target,
     record_dequeue,
@@ -153,17 +155,31 @@
     service.limit_per_target = get_limit_per_target(state, pending.service)
     state.active_services.add(pending.service)
     priority = pending.priority
-    ahead = any(service.queues[r] for r in service.queues if r <= priority)
-    if pending.attempt_count or not ahead:
+    ahead = (q for r in service.queues if r <= priority for q in service.queues[r])
+    if pending.attempt_count or not any(_must_precede(state, q, pending) for q in ahead):
         effects = _start_attempt(state, service, at, request)
         if effects:
             return effects
     return _enqueue(state, service, at, request)
 
 
+def _must_precede(state: HostState, queued: QueuedRequest, pending: RequestState) -> bool:
+    """Tells whether a queued request is sent before a new one that could be sent now.
+
+    A large body that waits for room at a target delays no request without one.
+    """
+    other = state.requests.get(queued.request)
+    return other is None or _has_large_body(pending) or not _has_large_body(other)
+
+
+def _has_large_body(pending: RequestState) -> bool:
+    return is_large_body(pending.head.body_bytes)
+
+
 def dispatch_queued(state: HostState, service: ServiceState, at: Instant) -> list[Effect]:
-    """Sends queued requests to targets that have room."""
+    """Sends queued requests to targets that have room, and passes over large bodies without it."""
     effects: list[Effect] = []
+    passed_over: list[tuple[Importance, QueuedRequest]] = []
     while (queued_request := dequeue_request(service)) is not None:
         pending = state.requests.get(queued_request.request)
         if pending is None:
@@ -177,10 +193,14 @@
         sent = forward_request(state, at, queued_request.request) if state.path.is_cut else []
         sent = sent or _start_attempt(state, service, at, queued_request.request)
         if not sent:
-            requeue_request(service, pending.priority, queued_request)
-            return effects
+            passed_over.append((pending.priority, queued_request))
+            if _has_large_body(pending):
+                continue
+            break
         record_dequeue(service, at)
         effects += sent
+    for priority, queued_request in reversed(passed_over):
+        requeue_request(service, priority, queued_request)
     record_empty_queue(service)
     return effects
 
@@ -432,6 +452,7 @@
         state.random,
         at,
         at - pending.arrived,
+        pending.head.body_bytes,
     )
 
 
@@ -466,7 +487,8 @@
 def _occupy_slot(
     state: HostState, service: ServiceState, record: TargetRecord, request: RequestId, at: Instant
 ) -> None:
-    record.attempts[request] = Attempt(at)
+    body_bytes = state.requests[request].head.body_bytes
+    record.attempts[request] = Attempt(at, body_bytes=body_bytes)
     record.last_request_at = at
     if record.rate_limit is not None:
         record.rate_limit.take(at)
--- a/endivedrift/shell/_peers.py
+++ b/endivedrift/shell/_peers.py
@@ -230,6 +230,7 @@
             for_peer=call.for_peer,
             earlier_attempts=call.earlier_attempts,
             digest=digest_request(host, call.caller, request),
+            body_bytes=len(call.body),
         )
         return (await serve_request(self._context, request_id, head, request)).result
 
--- a/endivedrift/shell/_requests.py
+++ b/endivedrift/shell/_requests.py
@@ -94,6 +94,7 @@
             conventions, find_header(headers, conventions.deadline_header)
         ),
         digest=digest_request(host, account, target_request),
+        body_bytes=len(target_request.body),
     )
 
 
--- a/endivedrift/shell/slow_callers_test.py
+++ b/endivedrift/shell/slow_callers_test.py
@@ -26,6 +26,7 @@
 
 READERS = 200
 ANSWER_BYTES = 540_000
+UPLOAD_BYTES = 4_000_000
 HOST_MEMORY_BYTES = 200_000_000
 FLAT_FACTOR = 1.1
 WORK_MS = "50"
@@ -54,7 +55,10 @@
 
     def get(self, path: str, account: str) -> tuple[int, int]:
         """Returns the status and the bytes of the whole body."""
-        self.sock.sendall(write_get(path, account))
+        return self.exchange(write_get(path, account))
+
+    def exchange(self, request: bytes) -> tuple[int, int]:
+        self.sock.sendall(request)
         received = b""
         while b"\r\n\r\n" not in received:
             received += self.receive()
@@ -97,11 +101,17 @@
             deadline_ms=8_000,
             queue_wait_ms=7_999,
         )
+        write = replace(
+            small.route["write"],
+            request_limit_bytes=UPLOAD_BYTES,
+            deadline_ms=60_000,
+            queue_wait_ms=59_999,
+        )
         objects = replace(
             small,
             service={"rooms": service, "exports": replace(service, upstream_group="large")},
             upstream_group={**small.upstream_group, **large.upstream_group},
-            route={**small.route, "export": export},
+            route={"read": small.route["read"], "export": export, "write": write},
             caller={name: Caller() for name in ("a", "b")},
         )
         cls.host = cls.fleet.start_host("h1", "a")
@@ -196,6 +206,22 @@
             for account, future in served.items():
                 self.assertEqual(future.result(), [(200, True)] * 20, account)
 
+    def test_large_uploads_are_served_beside_other_requests(self) -> None:
+        head = f"POST /stays/x HTTP/1.1\r\nhost: x\r\ncontent-length: {UPLOAD_BYTES}\r\n\r\n"
+        upload = head.encode() + bytes(UPLOAD_BYTES)
+
+        def send() -> list[int]:
+            reader = Reader(self.host.callers)
+            return [reader.exchange(upload)[0] for _ in range(3)]
+
+        with ThreadPoolExecutor(12) as pool:
+            uploads = [pool.submit(send) for _ in range(10)]
+            reader = Reader(self.host.callers)
+            while not all(upload.done() for upload in uploads):
+                self.assertEqual(reader.get("/rooms/x", "b")[0], 200)
+            self.assertEqual([upload.result() for upload in uploads], [[200] * 3] * 10)
+        self.fleet.wait_until("memory is free", lambda: not self.read_held(), EVENT_LIMIT_S)
+
     def test_each_closed_answer_is_logged_with_its_reason_and_is_visibly_cut(self) -> None:
         reader = Reader(self.host.callers, receive_buffer=4_096)
         reader.sock.sendall(write_get("/exports/x", "a"))
