Divide the room for large bodies at a target among the primaries

Cause: on the users' platform targets state their slots themselves, and the slots of their group are 1, so each host used all of a target's room.

Change: the room is that of the slots that the target stated, divided by the number of primaries. Six tests of uploads pass.

--- a/endivedrift/policy/_choice.py
+++ b/endivedrift/policy/_choice.py
@@ -184,7 +184,8 @@
     Each host uses what belongs to its share of the slots. One body always has room.
     """
     held = sum(attempt.body_bytes for attempt in record.attempts.values())
-    return not held or held + body_bytes <= state.limit_per_target * BODY_BYTES_PER_SLOT
+    room = state.get_slots(record) * BODY_BYTES_PER_SLOT / state.primary_count
+    return not held or held + body_bytes <= room
 
 
 def _has_failed_last(record: TargetRecord) -> bool:
--- a/endivedrift/policy/_service.py
+++ b/endivedrift/policy/_service.py
@@ -195,6 +195,7 @@
       usual_bad_rate: Median over the targets of the recent share of bad answers.
       queues: Queued requests by importance.
       limit_per_target: Requests that this host may have in progress at one target.
+      primary_count: Number of hosts that serve the service in normal operation.
       service_time: Moving average of the latency of answers.
       queued_since: Since when requests have been queued without a break, or None.
       dequeue_interval: Moving average of the time between two dequeued requests.
@@ -218,6 +219,7 @@
         default_factory=lambda: {priority: FairQueue() for priority in Importance}
     )
     limit_per_target: int = 1
+    primary_count: int = 1
     service_time: timedelta = INITIAL_LATENCY
     queued_since: Instant | None = None
     dequeue_interval: timedelta | None = None
@@ -338,6 +340,7 @@
     state.dequeue_interval = previous.dequeue_interval
     state.last_dequeue_at = previous.last_dequeue_at
     state.limit_per_target = previous.limit_per_target
+    state.primary_count = previous.primary_count
     state.recent_outcomes = previous.recent_outcomes
     if state.group.discovered:
         state.targets.update({n: r for n, r in previous.targets.items() if r.entry is not None})
--- a/endivedrift/reducer/_attempts.py
+++ b/endivedrift/reducer/_attempts.py
@@ -153,6 +153,7 @@
     if not pending.attempt_count:
         _add_retry_budget(state, service)
     service.limit_per_target = get_limit_per_target(state, pending.service)
+    service.primary_count = max(1, len(list_primaries(state, pending.service)))
     state.active_services.add(pending.service)
     priority = pending.priority
     ahead = (q for r in service.queues if r <= priority for q in service.queues[r])
--- a/tests/uploads_test.py
+++ b/tests/uploads_test.py
@@ -5,10 +5,12 @@
 """
 
 import unittest
+from random import Random
 
-from endivedrift.core import AttemptOutcome, RequestHead, RequestId
+from endivedrift.core import AttemptOutcome, MemberStatus, RequestHead, RequestId
 from endivedrift.core.effects import Effect, QueueRequest, SendToTarget
-from endivedrift.core.events import AttemptFinished, RequestArrived
+from endivedrift.core.events import AttemptFinished, RequestArrived, TargetsObserved
+from endivedrift.fleet import build_membership
 from endivedrift.policy._choice import BODY_BYTES_PER_SLOT, LARGE_BODY_BYTES
 from tests.builders import (
     READ_PATH,
@@ -16,7 +18,10 @@
     WRITE_PATH,
     HostHarness,
     build_answer,
+    build_discovered_set,
+    build_identity,
     build_object_set,
+    build_target_entry,
 )
 
 TARGETS = 3
@@ -69,6 +74,20 @@
             self.assertLessEqual(held, SLOTS * BODY_BYTES_PER_SLOT)
             self.assertGreater(len(record.attempts), 1)
 
+    def test_hosts_share_the_slots_that_a_target_registered(self) -> None:
+        self.host = HostHarness(build_discovered_set())
+        other = build_membership(build_identity("h2", domain="b"), Random(1)).me
+        self.host.receive_notice(other.with_status(MemberStatus.ALIVE))
+        now = self.host.clock.monotonic()
+        entries = tuple(build_target_entry(number) for number in range(TARGETS))
+        self.host.apply(TargetsObserved(now, entries, (), complete=True, version=1, since=0))
+        self.host.advance(2.0)
+        for _ in range(40):
+            self.send(LARGE_BODY_BYTES + 1)
+        for record in self.host.state.services[SERVICE].targets.values():  # type: ignore[index]
+            held = sum(attempt.body_bytes for attempt in record.attempts.values())
+            self.assertTrue(0 < held <= entries[0].slots * BODY_BYTES_PER_SLOT / 2, held)
+
     def test_a_body_larger_than_the_room_of_a_target_is_sent_alone(self) -> None:
         self.assertEqual(len(self.list_sent(self.send(50 * UPLOAD_BYTES)[1])), 1)
 
