A wait for memory that the deadline ends is not the target's time-out

Cause: an attempt whose answer waited for memory at its deadline ended as timed-out, which counts against the target and pauses it.

Change: it ends as no-memory. Tests that an answer is read when memory becomes free, and ends otherwise, without a byte left counted.

--- a/endivedrift/shell/_targets.py
+++ b/endivedrift/shell/_targets.py
@@ -243,6 +243,8 @@
             reader.release_buffer(attempt_result.answer is not None)
             if owned is not None:
                 self.memory.close(owned)
+        if attempt_result.outcome is AttemptOutcome.TIMED_OUT and reader.waits_for_memory:
+            attempt_result = _AttemptResult(AttemptOutcome.NO_MEMORY)
         attempt_result = replace(attempt_result, memory_wait=reader.memory_wait)
         if attempt_result.outcome in _BROKEN_OFF_OUTCOMES and reader.states_leaving():
             attempt_result = replace(attempt_result, leaving=True)
--- a/endivedrift/shell/slow_callers_test.py
+++ b/endivedrift/shell/slow_callers_test.py
@@ -16,10 +16,19 @@
 
 import curio
 
-from endivedrift.core import Address, RequestId, SystemClock
+from endivedrift.core import Address, AttemptOutcome, RequestId, SystemClock
+from endivedrift.core.events import AttemptFinished
 from endivedrift.objects import Caller
 from endivedrift.policy import _held_bytes
+from endivedrift.shell import _targets
 from endivedrift.shell._memory import BodyMemory, ClosingReason
+from endivedrift.shell._targets import TargetPool, TargetRequest
+from endivedrift.shell.targets_test import (
+    ScriptedTarget,
+    build_effect,
+    never_abort,
+    write_answer,
+)
 from standins.fleet import open_fleet
 from tests.builders import build_object_set
 from tests.fuzzing import inject_fault
@@ -244,6 +253,55 @@
         self.assertEqual({line["account"] for line in closed}, {"a"})
 
 
+LONG_WAIT_S = 4.0
+"""Time in which an attempt reaches its wait for memory also on a busy machine."""
+
+
+class WaitingTest(unittest.TestCase):
+    """An answer that waits for memory frees its target's connection soon, and blames nobody."""
+
+    def attempt(self, frees_memory: bool, deadline_s: float = EVENT_LIMIT_S) -> AttemptFinished:
+        async def run() -> AttemptFinished:
+            target = ScriptedTarget(write_answer(bytes(ANSWER_BYTES)), False, b"")
+            serving = await curio.spawn(target.serve(), daemon=True)
+            pool = TargetPool(SystemClock())
+            other = pool.memory.open(RequestId("other"), 1)
+            pool.memory.add(other, pool.memory.budget.limit)
+            effect = replace(
+                build_effect(target.address, deadline_s), answer_limit_bytes=ANSWER_BYTES
+            )
+            request = TargetRequest("GET", b"/", ((b"host", b"x"),), b"")
+            task = await curio.spawn(pool.attempt(effect, request, never_abort))
+            async with curio.timeout_after(EVENT_LIMIT_S):
+                while not pool.memory._waiters:
+                    await curio.sleep(0.01)
+                if frees_memory:
+                    pool.memory.close(other)
+                finished: AttemptFinished = await task.join()
+            pool.memory.close(other)
+            self.assertEqual(pool.memory.budget.used, 0)
+            await serving.cancel()
+            return finished
+
+        return curio.run(run)
+
+    def test_an_answer_is_read_when_memory_becomes_free(self) -> None:
+        finished = self.attempt(frees_memory=True)
+        assert finished.answer is not None
+        self.assertEqual(len(finished.answer.body), ANSWER_BYTES)
+
+    def test_an_answer_without_memory_ends_and_the_wait_is_not_the_targets_latency(self) -> None:
+        with inject_fault(_targets, "MAX_MEMORY_WAIT", timedelta(seconds=LONG_WAIT_S)):
+            finished = self.attempt(frees_memory=False)
+        self.assertIs(finished.outcome, AttemptOutcome.NO_MEMORY)
+        self.assertLess(finished.latency, timedelta(seconds=LONG_WAIT_S))
+
+    def test_a_deadline_that_ends_the_wait_is_not_the_targets_time_out(self) -> None:
+        with inject_fault(_targets, "MAX_MEMORY_WAIT", timedelta(seconds=EVENT_LIMIT_S)):
+            finished = self.attempt(frees_memory=False, deadline_s=LONG_WAIT_S)
+        self.assertIs(finished.outcome, AttemptOutcome.NO_MEMORY)
+
+
 class SendingTest(unittest.TestCase):
     def test_a_caller_that_takes_its_answer_steadily_is_not_closed_beside_stalled_ones(
         self,
