endivedrift route: where a request would go, and why

Cause: operators could not see why a request goes to a target or is refused before it was sent.

Ruled out: a second implementation of the choice for explanations, which drifts; an undo of the real decision, which other requests could see.

Change: a host reduces the arrival of the request on a copy of its state and shows route, account, quota, costs and choices. Parts that an arrival does not change are shared with the copy. The tool sends a key only as its digest, and exits with 7 if the request would be refused, 8 if hosts disagree.

--- a/endivedrift/cli/__init__.py
+++ b/endivedrift/cli/__init__.py
@@ -3,10 +3,11 @@
 import typer
 
 from endivedrift.cli._publishing import check, diff, history, publish, show
+from endivedrift.cli._routing import route
 from endivedrift.cli._watching import explain, status
 
 app = typer.Typer(help="Checks, publishes and explains the objects of an endivedrift fleet.")
-for _command in (check, publish, show, diff, history, status, explain):
+for _command in (check, publish, show, diff, history, status, explain, route):
     app.command()(_command)
 
 
--- a/endivedrift/cli/_context.py
+++ b/endivedrift/cli/_context.py
@@ -25,6 +25,8 @@
     NOT_RUN = 4
     UNKNOWN = 5
     NOT_FOUND = 6
+    REFUSED = 7
+    DISAGREE = 8
 
 
 class ToolConfig(BaseModel):
--- a/endivedrift/policy/__init__.py
+++ b/endivedrift/policy/__init__.py
@@ -1,7 +1,13 @@
 """Rules for requests and targets: evidence, ejection, selection, queues, limits and keys."""
 
 from endivedrift.policy._bucket import TokenBucket
-from endivedrift.policy._choice import choose_target, has_faster_target, is_large_body
+from endivedrift.policy._choice import (
+    TargetCost,
+    choose_target,
+    has_faster_target,
+    is_large_body,
+    list_costs,
+)
 from endivedrift.policy._ejection import (
     mark_leaving,
     record_trial,
@@ -130,6 +136,7 @@
     "RateLimit",
     "ReportedDemand",
     "ServiceState",
+    "TargetCost",
     "TargetRecord",
     "TokenBucket",
     "absolve_target",
@@ -157,6 +164,7 @@
     "is_known_harmless",
     "is_large_body",
     "is_short",
+    "list_costs",
     "list_reportable",
     "mark_leaving",
     "may_ever_hold",
--- a/endivedrift/policy/_choice.py
+++ b/endivedrift/policy/_choice.py
@@ -11,6 +11,7 @@
 """
 
 import math
+from dataclasses import dataclass
 from datetime import timedelta
 from random import Random
 from typing import TypeAlias
@@ -65,6 +66,42 @@
 """A target that has room, with the number of requests in progress at it."""
 
 
+@dataclass(frozen=True, slots=True)
+class TargetCost:
+    """What the choice knows of a target.
+
+    Attributes:
+      name, record: The target.
+      in_flight: Requests in progress at it.
+      has_room: Whether it may get one more request.
+      rank, load: Its cost: targets of a lower rank come first, then those with less load.
+    """
+
+    name: TargetName
+    record: TargetRecord
+    in_flight: int
+    has_room: bool
+    rank: float
+    load: float
+
+
+def list_costs(state: ServiceState, home_domain: FailureDomain, at: Instant) -> list[TargetCost]:
+    """Lists all targets of a service in the order of their cost, those without room last."""
+    names = list(state.targets)
+    with_room = {name for name, _, _ in _list_candidates(state, names, frozenset(), at)}
+    costs = []
+    for name, record in state.targets.items():
+        in_flight = record.count_in_flight(at)
+        load = in_flight // max(1, state.get_slots(record) // 2) + 1.0
+        if record.target.failure_domain != home_domain:
+            load += 1.0
+        rank, load = _compute_cost(state, record, load, at)
+        is_paused = record.paused_until > at
+        has_room = name in with_room and not is_paused
+        costs.append(TargetCost(name, record, in_flight, has_room, rank, load))
+    return sorted(costs, key=lambda cost: (not cost.has_room, cost.rank, cost.load, cost.name))
+
+
 def choose_target(
     state: ServiceState,
     home_domain: FailureDomain,
--- a/endivedrift/reducer/__init__.py
+++ b/endivedrift/reducer/__init__.py
@@ -1,6 +1,7 @@
 """The decisions of one host: a reducer over events with effects as data."""
 
 from endivedrift.reducer._discovery import list_registered_targets
+from endivedrift.reducer._explaining import Explanation, explain_request
 from endivedrift.reducer._reduce import reduce
 from endivedrift.reducer._state import (
     HostState,
@@ -14,9 +15,11 @@
 )
 
 __all__ = [
+    "Explanation",
     "HostState",
     "RequestState",
     "build_host",
+    "explain_request",
     "list_entry_hosts",
     "list_primaries",
     "list_readers",
--- a/endivedrift/shell/_operators.py
+++ b/endivedrift/shell/_operators.py
@@ -9,6 +9,7 @@
 from endivedrift.core import Address, HostPhase, TimestampedAuditEntry
 from endivedrift.shell._answers import HttpAnswer
 from endivedrift.shell._report import describe_state
+from endivedrift.shell._route_report import build_queried_head, describe_explanation
 from endivedrift.shell._runtime import Runtime
 from endivedrift.shell._simple_http_server import SimpleHttpServer
 
@@ -48,10 +49,21 @@
             return _answer_json(200 if phase is HostPhase.SERVING else 503, {"phase": phase.value})
         if path == "/state":
             return _answer_json(200, describe_state(self._runtime))
+        if path == "/route":
+            return self._explain_route(fields)
         if path == "/audit":
             return _answer_json(200, {"entries": self._list_audit(fields)})
         return _answer_json(404, {"title": "unknown path"})
 
+    def _explain_route(self, fields: dict[str, list[str]]) -> HttpAnswer:
+        """Answers where a request would go; 400 if the query does not describe one."""
+        filters = {name: values[0] for name, values in fields.items()}
+        try:
+            head = build_queried_head(filters, self._runtime.state.routes)
+        except ValueError as error:
+            return _answer_json(400, {"title": str(error)})
+        return _answer_json(200, describe_explanation(self._runtime, head))
+
     def _list_audit(self, fields: dict[str, list[str]]) -> list[dict[str, Any]]:
         filters = {name: values[0] for name, values in fields.items()}
         return [
