--- a/endivedrift/policy/_choice.py
+++ b/endivedrift/policy/_choice.py
@@ -13,6 +13,7 @@
 """
 
 import math
+from dataclasses import dataclass
 from datetime import timedelta
 from random import Random
 from typing import TypeAlias
@@ -65,6 +66,12 @@
 request would end it. Higher levels are those of targets that failed a few seconds ago."""
 NEW_TARGET_DELAY = timedelta(milliseconds=300)
 """Time after which a new target gets its first request in preference to all others."""
+LARGE_BODY_BYTES = 262_144
+"""Size above which a request body is large. Smaller ones are bounded by the slots of a target."""
+BODY_BYTES_PER_SLOT = 1_048_576
+"""Bytes of large bodies that a target holds for each slot. Targets state slots, running and waiting
+requests, but not their memory; this is what a slot needs anyway for the greatest answer of a route
+by default."""
 
 _USABLE_STATES = (TargetState.HEALTHY, TargetState.WARMING, TargetState.PROBATION)
 """States in which a target may get requests. Membership in a tuple is tested by identity first."""
@@ -72,6 +79,48 @@
 """A target that has room, with the number of requests in progress at it."""
 
 
+@dataclass(frozen=True, slots=True)
+class TargetCost:
+    """What the choice knows of a target.
+
+    Attributes:
+      name, record: The target.
+      in_flight: Requests in progress at it.
+      has_room: Whether it may get one more request.
+      rank, load: Its cost: targets of a lower rank come first, then those with less load.
+    """
+
+    name: TargetName
+    record: TargetRecord
+    in_flight: int
+    has_room: bool
+    rank: float
+    load: float
+
+
+def list_costs(
+    state: ServiceState, home_domain: FailureDomain, is_repeatable: bool, at: Instant
+) -> list[TargetCost]:
+    """Lists all targets of a service in the order of their cost, those without room last.
+
+    The records of failures count only for requests that must not be repeated.
+    """
+    names = list(state.targets)
+    with_room = {name for name, _, _ in _list_candidates(state, names, frozenset(), at)}
+    costs = []
+    for name, record in state.targets.items():
+        in_flight = record.count_in_flight(at)
+        load = in_flight // max(1, state.get_slots(record) // 2) + 1.0
+        if record.target.failure_domain != home_domain:
+            load += 1.0
+        level = 0 if is_repeatable else record.get_risk_level(at, state.repeat_share)
+        rank, load = _compute_cost(state, record, load, level, at)
+        is_paused = record.paused_until > at
+        has_room = name in with_room and not is_paused
+        costs.append(TargetCost(name, record, in_flight, has_room, rank, load))
+    return sorted(costs, key=lambda cost: (not cost.has_room, cost.rank, cost.load, cost.name))
+
+
 def choose_target(
     state: ServiceState,
     home_domain: FailureDomain,
@@ -80,6 +129,7 @@
     random: Random,
     at: Instant = Instant(0),
     waited: timedelta = timedelta(0),
+    body_bytes: int = 0,
 ) -> TargetName | None:
     """Selects a target that has room for one more request.
 
@@ -92,6 +142,7 @@
       random: Source of randomness.
       at: Current time.
       waited: Time since the request arrived.
+      body_bytes: Size of the request's body.
     Returns:
       The target, or None if none has room.
     """
@@ -99,12 +150,12 @@
     if len(names) > SCAN_LIMIT:
         sample = random.sample(names, SAMPLE_SIZE)
         chosen = _choose_among(
-            state, sample, home_domain, tried_targets, is_repeatable, random, at, waited
+            state, sample, home_domain, tried_targets, is_repeatable, random, at, waited, body_bytes
         )
         if chosen is not None:
             return chosen
     return _choose_among(
-        state, names, home_domain, tried_targets, is_repeatable, random, at, waited
+        state, names, home_domain, tried_targets, is_repeatable, random, at, waited, body_bytes
     )
 
 
@@ -117,8 +168,11 @@
     random: Random,
     at: Instant,
     waited: timedelta,
+    body_bytes: int,
 ) -> TargetName | None:
     candidates = _list_candidates(state, names, tried_targets, at)
+    if is_large_body(body_bytes):
+        candidates = [c for c in candidates if _has_room_for_body(state, c[1], body_bytes)]
     if not tried_targets and uses_too_few_targets(state, at):
         unused = _find_unused_target(state, candidates, at)
         if unused is not None:
@@ -187,6 +241,21 @@
     return candidates
 
 
+def is_large_body(body_bytes: int) -> bool:
+    """Tells whether a request body is so large that the memory of its target is considered."""
+    return body_bytes > LARGE_BODY_BYTES
+
+
+def _has_room_for_body(state: ServiceState, record: TargetRecord, body_bytes: int) -> bool:
+    """Tells whether a target has room for a large body beside those that this host has sent it.
+
+    Each host uses what belongs to its share of the slots. One body always has room.
+    """
+    held = sum(attempt.body_bytes for attempt in record.attempts.values())
+    room = state.get_slots(record) * BODY_BYTES_PER_SLOT / state.primary_count
+    return not held or held + body_bytes <= room
+
+
 def _has_failed_last(record: TargetRecord) -> bool:
     """Tells whether a target has failed a request and given no good answer since."""
     if not record.last_failure_at:
--- a/endivedrift/policy/_service.py
+++ b/endivedrift/policy/_service.py
@@ -39,10 +39,17 @@
 
 @dataclass(slots=True)
 class Attempt:
-    """A request in progress at a target. `overdue_count` is how often it was counted as slow."""
+    """A request in progress at a target.
+
+    Attributes:
+      started: When it was sent.
+      overdue_count: How often it was counted as slow.
+      body_bytes: Size of its body.
+    """
 
     started: Instant
     overdue_count: int = 0
+    body_bytes: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -198,6 +205,7 @@
       queues: Queued requests by importance.
       served_shares: What caller accounts were served lately.
       limit_per_target: Requests that this host may have in progress at one target.
+      primary_count: Number of hosts that serve the service in normal operation.
       service_time: Moving average of the latency of answers.
       queued_since: Since when requests have been queued without a break, or None.
       dequeue_interval: Moving average of the time between two dequeued requests.
@@ -225,6 +233,7 @@
     )
     served_shares: ServedShares = field(default_factory=ServedShares)
     limit_per_target: int = 1
+    primary_count: int = 1
     service_time: timedelta = INITIAL_LATENCY
     queued_since: Instant | None = None
     dequeue_interval: timedelta | None = None
@@ -357,6 +366,7 @@
     state.dequeue_interval = previous.dequeue_interval
     state.last_dequeue_at = previous.last_dequeue_at
     state.limit_per_target = previous.limit_per_target
+    state.primary_count = previous.primary_count
     state.recent_outcomes = previous.recent_outcomes
     state.repeat_share = previous.repeat_share
     state.users = previous.users
--- a/endivedrift/reducer/__init__.py
+++ b/endivedrift/reducer/__init__.py
@@ -1,6 +1,7 @@
 """The decisions of one host: a reducer over events with effects as data."""
 
 from endivedrift.reducer._discovery import list_registered_targets
+from endivedrift.reducer._explaining import Explanation, explain_request
 from endivedrift.reducer._quotas import describe_quotas, list_quota_counts
 from endivedrift.reducer._reduce import reduce
 from endivedrift.reducer._state import (
@@ -16,11 +17,13 @@
 )
 
 __all__ = [
+    "Explanation",
     "HostState",
     "QuotaCount",
     "RequestState",
     "build_host",
     "describe_quotas",
+    "explain_request",
     "list_entry_hosts",
     "list_primaries",
     "list_quota_counts",
--- a/endivedrift/reducer/_quotas.py
+++ b/endivedrift/reducer/_quotas.py
@@ -297,6 +297,16 @@
     return {"accounts": accounts, "others": others}
 
 
+def estimate_tokens(state: HostState, at: Instant, caller: CallerName) -> float | None:
+    """Estimates the tokens of an account; None if it has no quota, or is not known here."""
+    use, limit = state.quotas.uses.get(caller), _get_limit(state, caller)
+    if use is None or limit is None:
+        return None
+    keepers = list_keepers(state, at, caller)
+    use.refill(limit, _get_part(state, at, keepers, _list_heard(state, at, keepers)), at)
+    return min((view.level.tokens for view in use.views.values()), default=use.own.tokens)
+
+
 def list_keepers(state: HostState, at: Instant, caller: CallerName) -> tuple[Member, ...]:
     """Returns the hosts that add up what all hosts have admitted of an account.
 
