Quotas: notice a partition sooner, and use more of a quota while datagrams are lost

Change: a suspected host counts as alive for 2 s; tokens are shared by the latest replies; a reply that is late by 150 ms lowers the part of the rate; less is saved up by large quotas without burst.

--- a/endivedrift/policy/_quota.py
+++ b/endivedrift/policy/_quota.py
@@ -12,9 +12,13 @@
 
 from endivedrift.core import HostId, Incarnation, Instant
 
-MIN_SAVED_TIME_S = 0.25
+MIN_SAVED_TIME_S = 0.3
 """Time in s for which tokens can be saved up at least. Tokens that arrive between two reports would
-otherwise be lost while requests are spread over many hosts."""
+otherwise be lost while requests are spread over many hosts, or move to another host."""
+LARGE_SAVED_TIME_S = 0.1
+LARGE_SAVED_TOKENS = 5.0
+"""Limit of that for large quotas: 5 tokens, and those of 0.1 s. The rest of the excess that is
+allowed is for the first second of a partition."""
 MIN_DEBT_TIME_S = 2.0
 """Time in s in which the greatest debt is paid off, unless the burst is greater: a debt is bounded
 so that a wrong count cannot block an account for long."""
@@ -33,12 +37,15 @@
 relative excess that is allowed."""
 WINDOW_S = 5.0
 """Time in s for which the use of an account is bounded."""
+FRESH_TIME = timedelta(milliseconds=50)
+"""Greatest difference of age of the replies by which a host shares tokens with others. An older
+one, whose successor was lost, would still count requests of a host that gets none any more."""
 MAX_PART_DELAY_S = 10.0
 """Time in s by which the wait for a token grows at most while only a part of the rate may be used:
 by then, a host that reached no keeper has others."""
 YOUNG_TIME = timedelta(seconds=5)
 """Age up to which a host has just started: the time for which the use of an account is bounded."""
-PART_TIME_S = 0.5
+PART_TIME_S = 0.1
 """Time in s over which a keeper averages the parts of the rate that hosts report to use."""
 COUNT_TTL = timedelta(seconds=2)
 """Time after a host's last report after which its next count is not compared with it: what was
@@ -251,10 +258,12 @@
 
 def build_limit(rate_per_s: float, burst: int) -> QuotaLimit:
     """Builds the quota of an account; one request is always possible."""
-    return QuotaLimit(rate_per_s, max(1.0, float(burst), rate_per_s * MIN_SAVED_TIME_S))
+    large = LARGE_SAVED_TOKENS + rate_per_s * LARGE_SAVED_TIME_S
+    saved = min(rate_per_s * MIN_SAVED_TIME_S, large)
+    return QuotaLimit(rate_per_s, max(1.0, float(burst), saved))
 
 
-def compute_part(heard: int, keepers: int, alive: int, known: int) -> float:
+def compute_part(heard: float, keepers: int, alive: int, known: int) -> float:
     """Computes the part of the rate that a host may use.
 
     Each part of a partitioned fleet has some of the keepers, and uses as much of the rate. Later,
@@ -262,7 +271,7 @@
     rate that belongs to those.
 
     Args:
-      heard: Number of keepers that reply.
+      heard: Number of keepers that reply; a late one counts as three quarters.
       keepers: Number of keepers.
       alive: Number of hosts that are believed to be alive, including this one.
       known: Number of hosts, including those that were lost lately.
@@ -320,9 +329,11 @@
     views = views or list(use.views.values())
     views = [view for view in views if view.certain] or views
     tokens = min((view.level.tokens for view in views), default=use.own.tokens)
-    demand = max((view.estimate_demand(at) for view in views), default=0.0)
-    share = min((view.estimate_share(limit, part, at) for view in views), default=1.0)
-    age = at - max(view.received_at for view in views) if views else None
+    latest = max((view.received_at for view in views), default=at)
+    fresh = [view for view in views if latest - view.received_at < FRESH_TIME]
+    demand = max((view.estimate_demand(at) for view in fresh), default=0.0)
+    share = min((view.estimate_share(limit, part, at) for view in fresh), default=1.0)
+    age = at - latest if views else None
     if tokens >= 1.0 and draw < share:
         use.change_admitted(1)
         return QuotaDecision(None, tokens, age, demand)
--- a/endivedrift/reducer/_quotas.py
+++ b/endivedrift/reducer/_quotas.py
@@ -74,8 +74,14 @@
 REPLY_TIMEOUT = timedelta(milliseconds=350)
 """Time without a reply after which a keeper counts as not heard. Four reports at ticks are then
 unanswered, which happens in one of 60 cases while a fifth of the datagrams is lost."""
+LATE_REPLY_TIME = timedelta(milliseconds=150)
+"""Time without a reply after which a keeper counts as three quarters heard, so that both sides of a
+partition use less before it is certain."""
 RETRY_TIME = timedelta(seconds=1)
 """Time after the latest request for which a report without a reply is repeated at each tick."""
+REFUTATION_TIME = timedelta(seconds=2)
+"""Time for which a suspected host counts as alive. While a fifth of the datagrams is lost, one host
+in twelve is suspected at any time and refutes it within a second or two."""
 LOST_HOST_TTL = timedelta(minutes=2)
 """Time for which a host that is believed to be dead counts as one that may still admit requests
 elsewhere, in a partitioned fleet."""
@@ -367,7 +373,9 @@
     state: HostState, at: Instant, keepers: tuple[Member, ...], heard: set[HostId]
 ) -> float:
     alive, known = _count_hosts(state, at)
-    return compute_part(len(heard), len(keepers), alive, known)
+    unanswered = state.quotas.unanswered
+    late = sum(at - unanswered.get(host, at) >= LATE_REPLY_TIME for host in heard)
+    return compute_part(len(heard) - late / 4, len(keepers), alive, known)
 
 
 def _count_hosts(state: HostState, at: Instant) -> tuple[int, int]:
@@ -382,7 +390,8 @@
         if status is MemberStatus.ALIVE:
             alive += 1
         elif status is MemberStatus.SUSPECT:
-            lost += 1
+            is_lost = at - record.status_since >= REFUTATION_TIME
+            alive, lost = alive + (not is_lost), lost + is_lost
         elif status is MemberStatus.DEAD:
             lost += at - record.status_since < LOST_HOST_TTL
     quotas.host_counts = (alive, alive + lost)
--- a/tests/quota_test.py
+++ b/tests/quota_test.py
@@ -48,21 +48,23 @@
 
     # Guards against shares that leave the quota idle where the requests arrive.
     def test_a_quota_is_idle_where_one_host_or_one_after_the_other_gets_all_requests(self) -> None:
-        fleet = self.start(one=(20.0, 20), turns=(20.0, 20))
+        fleet = self.start(one=(20.0, 20), turns=(20.0, 20), even=(20.0, 0))
         fleet.load("one", 60.0, 10.0, lambda: "h3")
-        fleet.load("turns", 60.0, 10.0, lambda: f"h{int(fleet.now_s) % self.host_count}")
+        for caller in ("turns", "even"):
+            fleet.load(caller, 60.0, 10.0, lambda: f"h{int(fleet.now_s) % self.host_count}")
         fleet.run(10.0)
         self.check(fleet)
-        self.check_is_used(fleet, "one", 10.0)
-        self.check_is_used(fleet, "turns", 10.0)
+        for caller in fleet.quotas:
+            self.check_is_used(fleet, caller, 10.0)
 
     # Guards against two halves of a fleet that both use the whole rate.
     def test_a_partition_or_a_host_cut_off_alone_adds_to_the_quota(self) -> None:
         for name in self.cuts:
             with self.subTest(name):
                 modulus, most = (11, 5) if name == "halves" else (self.host_count, 1)
-                fleet = self.start(a=(20.0, 20))
-                fleet.load("a", FLOOD * 20.0, 14.0)
+                fleet = self.start(a=(20.0, 20), even=(60.0, 0))
+                for caller, (rate, _) in fleet.quotas.items():
+                    fleet.load(caller, FLOOD * rate, 14.0)
                 fleet.run(3.0)
                 left = {h for h in fleet.hosts if int(h[1:]) * 7 % modulus < most}
                 fleet.is_delivered = lambda a, b, left=left: (a in left) == (b in left)
