--- a/tests/quota_test.py
+++ b/tests/quota_test.py
@@ -3,13 +3,14 @@
 import unittest
 from datetime import timedelta
 
-from endivedrift.core import AttemptOutcome, CallerName, RefusalReason
+from endivedrift.core import AttemptOutcome, CallerName, MemberStatus, RefusalReason
 from endivedrift.core.effects import RefuseRequest, SendToTarget
 from endivedrift.core.events import AttemptFinished, QueueWaitExpired, StoreUnavailable
+from endivedrift.fleet import build_membership
 from endivedrift.objects import Caller, ObjectSet
 from endivedrift.reducer import describe_quotas, list_quota_counts
 from endivedrift.reducer._quotas import charge_account
-from tests.builders import HostHarness, build_config_fetched, build_object_set
+from tests.builders import HostHarness, build_config_fetched, build_identity, build_object_set
 from tests.quota_fleet import QuotaFleet
 
 USABLE_SHARE = 0.95
@@ -193,6 +194,20 @@
         self.assertFalse([e for e in effects if isinstance(e, SendToTarget)])
         self.assertEqual(harness.state.quotas.uses[CallerName("guest")].admitted, 1)
 
+    # Guards against lost hosts that never count, so that a partition doubles the rate, or always.
+    def test_dead_hosts_lower_the_rate_for_ever_or_not_at_all(self) -> None:
+        harness = self.start(rate=8.0, burst=0)
+        for n in range(3):
+            member = build_membership(build_identity(f"x{n}"), harness.random).me
+            harness.receive_notice(member.with_status(MemberStatus.ALIVE))
+        parts = []
+        for seconds in (30.0, 180.0):
+            harness.advance(seconds, step=1.0)
+            self.send(harness)
+            described = describe_quotas(harness.state, harness.clock.monotonic())
+            parts.append(described["accounts"]["guest"]["part_of_rate"])
+        self.assertEqual(parts, [0.25, 1.0])
+
     def test_a_changed_limit_forgets_what_was_admitted(self) -> None:
         harness = self.start(burst=5, slots=50)
         for _ in range(5):
