--- a/endivedrift/reducer/_quotas.py
+++ b/endivedrift/reducer/_quotas.py
@@ -80,8 +80,8 @@
 RETRY_TIME = timedelta(seconds=1)
 """Time after the latest request for which a report without a reply is repeated at each tick."""
 REFUTATION_TIME = timedelta(seconds=2)
-"""Time for which a suspected host counts as alive. While a fifth of the datagrams is lost, one host
-in twelve is suspected at any time and refutes it within a second or two."""
+"""Time for which a suspected host counts as alive. While a fifth of the datagrams is lost, 10 % of
+102 hosts are suspected at any time, and 2 % for longer than this."""
 LOST_HOST_TTL = timedelta(minutes=2)
 """Time for which a host that is believed to be dead counts as one that may still admit requests
 elsewhere, in a partitioned fleet."""
