--- a/tests/quota_test.py
+++ b/tests/quota_test.py
@@ -3,13 +3,14 @@
 import unittest
 from datetime import timedelta
 
-from endivedrift.core import AttemptOutcome, CallerName, RefusalReason
+from endivedrift.core import AttemptOutcome, CallerName, MemberStatus, RefusalReason
 from endivedrift.core.effects import RefuseRequest, SendToTarget
 from endivedrift.core.events import AttemptFinished, QueueWaitExpired, StoreUnavailable
+from endivedrift.fleet import build_membership
 from endivedrift.objects import Caller, ObjectSet
 from endivedrift.reducer import describe_quotas, list_quota_counts
 from endivedrift.reducer._quotas import charge_account
-from tests.builders import HostHarness, build_config_fetched, build_object_set
+from tests.builders import HostHarness, build_config_fetched, build_identity, build_object_set
 from tests.quota_fleet import QuotaFleet
 
 USABLE_SHARE = 0.95
@@ -48,21 +49,23 @@
 
     # Guards against shares that leave the quota idle where the requests arrive.
     def test_a_quota_is_idle_where_one_host_or_one_after_the_other_gets_all_requests(self) -> None:
-        fleet = self.start(one=(20.0, 20), turns=(20.0, 20))
+        fleet = self.start(one=(20.0, 20), turns=(20.0, 20), even=(20.0, 0))
         fleet.load("one", 60.0, 10.0, lambda: "h3")
-        fleet.load("turns", 60.0, 10.0, lambda: f"h{int(fleet.now_s) % self.host_count}")
+        for caller in ("turns", "even"):
+            fleet.load(caller, 60.0, 10.0, lambda: f"h{int(fleet.now_s) % self.host_count}")
         fleet.run(10.0)
         self.check(fleet)
-        self.check_is_used(fleet, "one", 10.0)
-        self.check_is_used(fleet, "turns", 10.0)
+        for caller in fleet.quotas:
+            self.check_is_used(fleet, caller, 10.0)
 
     # Guards against two halves of a fleet that both use the whole rate.
     def test_a_partition_or_a_host_cut_off_alone_adds_to_the_quota(self) -> None:
         for name in self.cuts:
             with self.subTest(name):
                 modulus, most = (11, 5) if name == "halves" else (self.host_count, 1)
-                fleet = self.start(a=(20.0, 20))
-                fleet.load("a", FLOOD * 20.0, 14.0)
+                fleet = self.start(a=(20.0, 20), even=(60.0, 0))
+                for caller, (rate, _) in fleet.quotas.items():
+                    fleet.load(caller, FLOOD * rate, 14.0)
                 fleet.run(3.0)
                 left = {h for h in fleet.hosts if int(h[1:]) * 7 % modulus < most}
                 fleet.is_delivered = lambda a, b, left=left: (a in left) == (b in left)
@@ -191,6 +194,20 @@
         self.assertFalse([e for e in effects if isinstance(e, SendToTarget)])
         self.assertEqual(harness.state.quotas.uses[CallerName("guest")].admitted, 1)
 
+    # Guards against lost hosts that never count, so that a partition doubles the rate, or always.
+    def test_dead_hosts_lower_the_rate_for_ever_or_not_at_all(self) -> None:
+        harness = self.start(rate=8.0, burst=0)
+        for n in range(3):
+            member = build_membership(build_identity(f"x{n}"), harness.random).me
+            harness.receive_notice(member.with_status(MemberStatus.ALIVE))
+        parts = []
+        for seconds in (30.0, 180.0):
+            harness.advance(seconds, step=1.0)
+            self.send(harness)
+            described = describe_quotas(harness.state, harness.clock.monotonic())
+            parts.append(described["accounts"]["guest"]["part_of_rate"])
+        self.assertEqual(parts, [0.25, 1.0])
+
     def test_a_changed_limit_forgets_what_was_admitted(self) -> None:
         harness = self.start(burst=5, slots=50)
         for _ in range(5):
