Design note on the record of failures; forget hosts that no longer use a service

Cause: the table of hosts that use a service grew by every host that ever reported on it. Change: hosts without a report within two minutes are dropped when the next pause is told.

--- a/endivedrift/reducer/_targets.py
+++ b/endivedrift/reducer/_targets.py
@@ -5,7 +5,7 @@
 each attempt. With many, that would cost each request a message to each of them. Only those near the
 target are then told at once: the primaries of this host's failure domain and those of the target's,
 which use it most. The others get a report twice a second, and are told at once when a target is
-paused or leaves.
+paused or leaves. Hosts that use a service without being its primaries are told only of pauses.
 """
 
 from datetime import timedelta
@@ -207,14 +207,10 @@
     service = state.services[name]
     if not paused or not is_primary(state, name):
         return []
-    known = {member.host for member in list_primaries(state, name)}
-    users = [
-        record.member
-        for host, seen_at in service.users.items()
-        if host not in known
-        and at - seen_at < USER_TTL
-        and (record := state.membership.records.get(host)) is not None
-    ]
+    service.users = {h: seen_at for h, seen_at in service.users.items() if at - seen_at < USER_TTL}
+    told = {member.host for member in list_primaries(state, name)}
+    records = state.membership.records
+    users = [records[h].member for h in service.users if h not in told and h in records]
     deltas = tuple(
         EvidenceDelta(name, target, 0, 0, False, len(service.targets[target].attempts), True)
         for target in paused
