--- a/endivedrift/policy/_failure_record.py
+++ b/endivedrift/policy/_failure_record.py
@@ -30,8 +30,6 @@
 """Probability up to which a target is regarded as sound. One earlier period is below it, so that a
 target that failed once gets as much work as the others when that period has ended, unless many
 targets fail again."""
-target that failed once is used as before when that period has ended, unless others fail again.
-With 0.02, targets that each failed once got unequal work (spread 0.35 instead of 0.05)."""
 REPEAT_WEIGHT = 2.0
 """Weight of the share of targets that failed again, in the rate of periods that is expected of one
 that has failed. Where most fail again, it is not regarded as sound after one period."""
