Resume reading from a caller after a large request body

Cause: a request after a large body on the same connection was not read, and the connection was reset after the idle time of 60 s. Reading pauses while 128 KB are not parsed, and was resumed only by a parser that needs more. If the paused bytes completed the body, no parser did.

Ruled out: the limit on held bytes (no request was refused; the host logged no closed answer).

Change: reading is resumed when a request is complete.

--- a/endivedrift/shell/_callers.py
+++ b/endivedrift/shell/_callers.py
@@ -317,6 +317,9 @@
         is_final = http.their_state is not h11.DONE
         if not is_final:
             self._start_next_parser(connection)
+            # The bytes of this request may have paused the reading, and no parser waits for more.
+            if not connection.read_resumed.is_set():
+                await connection.read_resumed.set()
         await curio.spawn(self._serve_exchange(connection, exchange, request, headers), daemon=True)
         if is_final:
             return False
