Attribute failures at a target to the paths of the hosts that see them

Cause: callers were refused ("no target had room in time") while targets stood idle, since a path lost between some hosts and a target was held to be a sick target at all hosts. Reproduced without network: 32 hosts, 25 targets, three services, each target cut off from three hosts in ten. Ruled out: active probes; a majority of all observers, which takes several failed requests to find a target that is sick for all hosts. Change: a host keeps what each host last saw at a target. Hosts that fail without an answer while more hosts succeed with later requests have lost their path: their evidence and pauses are undone, and they use the target only for trials by requests that can be tried again. Failures at several hosts with no success since pause the target; a single report does as before, unless paths are known to be lost or a third of the targets are paused like that. Requests without room here are forwarded to a host that reaches a target with room. Requests on lost paths are not reported as in progress. Log, audit (path-changed) and /state name the path.

--- a/endivedrift/core/_records.py
+++ b/endivedrift/core/_records.py
@@ -151,6 +151,9 @@
       leaving: Whether the target announced that it is shutting down.
       running: Number of requests that the sender has in progress at the target.
       paused: Whether the sender has paused the target after a failure.
+      unanswered: Number of failures in `bad` without an answer, which the path may have caused.
+      good_age: Time since the start of the latest request that was answered well, or None if none
+        was for long.
     """
 
     service: ServiceName
@@ -160,6 +163,8 @@
     leaving: bool
     running: int = 0
     paused: bool = False
+    unanswered: int = 0
+    good_age: timedelta | None = None
 
 
 MAX_SLOTS = 1_000_000
--- a/endivedrift/policy/_choice.py
+++ b/endivedrift/policy/_choice.py
@@ -17,6 +17,7 @@
 
 from endivedrift.core import FailureDomain, Instant, TargetName, TargetState
 from endivedrift.policy._service import ServiceState, TargetRecord
+from endivedrift.policy._target_path import find_first_loss
 
 SCAN_LIMIT = 128
 """Number of targets up to which all targets of a group are compared."""
@@ -48,6 +49,9 @@
 """Time after a failure before even a repeatable request may try the target again."""
 MIN_TRIAL_INTERVAL = timedelta(milliseconds=250)
 """Time between two trials of a target while all targets of a service are paused."""
+UNPROVEN_RANK = 1.5
+"""Rank, for requests that get no further attempt, of targets that have given this host no good
+answer since it lost its path to another target."""
 LAST_RESORT_RANK = 2.0
 """Rank of targets that are used only when no other target has room."""
 NEW_TARGET_DELAY = timedelta(milliseconds=300)
@@ -105,7 +109,9 @@
     at: Instant,
     waited: timedelta,
 ) -> TargetName | None:
-    candidates = _list_candidates(state, names, tried_targets, at)
+    # Only a request that can be tried elsewhere afterwards tries a lost path.
+    may_try_path = is_repeatable and not tried_targets and state.retry_budget.tokens >= 1.0
+    candidates = _list_candidates(state, names, tried_targets, at, may_try_path)
     if not tried_targets and uses_too_few_targets(state, at):
         unused = _find_unused_target(candidates, at)
         if unused is not None:
@@ -116,9 +122,12 @@
     has_retry_left = is_repeatable and not tried_targets
     has_waited = waited >= (UNREPEATABLE_MAX_WAIT if not tried_targets else RETRY_MAX_WAIT)
     avoids_last_resort = not has_waited and not has_retry_left
+    lost_since = None if has_retry_left else find_first_loss(state.targets[n].path for n in names)
     best: list[tuple[TargetName, TargetRecord]] = []
     best_cost = (math.inf, math.inf)
     for name, record, in_flight in candidates:
+        if record.path.lost_at is not None:
+            return name
         if record.paused_until > at and not (has_retry_left and _is_trial_due(record, at)):
             continue
         if record.state is TargetState.PROBATION and has_retry_left:
@@ -135,6 +144,8 @@
         if record.target.failure_domain != home_domain:
             load += 1.0
         cost = (1.0, load) if is_unsuspected else _compute_cost(state, record, load, at)
+        if lost_since is not None and not record.path.is_proven(lost_since):
+            cost = (max(cost[0], UNPROVEN_RANK), cost[1])
         if cost > best_cost or (avoids_last_resort and cost[0] >= LAST_RESORT_RANK):
             continue
         if cost < best_cost:
@@ -144,7 +155,11 @@
 
 
 def _list_candidates(
-    state: ServiceState, names: list[TargetName], tried_targets: frozenset[TargetName], at: Instant
+    state: ServiceState,
+    names: list[TargetName],
+    tried_targets: frozenset[TargetName],
+    at: Instant,
+    may_try_path: bool,
 ) -> list[_Candidate]:
     """Lists the targets that have room for one more request."""
     candidates = []
@@ -152,7 +167,7 @@
         record = state.targets[name]
         if name in tried_targets or record.state not in _USABLE_STATES:
             continue
-        if not record.takes_requests(at):
+        if not record.takes_requests(at) or record.path.is_excluded(may_try_path, at):
             continue
         in_flight = record.count_in_flight(at)
         is_proven = record.state is TargetState.HEALTHY and not _has_failed_last(record)
@@ -229,6 +244,8 @@
     """Tells whether there are usable targets and all of them are paused."""
     usable = False
     for record in state.targets.values():
+        if record.path.lost_at is not None:
+            continue
         if record.state in _USABLE_STATES and record.takes_requests(at):
             if record.paused_until <= at:
                 return False
--- a/endivedrift/policy/_evidence.py
+++ b/endivedrift/policy/_evidence.py
@@ -13,8 +13,22 @@
 from collections.abc import Iterable
 from datetime import timedelta
 
-from endivedrift.core import AttemptOutcome, EvidenceDelta, Instant, PauseCause, TargetName
+from endivedrift.core import (
+    AttemptOutcome,
+    EvidenceDelta,
+    HostId,
+    Instant,
+    PauseCause,
+    TargetName,
+)
 from endivedrift.policy._service import ServiceState, TargetRecord
+from endivedrift.policy._target_path import (
+    MAX_DOUBTFUL_SHARE,
+    OBSERVATION_TTL,
+    is_path_lost,
+    note_failure,
+    note_success,
+)
 
 TYPICAL_LATENCY_STEP = 1.02
 MIN_LATENCY_SAMPLES = 10
@@ -113,12 +127,39 @@
     record.unsent_bad += bad_count
 
 
-def add_shared_evidence(state: ServiceState, record: TargetRecord, delta: EvidenceDelta) -> None:
-    """Adds outcomes of requests from another host to the shared test."""
-    change = _compute_log_likelihood_ratio(state, delta.good, delta.bad)
+def add_shared_evidence(
+    state: ServiceState, record: TargetRecord, host: HostId, delta: EvidenceDelta, at: Instant
+) -> None:
+    """Adds outcomes of requests from another host to the shared test.
+
+    Failures that are attributed to the path of that host do not count.
+    """
+    path = record.path
+    bad, owed = delta.bad, 0.0
+    if delta.good_age is not None:
+        owed = note_success(path, host, at - delta.good_age, at)
+    if delta.unanswered and not delta.good:
+        unanswered = min(delta.unanswered, delta.bad)
+        charged = _compute_log_likelihood_ratio(state, 0, unanswered)
+        if is_path_lost(path, host):
+            state.path_failed_at = at
+            bad, charged = bad - unanswered, 0.0
+        note_failure(path, host, at, at, unanswered, charged)
+    change = _compute_log_likelihood_ratio(state, delta.good, bad) + owed
     record.shared_score = _bound_score(state, record.shared_score + change)
 
 
+def absolve_of_path(state: ServiceState, record: TargetRecord, host: HostId) -> None:
+    """Undoes what the failures of another host, whose path was the cause, did to a target."""
+    seen = record.path.observations[host]
+    record.shared_score = _bound_score(state, record.shared_score - seen.charged)
+    if not record.path.fails_here:
+        record.paused_until = Instant(0)
+        record.avoided_until = Instant(0)
+        record.repeated_pauses = 0
+        record.last_failure_at = Instant(0)
+
+
 def pause_target(state: ServiceState, record: TargetRecord, at: Instant, cause: PauseCause) -> bool:
     """Pauses a target after a failure, without waiting for the sequential test.
 
@@ -153,6 +194,32 @@
     return True
 
 
+def may_trust_report(state: ServiceState, at: Instant) -> bool:
+    """Tells whether a target is paused after a failure that a single other host has reported.
+
+    It is not while some host is known to have lost a path, or many targets are paused like that.
+    """
+    if state.path_failed_at is not None and at - state.path_failed_at < OBSERVATION_TTL:
+        return False
+    doubtful = sum(r.path.is_doubtful and r.paused_until > at for r in state.targets.values())
+    return doubtful < max(1.0, MAX_DOUBTFUL_SHARE * len(state.targets))
+
+
+def avoid_target(state: ServiceState, record: TargetRecord, at: Instant) -> bool:
+    """Makes a target a last resort after a failure that a single other host has reported.
+
+    Returns:
+      Whether it was not one before.
+    """
+    pause = timedelta(milliseconds=state.ejection.pause_ms)
+    record.last_failure_at = at
+    if not pause or record.paused_until > at or record.avoided_until >= at + pause:
+        return False
+    was_avoided = record.avoided_until > at
+    record.avoided_until = at + pause
+    return not was_avoided
+
+
 def absolve_target(record: TargetRecord) -> None:
     """Undoes the evidence and the pauses of failures of which the target was not the cause."""
     record.own_score = 0.0
@@ -164,6 +231,7 @@
     record.last_failure_at = Instant(0)
     record.unsent_bad = 0
     record.unsent_pause = False
+    record.path.unsent_unanswered = 0
 
 
 def should_eject(state: ServiceState, record: TargetRecord) -> bool:
@@ -210,6 +278,7 @@
 
 def take_unsent_evidence(
     state: ServiceState,
+    at: Instant,
     refresh: bool = False,
     changed: Iterable[TargetName] | None = None,
     keeps_far: bool = False,
@@ -218,6 +287,7 @@
 
     Args:
       state: The service.
+      at: Current time.
       refresh: Whether to repeat the number of requests in progress, since a message may be lost.
       changed: Targets to consider, or None for all.
       keeps_far: Whether outcomes are kept for `take_far_evidence`, since some hosts get only that.
@@ -233,22 +303,26 @@
         resend = refresh and (record.attempts or record.reported_in_flight)
         if has_unsent or record.unsent_in_flight or resend:
             # A refresh repeats the count once more after it fell to zero.
-            record.reported_in_flight = len(record.attempts)
+            record.reported_in_flight = record.count_reported_in_flight()
             delta = EvidenceDelta(
                 state.name,
                 name,
                 record.unsent_good,
                 record.unsent_bad,
                 record.unsent_leaving,
-                len(record.attempts),
+                record.reported_in_flight,
                 record.unsent_pause,
+                record.path.unsent_unanswered,
+                _get_good_age(record, at),
             )
             deltas.append(delta)
             if keeps_far:
                 record.unsent_far_good += record.unsent_good
                 record.unsent_far_bad += record.unsent_bad
+                record.path.unsent_far_unanswered += record.path.unsent_unanswered
             record.unsent_in_flight = False
             record.unsent_pause = False
+            record.path.unsent_unanswered = 0
             record.unsent_good = 0
             record.unsent_bad = 0
             record.unsent_leaving = False
@@ -256,12 +330,13 @@
 
 
 def take_far_evidence(
-    state: ServiceState, flags: Iterable[EvidenceDelta] | None = None
+    state: ServiceState, at: Instant, flags: Iterable[EvidenceDelta] | None = None
 ) -> tuple[EvidenceDelta, ...]:
     """Returns the evidence for hosts that are not told of each attempt, and marks it as sent.
 
     Args:
       state: The service.
+      at: Current time.
       flags: Evidence that was just taken for the other hosts, which states what is told to all at
         once; None for a periodic report on all targets.
     Returns:
@@ -271,7 +346,7 @@
     deltas = []
     for name in state.targets if flagged is None else flagged:
         record = state.targets[name]
-        running = len(record.attempts)
+        running = record.count_reported_in_flight()
         has_outcomes = record.unsent_far_good or record.unsent_far_bad
         if flagged is None and not (has_outcomes or running or record.reported_far_in_flight):
             continue
@@ -285,14 +360,23 @@
                 flag is not None and flag.leaving,
                 running,
                 flag is not None and flag.paused,
+                record.path.unsent_far_unanswered,
+                _get_good_age(record, at),
             )
         )
         record.unsent_far_good = 0
         record.unsent_far_bad = 0
+        record.path.unsent_far_unanswered = 0
         record.reported_far_in_flight = running
     return tuple(deltas)
 
 
+def _get_good_age(record: TargetRecord, at: Instant) -> timedelta | None:
+    """Returns the time since the start of this host's latest request that was answered well."""
+    start = record.path.own_good_start
+    return at - start if start is not None and at - start < OBSERVATION_TTL else None
+
+
 def _compute_log_likelihood_ratio(state: ServiceState, good: int, bad: int) -> float:
     usual = _clamp_rate(state.usual_bad_rate)
     failing_rate = usual + state.ejection.detectable_failure_rate * (1.0 - usual)
--- a/endivedrift/policy/_service.py
+++ b/endivedrift/policy/_service.py
@@ -27,6 +27,7 @@
 from endivedrift.policy._bucket import TokenBucket
 from endivedrift.policy._fair_queue import FairQueue
 from endivedrift.policy._rate_limit import RateLimit
+from endivedrift.policy._target_path import TargetPath
 
 INITIAL_LATENCY = timedelta(milliseconds=25)
 PEER_IN_FLIGHT_TTL = timedelta(milliseconds=1_300)
@@ -87,6 +88,7 @@
         not yet to the others.
       reported_far_in_flight: Requests in progress as last reported to those others.
       unsent_leaving: Whether it is still to be reported to other hosts that it is leaving.
+      path: The path from this host to it, and what is known of the paths of other hosts.
     """
 
     target: Target
@@ -122,6 +124,7 @@
     unsent_far_good: int = 0
     unsent_far_bad: int = 0
     reported_far_in_flight: int = 0
+    path: TargetPath = field(default_factory=TargetPath)
 
     @property
     def score(self) -> float:
@@ -134,6 +137,13 @@
             return False
         return self.rate_limit is None or self.rate_limit.may_send(at)
 
+    def count_reported_in_flight(self) -> int:
+        """Returns the number of this host's requests that other hosts count as in progress.
+
+        Requests on a lost path most likely occupy no slot of the target.
+        """
+        return len(self.attempts) if self.path.lost_at is None else 0
+
     def count_in_flight(self, at: Instant) -> int:
         """Returns the number of requests in progress, of this host and as reported by others."""
         total = len(self.attempts)
@@ -193,6 +203,7 @@
       dequeue_interval: Moving average of the time between two dequeued requests.
       last_dequeue_at: When a queued request was last sent to a target.
       recent_outcomes: Recent ends of requests, which show whether the service is failing.
+      path_failed_at: When a failure was last attributed to the path of any host, or None.
     """
 
     name: ServiceName
@@ -216,6 +227,7 @@
     dequeue_interval: timedelta | None = None
     last_dequeue_at: Instant = Instant(0)
     recent_outcomes: RecentOutcomes = field(default_factory=RecentOutcomes)
+    path_failed_at: Instant | None = None
 
     @property
     def queued_count(self) -> int:
@@ -332,6 +344,7 @@
     state.last_dequeue_at = previous.last_dequeue_at
     state.limit_per_target = previous.limit_per_target
     state.recent_outcomes = previous.recent_outcomes
+    state.path_failed_at = previous.path_failed_at
     if state.group.discovered:
         state.targets.update({n: r for n, r in previous.targets.items() if r.entry is not None})
     state.retry_budget.tokens = min(state.retry_budget.cap, previous.retry_budget.tokens)
--- a/endivedrift/reducer/_attempts.py
+++ b/endivedrift/reducer/_attempts.py
@@ -42,6 +42,7 @@
     ServiceState,
     TargetRecord,
     add_own_evidence,
+    begin_trial,
     choose_target,
     classify_outcome,
     dequeue_request,
@@ -61,10 +62,12 @@
 )
 from endivedrift.reducer._paths import (
     PATH_OUTCOMES,
+    forward_for_room,
     forward_request,
     hold_back_failure,
     may_be_path_failure,
     note_attempt,
+    note_target_path,
 )
 from endivedrift.reducer._quarantine import (
     QUARANTINED_DETAIL,
@@ -112,6 +115,8 @@
 LONG_REQUEST_FACTOR = 4
 """Multiple of the typical latency that a long request takes. About one request in a hundred takes
 longer, since the amount of work varies."""
+TRIAL_LATE_FACTOR = 2
+"""Multiple of the typical latency after which a request that tries a lost path is late."""
 NON_PRIMARY_BUDGET_CAP = 1.0
 """Cap of the retry budget of a host that is not a primary: the least that allows a retry."""
 MAX_FAILED_CONNECTIONS = 4
@@ -155,6 +160,9 @@
         effects = _start_attempt(state, service, at, request)
         if effects:
             return effects
+        forwarded = forward_for_room(state, service, at, request)
+        if forwarded:
+            return forwarded
     return _enqueue(state, service, at, request)
 
 
@@ -173,6 +181,7 @@
             continue
         sent = forward_request(state, at, queued_request.request) if state.path.is_cut else []
         sent = sent or _start_attempt(state, service, at, queued_request.request)
+        sent = sent or forward_for_room(state, service, at, queued_request.request)
         if not sent:
             requeue_request(service, pending.priority, queued_request)
             return effects
@@ -323,12 +332,16 @@
     if state.path.is_cut and not pending.head.for_peer and service.retry_budget.take(event.at):
         pending.holds_retry = True
         return [AbortAttempt(event.request)]
-    if record.last_success_at is not None and record.last_success_at > attempt.started:
-        return []
-    if not has_faster_target(service, event.target, attempt.started, event.at):
-        return []
+    if record.path.lost_at is None:
+        last_success = record.last_success_at
+        if last_success is not None and last_success > attempt.started:
+            return []
+        if not has_faster_target(service, event.target, attempt.started, event.at):
+            return []
     if not _reserve_retry(state, service, event.at, event.request):
-        return []
+        if record.path.lost_at is None or not service.retry_budget.take(event.at):
+            return []
+        pending.holds_retry = True
     passed = (event.at - attempt.started).total_seconds()
     cause = f"no answer after {passed:.3f} s, while another target answers in less than half of it"
     entry = AuditEntry(
@@ -438,6 +451,8 @@
     pending = state.requests[request]
     route = pending.route.route
     record = service.targets[name]
+    if record.path.lost_at is not None:
+        begin_trial(record.path, at)
     _occupy_slot(state, service, record, request, at)
     pending.attempt_count += 1
     pending.tried_targets = pending.tried_targets | {name}
@@ -448,7 +463,7 @@
         target=name,
         address=Address(record.target.address),
         deadline=pending.deadline,
-        late_after=_compute_late_after(service, pending, at),
+        late_after=_compute_late_after(service, record, pending, at),
         answer_limit_bytes=route.answer_limit_bytes,
         not_run_header=service.group.not_run_header.encode(),
         draining_header=service.group.draining_header.encode(),
@@ -527,7 +542,9 @@
         state.changed_targets.setdefault(service.name, set()).add(TargetName(record.target.name))
 
 
-def _compute_late_after(service: ServiceState, pending: RequestState, at: Instant) -> timedelta:
+def _compute_late_after(
+    service: ServiceState, record: TargetRecord, pending: RequestState, at: Instant
+) -> timedelta:
     """Returns the time after which the attempt just started is late.
 
     A repeatable request divides its remaining time among its remaining attempts. Each gets at least
@@ -536,6 +553,8 @@
     left = _get_max_attempts(service, pending) - pending.attempt_count + 1
     if not pending.route.route.repeatable or left <= 1:
         return pending.deadline - at
+    if record.path.lost_at is not None:
+        return service.typical_latency * TRIAL_LATE_FACTOR
     return max((pending.deadline - at) / left, service.typical_latency * LONG_REQUEST_FACTOR)
 
 
@@ -624,6 +643,9 @@
     failure = PauseCause.ANSWERED if status >= SERVER_ERROR else _PAUSE_CAUSES.get(event.outcome)
     if failure is PauseCause.REFUSED and event.retry_after is not None:
         failure = None
+    path_effects = note_target_path(state, service, record, event)
+    if record.path.lost_at is not None:
+        failure = None
     if failure is not None and pause_target(service, record, event.at, failure):
         record.unsent_pause |= event.outcome not in _UNSHARED_OUTCOMES
         cause = f"{event.outcome.value} {status or ''}".strip()
@@ -643,7 +665,7 @@
     if event.outcome is AttemptOutcome.MISDIRECTED:
         cause = "another target answers at its address"
         entries += mark_leaving(service, event.target, event.at, LeavingSource.REPLACED, cause)
-    return [RecordAudit(entry) for entry in entries]
+    return [*(RecordAudit(entry) for entry in entries), *path_effects]
 
 
 def _may_retry(
--- a/endivedrift/reducer/_paths.py
+++ b/endivedrift/reducer/_paths.py
@@ -24,20 +24,29 @@
     RequestId,
     ServiceName,
     TargetName,
+    TargetState,
 )
 from endivedrift.core.effects import Effect, ForwardToPeer, RecordAudit
 from endivedrift.core.events import AttemptFinished
 from endivedrift.policy import (
     FAILURE_TTL,
+    THIS_HOST,
     ServiceState,
     TargetRecord,
+    absolve_of_path,
     absolve_target,
+    attribute_failures,
     compute_slow_limit,
     detect_cut,
+    forget_old_observations,
+    mark_lost,
+    mark_working,
+    note_failure,
+    note_success,
     record_connection,
     record_failed_connection,
 )
-from endivedrift.reducer._state import HostState, RequestState, list_primaries
+from endivedrift.reducer._state import HostState, RequestState, is_primary, list_primaries
 
 MAX_PEERS = 3
 """Hosts to which one request is forwarded, one after the other, until one may serve it."""
@@ -125,9 +134,140 @@
             state.changed_targets.setdefault(name, set()).add(target)
 
 
-def forward_request(state: HostState, at: Instant, request: RequestId) -> list[Effect]:
+def note_target_path(
+    state: HostState, service: ServiceState, record: TargetRecord, event: AttemptFinished
+) -> list[Effect]:
+    """Notes what the end of an attempt says about the path to its target.
+
+    Args:
+      state: The host.
+      service: The service of the target.
+      record: The target, whose evidence and pause already contain the attempt.
+      event: The end of the attempt.
+    Returns:
+      Audit entries, if the path is held to be lost or to work again.
+    """
+    path, at = record.path, event.at
+    if event.outcome in _REACHED_OUTCOMES:
+        note_success(path, THIS_HOST, at - event.latency, at)
+        if mark_working(path):
+            cause = f"the path to {event.target} works again: {event.outcome.value}"
+            return [_audit_target(state, service, record, at, cause)]
+        return []
+    if event.outcome not in PATH_OUTCOMES:
+        return []
+    path.unsent_unanswered += 1
+    was_silent = event.outcome is AttemptOutcome.TIMED_OUT
+    note_failure(path, THIS_HOST, at - event.latency if was_silent else at, at)
+    if path.lost_at is not None:
+        service.path_failed_at = at
+        _absolve_lost(state, service, record)
+        return []
+    return attribute_to_paths(state, service, record, at)
+
+
+def note_silent_attempts(state: HostState, service: ServiceState, at: Instant) -> list[Effect]:
+    """Notes requests that are overdue at targets that have answered this host nothing since."""
+    effects: list[Effect] = []
+    if state.path.is_cut:
+        return effects
+    for record in service.targets.values():
+        path = record.path
+        if path.lost_at is not None:
+            continue
+        good = path.own_good_start
+        starts = [a.started for a in record.attempts.values() if a.overdue_count]
+        silent = [start for start in starts if good is None or good <= start]
+        if not silent:
+            continue
+        if not path.fails_here:
+            path.unsent_unanswered += 1
+            note_failure(path, THIS_HOST, min(silent), at)
+        effects += attribute_to_paths(state, service, record, at)
+    return effects
+
+
+def attribute_to_paths(
+    state: HostState, service: ServiceState, record: TargetRecord, at: Instant
+) -> list[Effect]:
+    """Attributes the failures of a minority of hosts at a target to their paths."""
+    effects = []
+    for host in attribute_failures(record.path, at):
+        service.path_failed_at = at
+        if host == THIS_HOST:
+            mark_lost(record.path, at)
+            _absolve_lost(state, service, record)
+            record.unsent_in_flight = True
+            if service.service.share_at_once:
+                name = TargetName(record.target.name)
+                state.changed_targets.setdefault(service.name, set()).add(name)
+            cause = "the path from this host is at fault: others reach it"
+        else:
+            absolve_of_path(service, record, host)
+            cause = f"the path from {host} is at fault: others reach it"
+        effects.append(_audit_target(state, service, record, at, cause))
+    return effects
+
+
+def forget_old_paths(state: HostState, at: Instant) -> list[Effect]:
+    """Drops old observations of paths, and uses paths again that nothing has tried for long."""
+    return [
+        _audit_target(state, service, record, at, "the path is used again: not tried for long")
+        for service in state.services.values()
+        for record in service.targets.values()
+        if record.path.observations and forget_old_observations(record.path, at)
+    ]
+
+
+def _absolve_lost(state: HostState, service: ServiceState, record: TargetRecord) -> None:
+    """Undoes the evidence and pauses that failures of a lost path have caused, and their reports.
+
+    The target counts as healthy, since the floor is one of targets and not of paths.
+    """
+    absolve_target(record)
+    state.unconfirmed_failures.pop((service.name, TargetName(record.target.name)), None)
+    if record.state in (TargetState.EJECTED, TargetState.PROBATION):
+        record.state = TargetState.HEALTHY
+
+
+def forward_for_room(
+    state: HostState, service: ServiceState, at: Instant, request: RequestId
+) -> list[Effect]:
+    """Forwards a request for which no target reached from here has room.
+
+    It goes to a host that reaches a target with room. A host that gets no reports cannot know one;
+    if it sees targets fail, it forwards to any primary.
+
+    Returns:
+      The effect, or nothing if no such host is known.
+    """
+    pending = state.requests[request]
+    peers: set[HostId] = set()
+    sees_failures = False
+    for name, record in service.targets.items():
+        path = record.path
+        sees_failures |= path.fails_here
+        if path.lost_at is None or record.state is not TargetState.HEALTHY:
+            continue
+        if name in pending.tried_targets and not pending.route.route.repeatable:
+            continue
+        if record.paused_until <= at and record.count_in_flight(at) < service.get_slots(record):
+            peers |= {host for host in path.observations if path.reaches(host)}
+    if not peers and sees_failures and not is_primary(state, service.name):
+        return forward_request(state, at, request)
+    return forward_request(state, at, request, peers) if peers else []
+
+
+def forward_request(
+    state: HostState, at: Instant, request: RequestId, peers: set[HostId] | None = None
+) -> list[Effect]:
     """Forwards a request to another host.
 
+    Args:
+      state: The host.
+      at: Current time.
+      request: The request.
+      peers: Hosts to which it may go, or None for all primaries of its service.
     Returns:
       The effect, or nothing if the request must not be forwarded or no host may serve it.
     """
@@ -138,7 +278,7 @@
         return []
     if not state.path.is_cut and state.forwarding_blocked.get(pending.service, at) > at:
         return []
-    peer = _choose_peer(state, pending, at)
+    peer = _choose_peer(state, pending, at, peers)
     if peer is None:
         return []
     pending.peer = peer.host
@@ -159,7 +299,9 @@
     state.forwarding_blocked[service] = at + PEER_RETRY_DELAY
 
 
-def _choose_peer(state: HostState, pending: RequestState, at: Instant) -> Member | None:
+def _choose_peer(
+    state: HostState, pending: RequestState, at: Instant, peers: set[HostId] | None
+) -> Member | None:
     """Chooses a primary of the service, since these know the load of its targets."""
     able = [
         member
@@ -167,6 +309,7 @@
         if member.host != state.identity.host
         and member.status is MemberStatus.ALIVE
         and member.host not in pending.asked_peers
+        and (peers is None or member.host in peers)
         and state.unable_peers.get(member.host, at) <= at
     ]
     return state.random.choice(able) if able else None
@@ -190,3 +333,11 @@
 
 def _audit(state: HostState, at: Instant, cause: str) -> Effect:
     return RecordAudit(AuditEntry(at, AuditKind.PATH_CHANGED, state.identity.host, cause))
+
+
+def _audit_target(
+    state: HostState, service: ServiceState, record: TargetRecord, at: Instant, cause: str
+) -> Effect:
+    """Records that a path between some host and a target is lost or works again."""
+    name = record.target.name
+    return RecordAudit(AuditEntry(at, AuditKind.PATH_CHANGED, name, cause, service.name))
--- a/endivedrift/reducer/_periodic.py
+++ b/endivedrift/reducer/_periodic.py
@@ -16,7 +16,7 @@
 from endivedrift.reducer._attempts import dispatch_queued
 from endivedrift.reducer._config import retry_fetch
 from endivedrift.reducer._discovery import ask_for_targets, remove_lapsed_targets
-from endivedrift.reducer._paths import detect_lost_paths
+from endivedrift.reducer._paths import detect_lost_paths, forget_old_paths, note_silent_attempts
 from endivedrift.reducer._quarantine import share_suspects
 from endivedrift.reducer._rate_limits import advance_rate_limits
 from endivedrift.reducer._relaying import advance_relaying
@@ -44,13 +44,14 @@
     if event.at >= state.next_evidence_at:
         state.next_evidence_at = event.at + EVIDENCE_INTERVAL
         update_required_power(state)
-        effects += share_evidence(state)
+        effects += share_evidence(state, event.at)
         state.active_services = {
             name for name in state.active_services if _needs_timer(state, name)
         }
     if event.at >= state.next_cleanup_at:
         state.next_cleanup_at = event.at + CLEANUP_INTERVAL
         drop_expired_records(state.keys)
+        effects += forget_old_paths(state, event.at)
     effects += advance_membership(state.membership, event.at)
     if event.at >= state.membership.next_watch:
         effects += watch_members(state.membership, event.at, list_watched_hosts(state))
@@ -62,7 +63,8 @@
     if not state.path.is_cut:
         count_overdue_attempts(service, at)
     update_usual_bad_rate(service)
-    effects: list[Effect] = [RecordAudit(entry) for entry in update_states(service, at)]
+    effects = note_silent_attempts(state, service, at)
+    effects += [RecordAudit(entry) for entry in update_states(service, at)]
     return effects + dispatch_queued(state, service, at)
 
 
--- a/endivedrift/reducer/_reduce.py
+++ b/endivedrift/reducer/_reduce.py
@@ -60,7 +60,7 @@
     """
     effects = _reduce(event, state)
     if state.changed_targets:
-        effects += share_changes(state)
+        effects += share_changes(state, event.at)
     return effects
 
 
--- a/endivedrift/reducer/_targets.py
+++ b/endivedrift/reducer/_targets.py
@@ -25,13 +25,18 @@
     ServiceState,
     TargetRecord,
     add_shared_evidence,
+    avoid_target,
+    is_path_lost,
+    is_target_at_fault,
     mark_leaving,
+    may_trust_report,
     pause_target,
     restore_listed_target,
     take_far_evidence,
     take_unsent_evidence,
 )
 from endivedrift.reducer._attempts import dispatch_queued
+from endivedrift.reducer._paths import attribute_to_paths
 from endivedrift.reducer._state import HostState, list_primaries
 
 MAX_PRIMARIES_TOLD_ALL = 4
@@ -71,10 +76,11 @@
             continue
         state.active_services.add(delta.service)
         record = service.targets[delta.target]
-        add_shared_evidence(service, record, delta)
+        add_shared_evidence(service, record, sender, delta, at)
         if service.service.share_at_once:
             effects += _apply_in_flight(service, record, sender, at, delta)
             services.add(delta.service)
+        effects += attribute_to_paths(state, service, record, at)
         if delta.leaving:
             cause = "another host says it is draining"
             entries = mark_leaving(service, delta.target, at, LeavingSource.ANNOUNCED, cause)
@@ -95,14 +101,31 @@
         record.last_request_at = at
     if delta.good:
         record.last_success_at = at
-    if delta.paused and pause_target(service, record, at, PauseCause.BROKEN):
-        cause = f"{sender} saw it fail"
-        entry = AuditEntry(at, AuditKind.PAUSED, delta.target, cause, service.name)
-        return [RecordAudit(entry)]
-    return []
+    return _apply_failure(service, record, sender, at) if delta.paused else []
 
 
-def share_changes(state: HostState) -> list[Effect]:
+def _apply_failure(
+    service: ServiceState, record: TargetRecord, sender: HostId, at: Instant
+) -> list[Effect]:
+    """Pauses a target that several hosts see fail, or avoids it while only one does.
+
+    The path of a single host may be the cause, and the target in good use elsewhere.
+    """
+    if is_path_lost(record.path, sender):
+        return []
+    is_confirmed = is_target_at_fault(record.path, at)
+    if is_confirmed or may_trust_report(service, at):
+        changed = pause_target(service, record, at, PauseCause.BROKEN)
+        record.path.is_doubtful = changed and not is_confirmed
+        cause = f"{sender} saw it fail" + (", like others before" if is_confirmed else "")
+    else:
+        changed = avoid_target(service, record, at)
+        cause = f"avoided, since {sender} saw it fail"
+    entry = AuditEntry(at, AuditKind.PAUSED, record.target.name, cause, service.name)
+    return [RecordAudit(entry)] if changed else []
+
+
+def share_changes(state: HostState, at: Instant) -> list[Effect]:
     """Reports attempts that began or ended to the primaries of their services at once."""
     changed, state.changed_targets = state.changed_targets, {}
     effects: list[Effect] = []
@@ -110,22 +133,22 @@
         service = state.services[name]
         has_far = _has_far_primaries(state, name)
         targets = sorted(changed[name])
-        deltas = take_unsent_evidence(service, changed=targets, keeps_far=has_far)
+        deltas = take_unsent_evidence(service, at, changed=targets, keeps_far=has_far)
         flagged = [delta for delta in deltas if delta.paused or delta.leaving]
-        far = take_far_evidence(service, flagged) if has_far else ()
+        far = take_far_evidence(service, at, flagged) if has_far else ()
         effects += _send_by_domain(state, name, deltas, far)
     return effects
 
 
-def share_evidence(state: HostState) -> list[Effect]:
+def share_evidence(state: HostState, at: Instant) -> list[Effect]:
     """Sends the evidence on targets to the primaries of their services."""
     effects: list[Effect] = []
     for name in sorted(state.active_services & state.services.keys()):
         service = state.services[name]
         has_far = _has_far_primaries(state, name)
         refresh = service.service.share_at_once
-        deltas = take_unsent_evidence(service, refresh, keeps_far=has_far)
-        far = take_far_evidence(service) if has_far else ()
+        deltas = take_unsent_evidence(service, at, refresh, keeps_far=has_far)
+        far = take_far_evidence(service, at) if has_far else ()
         effects += _send_by_domain(state, name, deltas, far)
     return effects
 
--- a/endivedrift/shell/_codec.py
+++ b/endivedrift/shell/_codec.py
@@ -312,6 +312,9 @@
         struct.leaving = delta.leaving
         struct.running = delta.running
         struct.paused = delta.paused
+        struct.unanswered = delta.unanswered
+        if delta.good_age is not None:
+            struct.goodAgeMicros = delta.good_age // MICROSECOND
     suspects = datagram.init("suspects", len(message.suspects))
     for struct, report in zip(suspects, message.suspects, strict=True):
         _set_suspect(struct, report)
@@ -342,6 +345,8 @@
                 delta.leaving,
                 delta.running,
                 delta.paused,
+                delta.unanswered,
+                _get_optional_duration(delta.goodAgeMicros),
             )
             for delta in _get_bounded(datagram.evidence)
         ),
@@ -473,6 +478,10 @@
     return Version(number)
 
 
+def _get_optional_duration(micros: int) -> timedelta | None:
+    return None if micros == NO_TIME_MICROS else _get_duration(micros)
+
+
 def _get_duration(micros: int) -> timedelta:
     if not 0 <= micros <= MAX_DURATION // MICROSECOND:
         raise ValueError("the duration is out of bounds")
--- a/endivedrift/shell/_report.py
+++ b/endivedrift/shell/_report.py
@@ -4,7 +4,13 @@
 
 from endivedrift.core import Instant
 from endivedrift.fleet import HEARD_WINDOW, MemberRecord
-from endivedrift.policy import Quarantine, ServiceState, compute_quarantine_end
+from endivedrift.policy import (
+    THIS_HOST,
+    Quarantine,
+    ServiceState,
+    TargetPath,
+    compute_quarantine_end,
+)
 from endivedrift.reducer import list_primaries
 from endivedrift.shell._runtime import Runtime
 
@@ -28,7 +34,7 @@
         "members": [_describe_member(record, now) for record in state.membership.records.values()],
         "services": {
             name: {
-                **_describe_service(service),
+                **_describe_service(service, now),
                 "entry_hosts": [member.host for member in list_primaries(state, name)],
             }
             for name, service in state.services.items()
@@ -64,7 +70,7 @@
     }
 
 
-def _describe_service(service: ServiceState) -> dict[str, Any]:
+def _describe_service(service: ServiceState, now: Instant) -> dict[str, Any]:
     return {
         "queued": service.queued_count,
         "typical_ms": round(service.typical_latency.total_seconds() * 1000.0, 2),
@@ -80,7 +86,23 @@
                 "own_score": round(record.own_score, 2),
                 "shared_score": round(record.shared_score, 2),
                 "own_bad_rate": round(record.own_bad_rate, 4),
+                "path": _describe_path(record.path, now),
             }
             for name, record in service.targets.items()
         },
     }
+
+
+def _describe_path(path: TargetPath, now: Instant) -> dict[str, Any]:
+    """Returns whether this host's path to a target is lost, and what other hosts last saw there."""
+    others = {host: seen for host, seen in path.observations.items() if host != THIS_HOST}
+    failing = {host for host, seen in others.items() if seen.failed_since is not None}
+    lost = {host for host in failing if others[host].is_path_lost}
+    return {
+        "lost_for_s": (
+            round((now - path.lost_at).total_seconds(), 1) if path.lost_at is not None else None
+        ),
+        "lost_from": sorted(lost),
+        "failing_from": sorted(failing - lost),
+        "reached_from": sorted(host for host in others if path.reaches(host)),
+    }
--- a/endivedrift/shell/codec_test.py
+++ b/endivedrift/shell/codec_test.py
@@ -81,7 +81,8 @@
     sender = build_membership(build_identity_at("h2", 2), random.Random(1)).me
     sender = sender.with_status(MemberStatus.ALIVE)
     me = build_membership(build_identity_at("h1", 1, "a"), random.Random(1)).me
-    delta = EvidenceDelta(ServiceName(SERVICE), name_target(1), 1, 2, True, 1, True)
+    good_age = timedelta(milliseconds=300)
+    delta = EvidenceDelta(ServiceName(SERVICE), name_target(1), 1, 2, True, 1, True, 2, good_age)
     entries = (build_target_entry(1), build_target_entry(2))
     update = StoreUpdate(9, 7, timedelta(seconds=1), entries, (TargetName("t3"),))
     members = (me, sender)
--- a/endivedrift/shell/peer.capnp
+++ b/endivedrift/shell/peer.capnp
@@ -29,6 +29,8 @@
   leaving @4 :Bool;
   running @5 :UInt32;  # Requests that the sender has in progress at the target.
   paused @6 :Bool;
+  unanswered @7 :UInt32;  # Failures without any answer, which the path may have caused.
+  goodAgeMicros @8 :Int64 = -1;  # Time since the start of the latest good request; -1 if none.
 }
 
 struct Target {
--- a/tests/crashing_targets.py
+++ b/tests/crashing_targets.py
@@ -25,6 +25,7 @@
     Refusal,
     RequestId,
     ServiceName,
+    TargetEntry,
     TargetName,
     Verdict,
 )
@@ -114,6 +115,7 @@
       refusal: Why it got no answer, or None.
       cut_count: Number of its attempts that a target cut off.
       write: Whether it must not be repeated.
+      service: The service that it is for.
     """
 
     host: str
@@ -124,6 +126,13 @@
     refusal: Refusal | None = None
     cut_count: int = 0
     write: bool = False
+    service: str = SERVICE
+
+    @property
+    def request_line(self) -> tuple[str, str]:
+        """Its method and its path, which begins with the service's name unless it is the first."""
+        method, path = ("POST", WRITE_PATH) if self.write else ("GET", READ_PATH)
+        return method, path if self.service == SERVICE else f"/{self.service}{path}"
 
     @property
     def is_quarantined(self) -> bool:
@@ -224,8 +233,11 @@
       traffic: The source of randomness for requests and targets.
       tick: Time between two ticks of a host.
       datagram_delay: Time that a datagram takes.
+      primary_share: Share of the requests that arrive at the primaries, the others at any host.
     """
 
+    primary_share = 0.5
+
     def __init__(
         self, count: int, targets: int, seed: int = 1, objects: ObjectSet | None = None
     ) -> None:
@@ -284,11 +296,15 @@
         super().start_host(name)
         self.clock = shared
         harness = self.hosts[name]
-        entries = tuple(build_target_entry(t.number, born=t.born) for t in self.targets.values())
+        entries = tuple(self.build_entry(target) for target in self.targets.values())
         now = harness.clock.monotonic()
         self.handle_effects(name, harness.apply(TargetsObserved(now, entries, (), True)))
         self.schedule(self.tick * self.traffic.random(), partial(self._tick, name, harness))
 
+    def build_entry(self, target: SimulatedTarget) -> TargetEntry:
+        """Builds the registration of a target."""
+        return build_target_entry(target.number, born=target.born)
+
     def _tick(self, name: str, harness: HostHarness) -> None:
         if self.hosts[name] is not harness:
             return
@@ -332,29 +348,36 @@
         event = PeerMessageReceived(harness.clock.monotonic(), address, message)
         self.handle_effects(receiver, harness.apply(event))
 
-    def send(self, digest: bytes, host: str | None = None, write: bool = False) -> SentRequest:
+    def send(
+        self,
+        digest: bytes,
+        host: str | None = None,
+        write: bool = False,
+        service: str = SERVICE,
+    ) -> SentRequest:
         """Sends a request.
 
         Args:
           digest: Its content.
           host: Its host, or None for any; half of those requests arrive at the service's primaries.
           write: Whether the request must not be repeated, so that it gets a single attempt.
+          service: The service that it is for.
         Returns:
           The request, whose result is set when it ends.
         """
-        name = host or self._choose_host()
-        sent = SentRequest(name, digest, self.now, write=write)
+        name = host or self._choose_host(service)
+        sent = SentRequest(name, digest, self.now, write=write, service=service)
         self.sent.append(sent)
         harness = self.hosts[name]
         request = RequestId(f"{harness.state.identity.host}-{harness.request_count + 1}")
         self._open[name, request] = sent
-        method, path = ("POST", WRITE_PATH) if write else ("GET", READ_PATH)
+        method, path = sent.request_line
         self.handle_effects(name, harness.receive_request(method, path, digest=digest)[1])
         return sent
 
-    def _choose_host(self) -> str:
-        if self.traffic.random() < 0.5:
-            primaries = list_primaries(self.hosts["h0"].state, ServiceName(SERVICE))
+    def _choose_host(self, service: str) -> str:
+        if self.traffic.random() < self.primary_share:
+            primaries = list_primaries(self.hosts["h0"].state, ServiceName(service))
             return str(self.traffic.choice(primaries).host)
         return self.traffic.choice(list(self.hosts))
 
@@ -437,7 +460,7 @@
     def _restart_target(self, target: SimulatedTarget) -> None:
         target.is_up = True
         target.born = max(target.born + 1, round(self.now / timedelta(milliseconds=1)))
-        entry = build_target_entry(target.number, born=target.born)
+        entry = self.build_entry(target)
         for name, harness in self.hosts.items():
             if name not in self.stopped:
                 event = TargetsObserved(harness.clock.monotonic(), (entry,))
@@ -506,7 +529,12 @@
             self.schedule(timedelta(seconds=number / per_s), partial(self.send, digest))
 
     def send_steadily(
-        self, per_s: float, seconds: float, host: str | None = None, write: bool = True
+        self,
+        per_s: float,
+        seconds: float,
+        host: str | None = None,
+        write: bool = True,
+        service: str = SERVICE,
     ) -> None:
         """Schedules requests of different content at a steady rate.
 
@@ -515,10 +543,11 @@
           seconds: For how long they arrive.
           host: The host at which they arrive, or None for any.
           write: Whether they must not be repeated.
+          service: The service that they are for.
         """
         for number in range(round(per_s * seconds)):
             digest = b"steady %d %d" % (self._agenda_count, number)
-            send = partial(self.send, digest, host, write)
+            send = partial(self.send, digest, host, write, service)
             self.schedule(timedelta(seconds=number / per_s), send)
 
     def list_ends(self, digest: bytes) -> list[timedelta]:
--- a/tests/partitioned_hosts.py
+++ b/tests/partitioned_hosts.py
@@ -18,7 +18,7 @@
     SendToTarget,
 )
 from endivedrift.core.events import AttemptLate, ForwardFinished
-from tests.builders import READ_PATH, WRITE_PATH
+from endivedrift.objects import ObjectSet
 from tests.crashing_targets import (
     DATAGRAM_DELAY,
     FAST_FAILURE,
@@ -35,6 +35,12 @@
     HANGING = "no packet arrives"
     RESET = "all are reset, new ones are refused"
     KEPT = "open ones live on, new ones are refused"
+    SILENT = "new ones open, no response arrives"
+    RESET_LATE = "all are reset, new ones open and are reset by the first request"
+
+
+_HANGING = (PathLoss.HANGING, PathLoss.SILENT)
+_RESET = (PathLoss.RESET, PathLoss.RESET_LATE)
 
 
 _ANSWERS = (AttemptOutcome.ANSWERED, AttemptOutcome.SHED)
@@ -45,10 +51,18 @@
 
     Attributes:
       losses: What has happened to the paths of each host that reaches no target.
+      pair_losses: What has happened to the path between one host and one target.
       forwards: When a request was forwarded, from which host and to which.
     """
 
-    def __init__(self, count: int, targets: int, entry_hosts: int, seed: int = 1) -> None:
+    def __init__(
+        self,
+        count: int,
+        targets: int,
+        entry_hosts: int,
+        seed: int = 1,
+        objects: ObjectSet | None = None,
+    ) -> None:
         """Starts hosts and targets.
 
         Args:
@@ -56,46 +70,65 @@
           targets: The number of targets.
           entry_hosts: The number of primaries of the service.
           seed: The seed of requests, answers, losses and clocks.
+          objects: The object set in force, or None for a default one.
         """
         self.losses: dict[str, PathLoss] = {}
+        self.pair_losses: dict[tuple[str, TargetName], PathLoss] = {}
         self._is_kept = False
         self._idle: dict[tuple[str, TargetName], list[timedelta]] = defaultdict(list)
         self.forwards: list[tuple[timedelta, str, str]] = []
         self._origins: dict[tuple[str, RequestId], tuple[str, RequestId]] = {}
         self._deadlines: dict[tuple[str, RequestId], Instant] = {}
-        super().__init__(count, targets, seed, build_crash_set(entry_hosts))
+        super().__init__(count, targets, seed, objects or build_crash_set(entry_hosts))
 
     def lose_paths(self, hosts: list[str], loss: PathLoss) -> None:
         """Takes the paths to all targets from some hosts."""
         self.losses.update(dict.fromkeys(hosts, loss))
-        if loss is not PathLoss.RESET:
-            return
-        for target in self.targets.values():
-            for run in [run for run in target.running if run.sent.host in hosts]:
+        if loss in _RESET:
+            self._reset({(host, name) for host in hosts for name in self.targets})
+
+    def lose_pairs(self, pairs: set[tuple[str, TargetName]], loss: PathLoss) -> None:
+        """Takes the paths between some hosts and some targets."""
+        self.pair_losses.update(dict.fromkeys(sorted(pairs), loss))
+        if loss in _RESET:
+            self._reset(pairs)
+
+    def _reset(self, pairs: set[tuple[str, TargetName]]) -> None:
+        """Resets the connections between some hosts and some targets."""
+        for name, target in self.targets.items():
+            for run in [run for run in target.running if (run.sent.host, name) in pairs]:
                 target.running.remove(run)
                 self.schedule(FAST_FAILURE, partial(self._report_reset, run))
-        for host, name in list(self._idle):
-            if host in hosts:
-                del self._idle[host, name]
+        for pair in pairs:
+            self._idle.pop(pair, None)
+
+    def restore_paths(self, hosts: list[str] | None = None) -> None:
+        """Gives some hosts, or all, their paths back."""
+        for host in self.hosts if hosts is None else hosts:
+            self.losses.pop(host, None)
+        if hosts is None:
+            self.pair_losses.clear()
 
-    def restore_paths(self) -> None:
-        """Gives all hosts their paths back."""
-        self.losses.clear()
+    def get_loss(self, host: str, target: TargetName) -> PathLoss | None:
+        """Returns what has happened to the path between a host and a target."""
+        return self.losses.get(host) or self.pair_losses.get((host, target))
 
     def _start_attempt(self, host: str, effect: SendToTarget) -> None:
         self._deadlines[host, effect.request] = effect.deadline
         is_kept = self._is_kept = self._take_idle(host, effect)
-        loss = self.losses.get(host)
+        loss = self.get_loss(host, effect.target)
         if loss is None or (loss is PathLoss.KEPT and is_kept):
             super()._start_attempt(host, effect)
             return
         self._queued.pop((host, effect.request), None)
         sent = self._open[host, effect.request]
         run = Run(self.now, sent, self.hosts[host], effect.request, effect.target, not is_kept)
-        if loss is not PathLoss.HANGING:
+        if loss is PathLoss.RESET_LATE:
+            self.schedule(FAST_FAILURE, partial(self._report, run, AttemptOutcome.CUT))
+        elif loss not in _HANGING:
             report = partial(self._report, run, AttemptOutcome.NOT_CONNECTED)
             self.schedule(FAST_FAILURE, report)
-        elif is_kept:
+        elif is_kept or loss is PathLoss.SILENT:
             self._hang(run)
             self.schedule(effect.late_after, partial(self._check_late, run, effect))
         else:
@@ -130,11 +163,11 @@
             return
         peer, harness = str(effect.peer), self.hosts[effect.peer]
         request = RequestId(f"{harness.state.identity.host}-{harness.request_count + 1}")
-        copy = SentRequest(peer, sent.digest, self.now, write=sent.write)
+        copy = SentRequest(peer, sent.digest, self.now, write=sent.write, service=sent.service)
         self._open[peer, request] = copy
         self._origins[peer, request] = (sender, effect.request)
         left = effect.deadline - self.hosts[sender].clock.monotonic()
-        method, path = ("POST", WRITE_PATH) if sent.write else ("GET", READ_PATH)
+        method, path = sent.request_line
         effects = harness.receive_request(
             method,
             path,
@@ -166,7 +199,7 @@
         self, run: Run, outcome: AttemptOutcome, status: int = 0, target_ended: bool = False
     ) -> None:
         if outcome in _ANSWERS:
-            if self.losses.get(run.sent.host) is PathLoss.HANGING:
+            if self.get_loss(run.sent.host, run.target) in _HANGING:
                 self._hang(run)
                 return
             self._idle[run.sent.host, run.target].append(self.now)
