Test reported targets with repeatable requests, and hold paths that come and go

A host whose paths come and go relied on them after each return, and lost what was in progress. Change: requests of a host that gets no answer from a target don't count as in progress there. While paths are lost, requests with a retry left test targets that others report, others go to targets that have answered this host since; late requests on a suspected path are aborted at the slow limit; evidence of others alone ejects nothing. Paths to all targets must work for 2 s, 4 s and 8 s before they are used again. A connection that opens and gets no answer no longer proves a path.

--- a/endivedrift/policy/_choice.py
+++ b/endivedrift/policy/_choice.py
@@ -16,8 +16,8 @@
 from typing import TypeAlias
 
 from endivedrift.core import FailureDomain, Instant, TargetName, TargetState
+from endivedrift.policy._evidence import has_lost_paths
 from endivedrift.policy._service import ServiceState, TargetRecord
-from endivedrift.policy._target_path import find_first_loss
 
 SCAN_LIMIT = 128
 """Number of targets up to which all targets of a group are compared."""
@@ -37,6 +37,8 @@
 must be met when a tenth of the requests is unserved, so the limit is just below that."""
 MIN_RECENT_REQUESTS = 8.0
 """Number of recent requests below which the share of unserved ones is not meaningful."""
+REPORT_TEST_DELAY = timedelta(milliseconds=500)
+"""Time without a request after which a target that others report as failing is tested."""
 UNUSED_AFTER = timedelta(milliseconds=1_500)
 """Time after its last request from which a target counts as unused: three quarters of the two
 seconds in which a target must get a request to count as in use."""
@@ -51,9 +53,11 @@
 """Time between two trials of a target while all targets of a service are paused."""
 UNPROVEN_RANK = 1.5
 """Rank, for requests that get no further attempt, of targets that have given this host no good
-answer since it lost its path to another target."""
+answer since hosts began to lose paths to targets of the service."""
 LAST_RESORT_RANK = 2.0
 """Rank of targets that are used only when no other target has room."""
+FAILING_PATH_RANK = 2.5
+"""Rank, for such requests, of targets that gave this host's last request no answer."""
 NEW_TARGET_DELAY = timedelta(milliseconds=300)
 """Time after which a new target gets its first request in preference to all others."""
 
@@ -122,7 +126,7 @@
     has_retry_left = is_repeatable and not tried_targets
     has_waited = waited >= (UNREPEATABLE_MAX_WAIT if not tried_targets else RETRY_MAX_WAIT)
     avoids_last_resort = not has_waited and not has_retry_left
-    lost_since = None if has_retry_left else find_first_loss(state.targets[n].path for n in names)
+    sees_lost_paths = has_lost_paths(state, at)
     best: list[tuple[TargetName, TargetRecord]] = []
     best_cost = (math.inf, math.inf)
     for name, record, in_flight in candidates:
@@ -144,8 +148,8 @@
         if record.target.failure_domain != home_domain:
             load += 1.0
         cost = (1.0, load) if is_unsuspected else _compute_cost(state, record, load, at)
-        if lost_since is not None and not record.path.is_proven(lost_since):
-            cost = (max(cost[0], UNPROVEN_RANK), cost[1])
+        if sees_lost_paths:
+            cost = (_rank_path(state, record, cost[0], has_retry_left, at), cost[1])
         if cost > best_cost or (avoids_last_resort and cost[0] >= LAST_RESORT_RANK):
             continue
         if cost < best_cost:
@@ -287,6 +291,25 @@
     return (0.0 if is_new_and_due else 1.0, load)
 
 
+def _rank_path(
+    state: ServiceState, record: TargetRecord, rank: float, has_retry_left: bool, at: Instant
+) -> float:
+    """Returns the rank of a target while some hosts have lost their paths to some targets.
+
+    Requests with a retry left test targets that other hosts report as failing. Others go to targets
+    that have answered this host since, and only if nothing else has room where it got no answer.
+    """
+    path = record.path
+    if has_retry_left:
+        if not path.is_doubtful or path.fails_here:
+            return rank
+        is_due = at - (record.last_request_at or Instant(0)) >= REPORT_TEST_DELAY
+        return 0.0 if is_due else min(rank, 1.0)
+    if path.fails_here:
+        return max(rank, FAILING_PATH_RANK)
+    return rank if path.is_proven(state.paths_lost_since) else max(rank, UNPROVEN_RANK)
+
+
 def _pick_latest_success(
     best: list[tuple[TargetName, TargetRecord]],
     home_domain: FailureDomain,
--- a/endivedrift/policy/_ejection.py
+++ b/endivedrift/policy/_ejection.py
@@ -168,7 +168,7 @@
 def _eject_failing(state: ServiceState, at: Instant) -> list[AuditEntry]:
     entries: list[AuditEntry] = []
     healthy = [r for r in state.targets.values() if r.state is TargetState.HEALTHY]
-    failing = [record for record in healthy if should_eject(state, record)]
+    failing = [record for record in healthy if should_eject(state, record, at)]
     failing.sort(key=lambda record: (-record.score, record.target.name))
     for record in failing[: max(0, len(healthy) - state.floor)]:
         threshold = state.threshold
--- a/endivedrift/policy/_evidence.py
+++ b/endivedrift/policy/_evidence.py
@@ -142,7 +142,7 @@
         unanswered = min(delta.unanswered, delta.bad)
         charged = _compute_log_likelihood_ratio(state, 0, unanswered)
         if is_path_lost(path, host):
-            state.path_failed_at = at
+            note_path_failure(state, at)
             bad, charged = bad - unanswered, 0.0
         note_failure(path, host, at, at, unanswered, charged)
     change = _compute_log_likelihood_ratio(state, delta.good, bad) + owed
@@ -194,12 +194,24 @@
     return True
 
 
+def note_path_failure(state: ServiceState, at: Instant) -> None:
+    """Notes that a failure was attributed to the path of some host."""
+    if not has_lost_paths(state, at):
+        state.paths_lost_since = at
+    state.path_failed_at = at
+
+
+def has_lost_paths(state: ServiceState, at: Instant) -> bool:
+    """Tells whether failures were attributed lately to the path of any host."""
+    return state.path_failed_at is not None and at - state.path_failed_at < OBSERVATION_TTL
+
+
 def may_trust_report(state: ServiceState, at: Instant) -> bool:
     """Tells whether a target is paused after a failure that a single other host has reported.
 
     It is not while some host is known to have lost a path, or many targets are paused like that.
     """
-    if state.path_failed_at is not None and at - state.path_failed_at < OBSERVATION_TTL:
+    if has_lost_paths(state, at):
         return False
     doubtful = sum(r.path.is_doubtful and r.paused_until > at for r in state.targets.values())
     return doubtful < max(1.0, MAX_DOUBTFUL_SHARE * len(state.targets))
@@ -234,17 +246,20 @@
     record.path.unsent_unanswered = 0
 
 
-def should_eject(state: ServiceState, record: TargetRecord) -> bool:
+def should_eject(state: ServiceState, record: TargetRecord, at: Instant) -> bool:
     """Tells whether the evidence against a target reaches the threshold.
 
     Evidence of other hosts does not count if this host's own recent requests succeeded: the fault
-    is then on the path between those hosts and the target.
+    is then on the path between those hosts and the target. While paths are known to be lost, it
+    does not count without any failure here either.
     """
     threshold = state.threshold
     if record.own_score >= threshold:
         return True
     if record.shared_score < threshold:
         return False
+    if has_lost_paths(state, at) and not record.own_score:
+        return False
     usual = _clamp_rate(state.usual_bad_rate)
     succeeds_here = (
         record.own_outcome_count >= BAD_RATE_WINDOW // 2 and record.own_bad_rate <= 2.0 * usual
--- a/endivedrift/policy/_path.py
+++ b/endivedrift/policy/_path.py
@@ -17,8 +17,16 @@
 FAILURE_TTL = timedelta(seconds=3)
 """Time for which a failed connection counts: longer than that between two requests of a host to
 which callers are sent, shorter than that between the ends of targets that are replaced in turn."""
+FLAP_WINDOW = timedelta(seconds=20)
+"""Time between two losses of the paths up to which they count as paths that come and go."""
+FIRST_HOLD = timedelta(seconds=2)
+"""Time for which paths that were lost must work before they are used again. It is doubled after
+each further loss. Until then requests are forwarded, which costs them one more hop."""
+MAX_HOLD = timedelta(seconds=8)
 TRIAL_INTERVAL = timedelta(milliseconds=500)
 """Time between two requests that try whether the path works again."""
+UNREPEATABLE_TRIAL_DELAY = timedelta(seconds=1)
+"""Time after a trial is due from which a request that must not be repeated makes it."""
 
 
 @dataclass(slots=True)
@@ -30,28 +38,45 @@
       last_answer_at: When a target last answered, over whatever connection, or None.
       is_cut: Whether the host reaches no target.
       next_trial_at: When a request may next try whether it does again.
+      cut_count: Times that the paths were lost, with less than FLAP_WINDOW between two of them.
+      last_cut_at: When they were lost last.
+      proven_since: While `is_cut`, since when all trials have succeeded, or None.
     """
 
     failed_at: dict[TargetName, Instant] = field(default_factory=dict)
     last_answer_at: Instant | None = None
     is_cut: bool = False
     next_trial_at: Instant = Instant(0)
+    cut_count: int = 0
+    last_cut_at: Instant = Instant(0)
+    proven_since: Instant | None = None
 
 
-def record_connection(path: PathState) -> bool:
+def record_connection(path: PathState, at: Instant) -> bool:
     """Notes that a new connection was opened.
 
+    Paths that come and go must work for some time, which doubles with each loss, before the host
+    relies on them: each loss costs the requests in progress.
+
     Returns:
-      Whether the host had been cut off until now.
+      Whether the host had been cut off until now, and is so no longer.
     """
-    was_cut, path.is_cut = path.is_cut, False
     path.failed_at.clear()
-    return was_cut
+    if not path.is_cut:
+        return False
+    if path.proven_since is None:
+        path.proven_since = at
+    hold = min(FIRST_HOLD * 2 ** (path.cut_count - 1), MAX_HOLD)
+    if at - path.proven_since < hold:
+        return False
+    path.is_cut = False
+    return True
 
 
 def record_failed_connection(path: PathState, target: TargetName, at: Instant) -> None:
     """Notes that no connection to a target could be opened."""
     path.failed_at[target] = at
+    path.proven_since = None
 
 
 def detect_cut(
@@ -75,13 +100,20 @@
     if len(failed) < min(MIN_FAILED_TARGETS, target_count):
         return False
     path.is_cut = True
+    path.cut_count = path.cut_count + 1 if at - path.last_cut_at < FLAP_WINDOW else 1
+    path.last_cut_at = at
+    path.proven_since = None
     path.next_trial_at = at + TRIAL_INTERVAL
     return True
 
 
-def take_trial(path: PathState, at: Instant) -> bool:
-    """Tells whether a request may try the path, and schedules the next trial."""
-    if at < path.next_trial_at:
+def take_trial(path: PathState, at: Instant, is_repeatable: bool = True) -> bool:
+    """Tells whether a request may try the path, and schedules the next trial.
+
+    One that must not be repeated, and may be lost by it, does so only if no other has for long.
+    """
+    patience = timedelta(0) if is_repeatable else UNREPEATABLE_TRIAL_DELAY
+    if at < path.next_trial_at + patience:
         return False
     path.next_trial_at = at + TRIAL_INTERVAL
     return True
--- a/endivedrift/policy/_service.py
+++ b/endivedrift/policy/_service.py
@@ -145,9 +145,15 @@
         return len(self.attempts) if self.path.lost_at is None else 0
 
     def count_in_flight(self, at: Instant) -> int:
-        """Returns the number of requests in progress, of this host and as reported by others."""
+        """Returns the number of requests in progress, of this host and as reported by others.
+
+        Those of a host that gets no answer are most likely not in progress, but lost.
+        """
         total = len(self.attempts)
-        for peer in self.peers_in_flight.values():
+        failing = self.path.failing
+        for host, peer in self.peers_in_flight.items():
+            if failing and host in failing:
+                continue
             if peer.in_flight and at - peer.received_at < PEER_IN_FLIGHT_TTL:
                 total += peer.in_flight
         return total
@@ -204,6 +210,7 @@
       last_dequeue_at: When a queued request was last sent to a target.
       recent_outcomes: Recent ends of requests, which show whether the service is failing.
       path_failed_at: When a failure was last attributed to the path of any host, or None.
+      paths_lost_since: When the first failure of the present or latest period was.
     """
 
     name: ServiceName
@@ -228,6 +235,7 @@
     last_dequeue_at: Instant = Instant(0)
     recent_outcomes: RecentOutcomes = field(default_factory=RecentOutcomes)
     path_failed_at: Instant | None = None
+    paths_lost_since: Instant = Instant(0)
 
     @property
     def queued_count(self) -> int:
@@ -345,6 +353,7 @@
     state.limit_per_target = previous.limit_per_target
     state.recent_outcomes = previous.recent_outcomes
     state.path_failed_at = previous.path_failed_at
+    state.paths_lost_since = previous.paths_lost_since
     if state.group.discovered:
         state.targets.update({n: r for n, r in previous.targets.items() if r.entry is not None})
     state.retry_budget.tokens = min(state.retry_budget.cap, previous.retry_budget.tokens)
--- a/endivedrift/policy/_target_path.py
+++ b/endivedrift/policy/_target_path.py
@@ -19,6 +19,8 @@
 OBSERVATION_TTL = timedelta(seconds=10)
 """Time for which an observation counts, and after which a lost path is used again like any other:
 several times the longest period for which targets reset connections."""
+START_TOLERANCE = timedelta(milliseconds=50)
+"""Difference between two reports of the start of the same request: the jitter of datagrams."""
 MIN_TARGET_OBSERVERS = 2
 """Hosts that fail, while none succeeds later, from which the target is held to be at fault."""
 MAX_DOUBTFUL_SHARE = 1.0 / 3.0
@@ -56,6 +58,7 @@
 
     Attributes:
       observations: What each host has seen at the target.
+      failing: Hosts whose last request got no answer, for whatever cause.
       lost_at: When this host's failures were attributed to its path, or None while it works.
       next_trial_at: When a request may next try a lost path.
       trial_delay: Time between the latest trial and the next one.
@@ -66,6 +69,7 @@
     """
 
     observations: dict[HostId, Observation] = field(default_factory=dict)
+    failing: set[HostId] = field(default_factory=set)
     lost_at: Instant | None = None
     next_trial_at: Instant = Instant(0)
     trial_delay: timedelta = FIRST_TRIAL_DELAY
@@ -98,15 +102,15 @@
         return seen.last_good_start if seen is not None else None
 
     @property
-    def fails_here(self) -> bool:
-        """Whether this host's last request got no answer."""
+    def own_failed_since(self) -> Instant | None:
+        """Start of this host's failures since its last success, or None."""
         seen = self.observations.get(THIS_HOST)
-        return seen is not None and seen.failed_since is not None
-
+        return seen.failed_since if seen is not None else None
 
-def find_first_loss(paths: Iterable[TargetPath]) -> Instant | None:
-    """Returns when the first of the paths that are lost was lost, or None if none is."""
-    return min((path.lost_at for path in paths if path.lost_at is not None), default=None)
+    @property
+    def fails_here(self) -> bool:
+        """Whether this host's last request got no answer."""
+        return THIS_HOST in self.failing
 
 
 def note_success(path: TargetPath, host: HostId, start: Instant, at: Instant) -> float:
@@ -123,10 +127,13 @@
     """
     seen = path.observations.setdefault(host, Observation())
     seen.updated_at = at
-    if seen.last_good_start is None or start > seen.last_good_start:
+    known = seen.last_good_start
+    is_new = known is None or start > known + START_TOLERANCE
+    if known is None or start > known:
         seen.last_good_start = start
-    if seen.failed_since is None or start <= seen.failed_since:
+    if seen.failed_since is None or not (is_new or host == THIS_HOST):
         return 0.0
+    path.failing.discard(host)
     was_single = seen.is_path_lost and seen.failure_count == 1
     owed = seen.charged if was_single else 0.0
     seen.failed_since, seen.failure_count = None, 0
@@ -149,6 +156,7 @@
     """
     seen = path.observations.setdefault(host, Observation())
     seen.updated_at = at
+    path.failing.add(host)
     if seen.failed_since is None:
         seen.failed_since = since
     seen.failure_count += count
@@ -220,6 +228,7 @@
     observations = path.observations
     for host in [h for h, o in observations.items() if at - o.updated_at >= OBSERVATION_TTL]:
         del observations[host]
+        path.failing.discard(host)
     return THIS_HOST not in observations and mark_working(path)
 
 
@@ -228,7 +237,7 @@
     return [
         (host, seen)
         for host, seen in path.observations.items()
-        if seen.failed_since is not None and not seen.is_path_lost and _is_recent(seen, at)
+        if host in path.failing and not seen.is_path_lost and _is_recent(seen, at)
     ]
 
 
--- a/endivedrift/reducer/_attempts.py
+++ b/endivedrift/reducer/_attempts.py
@@ -45,10 +45,12 @@
     begin_trial,
     choose_target,
     classify_outcome,
+    compute_slow_limit,
     dequeue_request,
     enqueue_request,
     estimate_wait,
     has_faster_target,
+    has_lost_paths,
     has_standing_queue,
     mark_leaving,
     pause_target,
@@ -147,7 +149,8 @@
         if pending.head.for_peer:
             reason, detail = RefusalReason.NO_PATH, "this host reaches no target"
             return end_with_refusal(state, at, request, reason, detail, timedelta(0))
-        forwarded = [] if take_trial(state.path, at) else forward_request(state, at, request)
+        is_trial = take_trial(state.path, at, pending.route.route.repeatable)
+        forwarded = [] if is_trial else forward_request(state, at, request)
         if forwarded:
             return forwarded
     if not pending.attempt_count:
@@ -332,14 +335,16 @@
     if state.path.is_cut and not pending.head.for_peer and service.retry_budget.take(event.at):
         pending.holds_retry = True
         return [AbortAttempt(event.request)]
-    if record.path.lost_at is None:
+    # The path is suspected if it gives this host no answer while some paths are known to be lost.
+    is_suspected = record.path.fails_here and has_lost_paths(service, event.at)
+    if not is_suspected:
         last_success = record.last_success_at
         if last_success is not None and last_success > attempt.started:
             return []
         if not has_faster_target(service, event.target, attempt.started, event.at):
             return []
     if not _reserve_retry(state, service, event.at, event.request):
-        if record.path.lost_at is None or not service.retry_budget.take(event.at):
+        if not is_suspected or not service.retry_budget.take(event.at):
             return []
         pending.holds_retry = True
     passed = (event.at - attempt.started).total_seconds()
@@ -555,6 +560,8 @@
         return pending.deadline - at
     if record.path.lost_at is not None:
         return service.typical_latency * TRIAL_LATE_FACTOR
+    if has_lost_paths(service, at):
+        return compute_slow_limit(service) or service.typical_latency * LONG_REQUEST_FACTOR
     return max((pending.deadline - at) / left, service.typical_latency * LONG_REQUEST_FACTOR)
 
 
@@ -622,6 +629,9 @@
     entries: list[AuditEntry] = []
     attempt = record.attempts.pop(event.request, None)
     if state.path.is_cut and event.outcome in PATH_OUTCOMES:
+        if event.outcome is AttemptOutcome.CUT:
+            # Where no other host can be asked, targets that cut off everything are spared.
+            pause_target(service, record, event.at, PauseCause.BROKEN)
         _mark_in_flight_changed(state, service, record)
         return []
     status = event.answer.status if event.answer is not None else 0
--- a/endivedrift/reducer/_paths.py
+++ b/endivedrift/reducer/_paths.py
@@ -42,6 +42,7 @@
     mark_lost,
     mark_working,
     note_failure,
+    note_path_failure,
     note_success,
     record_connection,
     record_failed_connection,
@@ -70,8 +71,12 @@
     """Notes what the end of an attempt says about the paths of this host."""
     effects: list[Effect] = []
     path = state.path
-    if event.new_connection:
-        if record_connection(path):
+    if event.new_connection and event.outcome in PATH_OUTCOMES:
+        # A connection that opens and gets no answer does not show that the path works.
+        path.proven_since = None
+    elif event.new_connection:
+        if record_connection(path, event.at):
+            _absolve_failing_since(state, path.last_cut_at)
             cause = f"a connection to {event.target} was opened"
             effects.append(_audit(state, event.at, cause))
     elif event.outcome is AttemptOutcome.NOT_CONNECTED or event.target_ended:
@@ -87,7 +92,9 @@
 
 def detect_lost_paths(state: HostState, at: Instant) -> list[Effect]:
     """Notes if this host reaches no target, also by requests that got no answer so far."""
-    return [] if state.path.is_cut else _detect_cut(state, _list_silent_targets(state, at), at)
+    if state.path.is_cut:
+        return []
+    return _detect_cut(state, _list_silent_targets(state, at), at)
 
 
 def _detect_cut(
@@ -105,6 +112,14 @@
     return [_audit(state, at, "no target is reached; requests are forwarded to other hosts")]
 
 
+def _absolve_failing_since(state: HostState, since: Instant) -> None:
+    """Undoes the pauses of failures while this host reached no target."""
+    for service in state.services.values():
+        for record in service.targets.values():
+            if record.last_failure_at >= since:
+                absolve_target(record)
+
+
 def may_be_path_failure(event: AttemptFinished) -> bool:
     """Tells whether an attempt failed as all do on a path that is lost."""
     silent = event.outcome in (AttemptOutcome.NOT_CONNECTED, AttemptOutcome.TIMED_OUT)
@@ -160,10 +175,10 @@
     was_silent = event.outcome is AttemptOutcome.TIMED_OUT
     note_failure(path, THIS_HOST, at - event.latency if was_silent else at, at)
     if path.lost_at is not None:
-        service.path_failed_at = at
+        note_path_failure(service, at)
         _absolve_lost(state, service, record)
         return []
-    return attribute_to_paths(state, service, record, at)
+    return attribute_to_paths(state, service, record, at) + detect_lost_paths(state, at)
 
 
 def note_silent_attempts(state: HostState, service: ServiceState, at: Instant) -> list[Effect]:
@@ -183,6 +198,9 @@
         if not path.fails_here:
             path.unsent_unanswered += 1
             note_failure(path, THIS_HOST, min(silent), at)
+            if service.service.share_at_once:
+                name = TargetName(record.target.name)
+                state.changed_targets.setdefault(service.name, set()).add(name)
         effects += attribute_to_paths(state, service, record, at)
     return effects
 
@@ -193,7 +211,7 @@
     """Attributes the failures of a minority of hosts at a target to their paths."""
     effects = []
     for host in attribute_failures(record.path, at):
-        service.path_failed_at = at
+        note_path_failure(service, at)
         if host == THIS_HOST:
             mark_lost(record.path, at)
             _absolve_lost(state, service, record)
@@ -316,7 +334,10 @@
 
 
 def _list_silent_targets(state: HostState, at: Instant) -> list[TargetName]:
-    """Lists targets with an overdue request since whose start no target has answered."""
+    """Lists targets that failed without an answer, or have an overdue request.
+
+    They count only if no target has answered since the failure, or the start of the request.
+    """
     last = state.path.last_answer_at
     silent = []
     for name in state.active_services & state.services.keys():
@@ -325,6 +346,10 @@
         if limit is None:
             continue
         for target, record in service.targets.items():
+            failed_at = record.path.own_failed_since
+            if failed_at is not None and (last is None or last < failed_at):
+                silent.append(target)
+                continue
             starts = (attempt.started for attempt in record.attempts.values())
             if any(at - start > limit and (last is None or last < start) for start in starts):
                 silent.append(target)
--- a/endivedrift/reducer/_targets.py
+++ b/endivedrift/reducer/_targets.py
@@ -26,6 +26,7 @@
     TargetRecord,
     add_shared_evidence,
     avoid_target,
+    has_lost_paths,
     is_path_lost,
     is_target_at_fault,
     mark_leaving,
@@ -116,11 +117,13 @@
     is_confirmed = is_target_at_fault(record.path, at)
     if is_confirmed or may_trust_report(service, at):
         changed = pause_target(service, record, at, PauseCause.BROKEN)
-        record.path.is_doubtful = changed and not is_confirmed
         cause = f"{sender} saw it fail" + (", like others before" if is_confirmed else "")
     else:
         changed = avoid_target(service, record, at)
+        is_confirmed = False
         cause = f"avoided, since {sender} saw it fail"
+    if changed:
+        record.path.is_doubtful = not is_confirmed or has_lost_paths(service, at)
     entry = AuditEntry(at, AuditKind.PAUSED, record.target.name, cause, service.name)
     return [RecordAudit(entry)] if changed else []
 
--- a/lab/_policies.py
+++ b/lab/_policies.py
@@ -73,7 +73,7 @@
         for host in {host for host, _ in self.counts}:
             self._mark_outliers([c for (h, _), c in self.counts.items() if h == host])
 
-    def should_eject(self, state: ServiceState, record: TargetRecord) -> bool:
+    def should_eject(self, state: ServiceState, record: TargetRecord, at: Instant) -> bool:
         """Returns whether the baseline ejects a target, and clears the mark or count if so."""
         counts = self.counts_by_record.get(id(record))
         if counts is None or self.name is PolicyName.NONE:
--- a/tests/partitioned_hosts.py
+++ b/tests/partitioned_hosts.py
@@ -4,11 +4,12 @@
 """
 
 from collections import Counter, defaultdict
+from collections.abc import Callable
 from datetime import timedelta
 from enum import Enum
 from functools import partial
 
-from endivedrift.core import AttemptOutcome, ForwardOutcome, Instant, RequestId, TargetName
+from endivedrift.core import AttemptOutcome, ForwardOutcome, RequestId, TargetName
 from endivedrift.core.effects import (
     AbortAttempt,
     DeliverAnswer,
@@ -43,6 +44,8 @@
 _RESET = (PathLoss.RESET, PathLoss.RESET_LATE)
 
 
+RETRANSMITS = tuple(timedelta(seconds=0.2 * 2**number) for number in range(4))
+"""Times between the repetitions of a lost packet, with the minimum of TCP's timeout."""
 _ANSWERS = (AttemptOutcome.ANSWERED, AttemptOutcome.SHED)
 
 
@@ -78,7 +81,7 @@
         self._idle: dict[tuple[str, TargetName], list[timedelta]] = defaultdict(list)
         self.forwards: list[tuple[timedelta, str, str]] = []
         self._origins: dict[tuple[str, RequestId], tuple[str, RequestId]] = {}
-        self._deadlines: dict[tuple[str, RequestId], Instant] = {}
+        self._sends: dict[tuple[str, RequestId], SendToTarget] = {}
         super().__init__(count, targets, seed, objects or build_crash_set(entry_hosts))
 
     def lose_paths(self, hosts: list[str], loss: PathLoss) -> None:
@@ -114,7 +117,7 @@
         return self.losses.get(host) or self.pair_losses.get((host, target))
 
     def _start_attempt(self, host: str, effect: SendToTarget) -> None:
-        self._deadlines[host, effect.request] = effect.deadline
+        self._sends[host, effect.request] = effect
         is_kept = self._is_kept = self._take_idle(host, effect)
         loss = self.get_loss(host, effect.target)
         if loss is None or (loss is PathLoss.KEPT and is_kept):
@@ -129,8 +132,9 @@
             report = partial(self._report, run, AttemptOutcome.NOT_CONNECTED)
             self.schedule(FAST_FAILURE, report)
         elif is_kept or loss is PathLoss.SILENT:
-            self._hang(run)
-            self.schedule(effect.late_after, partial(self._check_late, run, effect))
+            self._hang(run, effect)
+            if loss is PathLoss.HANGING:
+                self._retransmit(run, partial(self._deliver, run, effect))
         else:
             report = partial(self._report, run, AttemptOutcome.NOT_CONNECTED)
             self.schedule(effect.connect_timeout, report)
@@ -199,8 +203,11 @@
         self, run: Run, outcome: AttemptOutcome, status: int = 0, target_ended: bool = False
     ) -> None:
         if outcome in _ANSWERS:
-            if self.get_loss(run.sent.host, run.target) in _HANGING:
-                self._hang(run)
+            loss = self.get_loss(run.sent.host, run.target)
+            if loss in _HANGING:
+                self._hang(run, self._sends[run.sent.host, run.request])
+                if loss is PathLoss.HANGING:
+                    self._retransmit(run, partial(self._report, run, outcome, status))
                 return
             self._idle[run.sent.host, run.target].append(self.now)
         super()._report(run, outcome, status, target_ended)
@@ -209,10 +216,33 @@
         """Reports a reset connection, after which the next one is refused."""
         super()._report(run, AttemptOutcome.CUT, target_ended=True)
 
-    def _hang(self, run: Run) -> None:
-        left = self._deadlines[run.sent.host, run.request] - run.harness.clock.monotonic()
+    def _hang(self, run: Run, effect: SendToTarget) -> None:
+        """Lets an attempt wait until it is late, and at last until its deadline."""
+        left = effect.deadline - run.harness.clock.monotonic()
         report = partial(self._report, run, AttemptOutcome.TIMED_OUT)
         self.schedule(max(left, timedelta(0)), report)
+        late = max(effect.late_after - (self.now - run.at), timedelta(0))
+        self.schedule(late, partial(self._check_late, run, effect))
+
+    def _retransmit(self, run: Run, deliver: Callable[[], None], tries: int = 0) -> None:
+        """Repeats a lost packet at increasing intervals until the path works, as TCP does."""
+        if tries == len(RETRANSMITS):
+            return
+
+        def repeat() -> None:
+            if self.get_loss(run.sent.host, run.target) is None:
+                deliver()
+            else:
+                self._retransmit(run, deliver, tries + 1)
+
+        self.schedule(RETRANSMITS[tries], repeat)
+
+    def _deliver(self, run: Run, effect: SendToTarget) -> None:
+        """Starts a request at its target whose packets were lost until now."""
+        host, pending = run.sent.host, run.harness.state.requests.get(run.request)
+        if self.hosts[host] is run.harness and pending and pending.target == run.target:
+            self._is_kept = not run.new_connection
+            super()._start_attempt(host, effect)
 
     def _check_late(self, run: Run, effect: SendToTarget) -> None:
         """Reports a late attempt, which the host may abort."""
