Find targets that are sick for all hosts as early as before, and describe partial paths

Change: such requests are left out only while paths are lost; failures of connections that open count toward the loss of all paths only if others reach the target; a path is lost only if more hosts succeeded last than failed last. One audit entry a target for paths of others.

--- a/endivedrift/policy/_choice.py
+++ b/endivedrift/policy/_choice.py
@@ -167,13 +167,14 @@
 ) -> list[_Candidate]:
     """Lists the targets that have room for one more request."""
     candidates = []
+    sees_lost_paths = has_lost_paths(state, at)
     for name in names:
         record = state.targets[name]
         if name in tried_targets or record.state not in _USABLE_STATES:
             continue
         if not record.takes_requests(at) or record.path.is_excluded(may_try_path, at):
             continue
-        in_flight = record.count_in_flight(at)
+        in_flight = record.count_in_flight(at, not sees_lost_paths)
         is_proven = record.state is TargetState.HEALTHY and not _has_failed_last(record)
         limit = _get_in_flight_limit(state, record) if is_proven else 1
         if in_flight < limit:
--- a/endivedrift/policy/_service.py
+++ b/endivedrift/policy/_service.py
@@ -144,15 +144,18 @@
         """
         return len(self.attempts) if self.path.lost_at is None else 0
 
-    def count_in_flight(self, at: Instant) -> int:
+    def count_in_flight(self, at: Instant, counts_failing: bool = True) -> int:
         """Returns the number of requests in progress, of this host and as reported by others.
 
-        Those of a host that gets no answer are most likely not in progress, but lost.
+        Args:
+          at: Current time.
+          counts_failing: Whether to count those of hosts that get no answer, too. While paths are
+            lost, these are most likely not in progress.
         """
         total = len(self.attempts)
         failing = self.path.failing
         for host, peer in self.peers_in_flight.items():
-            if failing and host in failing:
+            if not counts_failing and host in failing:
                 continue
             if peer.in_flight and at - peer.received_at < PEER_IN_FLIGHT_TTL:
                 total += peer.in_flight
--- a/endivedrift/policy/_target_path.py
+++ b/endivedrift/policy/_target_path.py
@@ -173,7 +173,10 @@
     if not failing:
         return []
     since = min(seen.failed_since for _, seen in failing if seen.failed_since is not None)
-    if _count_succeeding(path, since, at) <= len(failing):
+    if _count_succeeding(path, since) <= len(failing):
+        return []
+    # A target that fails some requests of every host leaves most hosts with a failure.
+    if _count_succeeding(path, at - OBSERVATION_TTL) <= len(path.failing):
         return []
     for _, seen in failing:
         seen.is_path_lost = True
@@ -186,7 +189,13 @@
     if len(failing) < MIN_TARGET_OBSERVERS:
         return False
     since = min(seen.failed_since for _, seen in failing if seen.failed_since is not None)
-    return not _count_succeeding(path, since, at)
+    return not _count_succeeding(path, since)
+
+
+def is_reached_elsewhere(path: TargetPath) -> bool:
+    """Tells whether another host has succeeded since this host's requests began to fail."""
+    since = path.own_failed_since
+    return since is not None and _count_succeeding(path, since) > 0
 
 
 def is_path_lost(path: TargetPath, host: HostId) -> bool:
@@ -241,7 +250,7 @@
     ]
 
 
-def _count_succeeding(path: TargetPath, since: Instant, at: Instant) -> int:
+def _count_succeeding(path: TargetPath, since: Instant) -> int:
     """Counts the hosts that succeeded with requests sent after a time and have not failed since."""
     succeeding: Iterable[Observation] = path.observations.values()
     return sum(
--- a/endivedrift/reducer/_paths.py
+++ b/endivedrift/reducer/_paths.py
@@ -39,6 +39,7 @@
     compute_slow_limit,
     detect_cut,
     forget_old_observations,
+    is_reached_elsewhere,
     mark_lost,
     mark_working,
     note_failure,
@@ -208,8 +209,14 @@
 def attribute_to_paths(
     state: HostState, service: ServiceState, record: TargetRecord, at: Instant
 ) -> list[Effect]:
-    """Attributes the failures of a minority of hosts at a target to their paths."""
+    """Attributes the failures of a minority of hosts at a target to their paths.
+
+    Returns:
+      Audit entries for this host's path and, of the others, for the first one that is lost;
+      `/state` names all of them.
+    """
     effects = []
+    is_first = not any(seen.is_path_lost for seen in record.path.observations.values())
     for host in attribute_failures(record.path, at):
         note_path_failure(service, at)
         if host == THIS_HOST:
@@ -222,6 +229,9 @@
             cause = "the path from this host is at fault: others reach it"
         else:
             absolve_of_path(service, record, host)
+            if not is_first:
+                continue
+            is_first = False
             cause = f"the path from {host} is at fault: others reach it"
         effects.append(_audit_target(state, service, record, at, cause))
     return effects
@@ -269,7 +279,8 @@
             continue
         if name in pending.tried_targets and not pending.route.route.repeatable:
             continue
-        if record.paused_until <= at and record.count_in_flight(at) < service.get_slots(record):
+        has_room = record.count_in_flight(at, False) < service.get_slots(record)
+        if record.paused_until <= at and has_room:
             peers |= {host for host in path.observations if path.reaches(host)}
     if not peers and sees_failures and not is_primary(state, service.name):
         return forward_request(state, at, request)
@@ -336,7 +347,8 @@
 def _list_silent_targets(state: HostState, at: Instant) -> list[TargetName]:
     """Lists targets that failed without an answer, or have an overdue request.
 
-    They count only if no target has answered since the failure, or the start of the request.
+    They count only if no target has answered since the failure, or the start of the request. A
+    failure counts only if another host has succeeded since, so that it is not the target's.
     """
     last = state.path.last_answer_at
     silent = []
@@ -348,7 +360,8 @@
         for target, record in service.targets.items():
             failed_at = record.path.own_failed_since
             if failed_at is not None and (last is None or last < failed_at):
-                silent.append(target)
+                if is_reached_elsewhere(record.path):
+                    silent.append(target)
                 continue
             starts = (attempt.started for attempt in record.attempts.values())
             if any(at - start > limit and (last is None or last < start) for start in starts):
--- a/tests/partitioned_hosts.py
+++ b/tests/partitioned_hosts.py
@@ -55,6 +55,7 @@
     Attributes:
       losses: What has happened to the paths of each host that reaches no target.
       pair_losses: What has happened to the path between one host and one target.
+      attempts: When an attempt was made, and at which target.
       forwards: When a request was forwarded, from which host and to which.
     """
 
@@ -77,6 +78,7 @@
         """
         self.losses: dict[str, PathLoss] = {}
         self.pair_losses: dict[tuple[str, TargetName], PathLoss] = {}
+        self.attempts: list[tuple[timedelta, TargetName]] = []
         self._is_kept = False
         self._idle: dict[tuple[str, TargetName], list[timedelta]] = defaultdict(list)
         self.forwards: list[tuple[timedelta, str, str]] = []
@@ -118,6 +120,7 @@
 
     def _start_attempt(self, host: str, effect: SendToTarget) -> None:
         self._sends[host, effect.request] = effect
+        self.attempts.append((self.now, effect.target))
         is_kept = self._is_kept = self._take_idle(host, effect)
         loss = self.get_loss(host, effect.target)
         if loss is None or (loss is PathLoss.KEPT and is_kept):
