Look at paths only where there are attempts or failures

Cause: each failed attempt looked at all targets of all services, each tick at all targets without requests, and each choice called a method for each target; found by reading, not measured. Change: failures look at all targets only after 0.1 s without any answer; the rest is skipped where nothing is in progress or lost.

--- a/endivedrift/policy/_choice.py
+++ b/endivedrift/policy/_choice.py
@@ -172,7 +172,9 @@
         record = state.targets[name]
         if name in tried_targets or record.state not in _USABLE_STATES:
             continue
-        if not record.takes_requests(at) or record.path.is_excluded(may_try_path, at):
+        if not record.takes_requests(at):
+            continue
+        if record.path.lost_at is not None and record.path.is_excluded(may_try_path, at):
             continue
         in_flight = record.count_in_flight(at, not sees_lost_paths)
         is_proven = record.state is TargetState.HEALTHY and not _has_failed_last(record)
--- a/endivedrift/reducer/_paths.py
+++ b/endivedrift/reducer/_paths.py
@@ -54,6 +54,9 @@
 """Hosts to which one request is forwarded, one after the other, until one may serve it."""
 PEER_RETRY_DELAY = timedelta(seconds=1)
 """Time for which nothing is forwarded to a host that could not serve a forwarded request."""
+MIN_SILENCE = timedelta(milliseconds=100)
+"""Time without any answer from which a failure is a reason to look at all targets at once. At a
+busy host that reaches targets, doing so after each failure would cost much processor time."""
 PATH_OUTCOMES = frozenset(
     {AttemptOutcome.NOT_CONNECTED, AttemptOutcome.CUT, AttemptOutcome.TIMED_OUT}
 )
@@ -179,7 +182,11 @@
         note_path_failure(service, at)
         _absolve_lost(state, service, record)
         return []
-    return attribute_to_paths(state, service, record, at) + detect_lost_paths(state, at)
+    effects = attribute_to_paths(state, service, record, at)
+    last = state.path.last_answer_at
+    if last is None or at - last >= MIN_SILENCE:
+        effects += detect_lost_paths(state, at)
+    return effects
 
 
 def note_silent_attempts(state: HostState, service: ServiceState, at: Instant) -> list[Effect]:
@@ -189,7 +196,7 @@
         return effects
     for record in service.targets.values():
         path = record.path
-        if path.lost_at is not None:
+        if not record.attempts or path.lost_at is not None:
             continue
         good = path.own_good_start
         starts = [a.started for a in record.attempts.values() if a.overdue_count]
@@ -358,7 +365,7 @@
         if limit is None:
             continue
         for target, record in service.targets.items():
-            failed_at = record.path.own_failed_since
+            failed_at = record.path.own_failed_since if record.path.fails_here else None
             if failed_at is not None and (last is None or last < failed_at):
                 if is_reached_elsewhere(record.path):
                     silent.append(target)
