Let a small risk of a target count as load and not as a rank

Change: levels 1 and 2 add to the load of a target; levels of targets that failed a few seconds ago rank as before.

--- a/endivedrift/policy/_choice.py
+++ b/endivedrift/policy/_choice.py
@@ -61,9 +61,11 @@
 TEST_INTERVAL = timedelta(seconds=2)
 """Time without requests after which a target that is likely to fail gets a request that can be
 repeated elsewhere, in preference to others: the usual pause, in which a period may begin or end."""
-MAX_DISREGARDED_LEVEL = 2
-"""Level of risk up to which the records of targets are disregarded while a target that refuses the
-request would end it. Higher levels are those of targets that failed a few seconds ago."""
+MAX_LOAD_LEVEL = 2
+"""Level of risk up to which a target only counts as busier, by its level in halves of its slots, so
+that sound targets are not filled up before it is used. It is disregarded while a target that
+refuses the request would end it. Higher levels are those of targets that failed a few seconds
+ago."""
 NEW_TARGET_DELAY = timedelta(milliseconds=300)
 """Time after which a new target gets its first request in preference to all others."""
 LARGE_BODY_BYTES = 262_144
@@ -184,7 +186,6 @@
     has_waited = waited >= (UNREPEATABLE_MAX_WAIT if not tried_targets else RETRY_MAX_WAIT)
     # A refusal by a full target would end the request.
     is_last_try = bool(tried_targets) or not state.retry_budget.has_token(at)
-    disregarded_level = MAX_DISREGARDED_LEVEL if is_last_try else 0
     avoids_last_resort = not has_waited and not has_retry_left
     best: list[tuple[TargetName, TargetRecord]] = []
     best_cost = (math.inf, math.inf)
@@ -211,7 +212,8 @@
             level = record.get_risk_level(at, state.repeat_share)
             if has_retry_left:
                 level = TEST_LEVEL if not is_last_try and _is_test_due(record, level, at) else 0
-            elif level <= disregarded_level:
+            elif level <= MAX_LOAD_LEVEL:
+                load += 0.0 if is_last_try else float(level)
                 level = 0
             cost = _compute_cost(state, record, load, level, at)
         if cost > best_cost or (avoids_last_resort and cost[0] >= LAST_RESORT_RANK):
