Show small risks of targets as the load that they count as

Cause: endivedrift route listed a target with a small risk by a rank that the choice does not use since. Change: both take it from one function. No choice changes.

--- a/endivedrift/policy/_choice.py
+++ b/endivedrift/policy/_choice.py
@@ -116,6 +116,7 @@
         if record.target.failure_domain != home_domain:
             load += 1.0
         level = 0 if is_repeatable else record.get_risk_level(at, state.repeat_share)
+        level, load = _weigh_risk(level, load, is_last_try=False)
         rank, load = _compute_cost(state, record, load, level, at)
         is_paused = record.paused_until > at
         has_room = name in with_room and not is_paused
@@ -212,9 +213,8 @@
             level = record.get_risk_level(at, state.repeat_share)
             if has_retry_left:
                 level = TEST_LEVEL if not is_last_try and _is_test_due(record, level, at) else 0
-            elif level <= MAX_LOAD_LEVEL:
-                load += 0.0 if is_last_try else float(level)
-                level = 0
+            else:
+                level, load = _weigh_risk(level, load, is_last_try)
             cost = _compute_cost(state, record, load, level, at)
         if cost > best_cost or (avoids_last_resort and cost[0] >= LAST_RESORT_RANK):
             continue
@@ -361,6 +361,16 @@
     return found[0] if found is not None else None
 
 
+def _weigh_risk(level: int, load: float, is_last_try: bool) -> tuple[int, float]:
+    """Returns the level of risk by which a target is ranked, and its load.
+
+    Levels up to MAX_LOAD_LEVEL are no rank of their own.
+    """
+    if level > MAX_LOAD_LEVEL:
+        return level, load
+    return 0, load if is_last_try else load + level
+
+
 def _compute_cost(
     state: ServiceState, record: TargetRecord, load: float, level: int, at: Instant
 ) -> tuple[float, float]:
