Send answers and requests by the same buffers

Cause: sending a head and a large body without a copy stood twice, as a loop over buffers to callers and as three steps to targets. Ruled out: one function for both, since the way to callers counts what is written between two sends. Change: build_buffers and drop_sent_bytes in shell/_http serve both. Behaviour is as before.

--- a/endivedrift/shell/_callers.py
+++ b/endivedrift/shell/_callers.py
@@ -36,7 +36,9 @@
 from endivedrift.shell._http import (
     EVENTS_PER_TURN,
     READ_BYTES,
+    build_buffers,
     copy_headers,
+    drop_sent_bytes,
     find_header,
     has_both_framings,
     measure_head,
@@ -616,9 +618,7 @@
         sock = sending.sock
         if len(body) > SMALL_BYTES:
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NOTSENT_LOWAT, MAX_UNSENT_BYTES)
-            buffers = [memoryview(head), memoryview(body)]
-        else:
-            buffers = [memoryview(head + body)]
+        buffers = build_buffers(head, body)
         taken_before = 0
         while buffers:
             try:
@@ -626,7 +626,7 @@
                     while buffers:
                         written = await sock.sendmsg(buffers)
                         sending.written += written
-                        buffers = _drop_bytes(buffers, written)
+                        buffers = drop_sent_bytes(buffers, written)
             except curio.TaskTimeout:
                 taken = sending.count_taken()
                 if taken - taken_before < MIN_RATE * WRITE_TIMEOUT.total_seconds():
@@ -644,16 +644,6 @@
         return ((name, exchange.caller_request_id),)
 
 
-def _drop_bytes(buffers: list[memoryview], count: int) -> list[memoryview]:
-    """Returns what is left of the buffers after their first `count` bytes."""
-    rest = []
-    for buffer in buffers:
-        if count < len(buffer):
-            rest.append(buffer[count:])
-        count = max(0, count - len(buffer))
-    return rest
-
-
 def _parse_event(connection: _Connection) -> object:
     """Returns the next event in the bytes received so far, or NEED_DATA."""
     connection.wakeup.clear()
--- a/endivedrift/shell/_http.py
+++ b/endivedrift/shell/_http.py
@@ -56,15 +56,26 @@
     Raises:
       OSError: If the connection is closed.
     """
+    buffers = build_buffers(head, body)
+    while buffers:
+        buffers = drop_sent_bytes(buffers, await sock.sendmsg(buffers))
+
+
+def build_buffers(head: bytes, body: bytes) -> list[memoryview]:
+    """Returns the buffers in which a head and a body are sent; a large body is not copied."""
     if len(body) <= SMALL_BYTES:
-        await sock.sendall(head + body)
-        return
-    sent = await sock.sendmsg([head, body])
-    if sent < len(head):
-        await sock.sendall(head[sent:])
-        sent = len(head)
-    with memoryview(body) as view:
-        await sock.sendall(view[sent - len(head) :])
+        return [memoryview(head + body)]
+    return [memoryview(head), memoryview(body)]
+
+
+def drop_sent_bytes(buffers: list[memoryview], count: int) -> list[memoryview]:
+    """Returns what is left of the buffers after their first `count` bytes."""
+    rest = []
+    for buffer in buffers:
+        if count < len(buffer):
+            rest.append(buffer[count:])
+        count = max(0, count - len(buffer))
+    return rest
 
 
 def strip_hop_headers(headers: Headers) -> Headers:
