Find the keepers that reply and the part of a quota in one function

Cause: four places looked up the keepers of an account, which of them reply, and the part of the rate that follows, one after the other. Change: _find_heard returns both. Behaviour is as before.

--- a/endivedrift/reducer/_quotas.py
+++ b/endivedrift/reducer/_quotas.py
@@ -135,12 +135,12 @@
     account = state.objects.caller[caller]
     decision = state.quotas.uses[caller].last_decision
     assert decision is not None
-    heard = len(_list_heard(state, at, list_keepers(state, at, caller)))
+    heard, _ = _find_heard(state, at, caller)
     age = f"counts {decision.age.total_seconds():.2f} s old" if decision.age is not None else ""
     return (
         f"the account {caller} is over its quota of {account.requests_per_s:g}/s, burst "
         f"{account.burst}: {decision.tokens:.1f} tokens, {decision.demand:.1f} requests elsewhere, "
-        f"by {age or 'no counts of other hosts'}, {heard} keepers heard"
+        f"by {age or 'no counts of other hosts'}, {len(heard)} keepers heard"
     )
 
 
@@ -290,12 +290,12 @@
         keepers = list_keepers(state, at, caller)
         if use is not None and limit is not None and use.last_decision is not None:
             decision = use.last_decision
-            heard = _list_heard(state, at, keepers)
+            heard, part = _find_heard(state, at, caller)
             described |= {
                 "tokens": round(decision.tokens, 1),
                 "counts_age_s": _round_seconds(decision.age),
                 "requests_elsewhere": round(decision.demand, 1),
-                "part_of_rate": round(_get_part(state, at, keepers, heard), 3),
+                "part_of_rate": round(part, 3),
                 "keepers_heard": sorted(heard),
             }
         accounts[caller] = {**described, "keepers": [keeper.host for keeper in keepers]}
@@ -308,8 +308,8 @@
     use, limit = state.quotas.uses.get(caller), _get_limit(state, caller)
     if use is None or limit is None:
         return None
-    keepers = list_keepers(state, at, caller)
-    use.refill(limit, _get_part(state, at, keepers, _list_heard(state, at, keepers)), at)
+    _, part = _find_heard(state, at, caller)
+    use.refill(limit, part, at)
     return min((view.level.tokens for view in use.views.values()), default=use.own.tokens)
 
 
@@ -368,24 +368,18 @@
 def _decide(
     state: HostState, at: Instant, caller: CallerName, use: AccountUse, limit: QuotaLimit
 ) -> QuotaDecision:
-    keepers = list_keepers(state, at, caller)
-    heard = _list_heard(state, at, keepers)
-    part = _get_part(state, at, keepers, heard)
+    heard, part = _find_heard(state, at, caller)
     return decide(use, heard, limit, part, state.random.random(), at)
 
 
-def _list_heard(state: HostState, at: Instant, keepers: tuple[Member, ...]) -> set[HostId]:
-    unanswered = state.quotas.unanswered
-    return {m.host for m in keepers if at - unanswered.get(m.host, at) < REPLY_TIMEOUT}
-
-
-def _get_part(
-    state: HostState, at: Instant, keepers: tuple[Member, ...], heard: set[HostId]
-) -> float:
-    alive, known = _count_hosts(state, at)
+def _find_heard(state: HostState, at: Instant, caller: CallerName) -> tuple[set[HostId], float]:
+    """Returns the keepers of an account that reply, and the part of its rate that may be used."""
+    keepers = list_keepers(state, at, caller)
     unanswered = state.quotas.unanswered
+    heard = {m.host for m in keepers if at - unanswered.get(m.host, at) < REPLY_TIMEOUT}
     late = sum(at - unanswered.get(host, at) >= LATE_REPLY_TIME for host in heard)
-    return compute_part(len(heard) - late / 4, len(keepers), alive, known)
+    alive, known = _count_hosts(state, at)
+    return heard, compute_part(len(heard) - late / 4, len(keepers), alive, known)
 
 
 def _count_hosts(state: HostState, at: Instant) -> tuple[int, int]:
@@ -467,8 +461,7 @@
 def _build_report(
     state: HostState, at: Instant, caller: CallerName, use: AccountUse
 ) -> QuotaReport:
-    keepers = list_keepers(state, at, caller)
-    part = _get_part(state, at, keepers, _list_heard(state, at, keepers))
+    _, part = _find_heard(state, at, caller)
     is_new = at - use.created_at < RECENT_TIME
     recent = use.admitted - (0 if is_new else use.reported_admitted)
     tokens = min((view.level.tokens for view in use.views.values()), default=None)
