Look up accounts and count primaries in one place

Cause: the account of a request was looked up in three ways, and every arrival copied the list of primaries to take its length. Change: find_account, and count_primaries, which reads the number that the ranking holds.

--- a/endivedrift/reducer/_accounts.py
+++ b/endivedrift/reducer/_accounts.py
@@ -21,7 +21,7 @@
 from endivedrift.reducer._attempts import end_with_refusal
 from endivedrift.reducer._quotas import move_charge
 from endivedrift.reducer._refusals import refuse
-from endivedrift.reducer._state import HostState, RequestState
+from endivedrift.reducer._state import HostState, RequestState, find_account
 
 UNKNOWN_KEY_DETAIL = "the request needs the key of a caller account"
 
@@ -48,7 +48,7 @@
 
 def get_priority(state: HostState, head: RequestHead, found: NamedRoute) -> Importance:
     """Returns the importance of a request: that of its account, or else of its route."""
-    account = state.objects.caller.get(head.caller) if head.caller is not None else None
+    account = find_account(state, head.caller)
     own = account.queue_priority if account is not None else None
     return own if own is not None else found.route.queue_priority
 
--- a/endivedrift/reducer/_attempts.py
+++ b/endivedrift/reducer/_attempts.py
@@ -82,9 +82,10 @@
 from endivedrift.reducer._state import (
     HostState,
     RequestState,
+    count_primaries,
+    find_account,
     get_limit_per_target,
     is_primary,
-    list_primaries,
 )
 
 _REFUSAL_REASONS = {
@@ -159,7 +160,7 @@
     if not pending.attempt_count:
         _add_retry_budget(state, service)
     service.limit_per_target = get_limit_per_target(state, pending.service)
-    service.primary_count = max(1, len(list_primaries(state, pending.service)))
+    service.primary_count = max(1, count_primaries(state, pending.service))
     state.active_services.add(pending.service)
     priority = pending.priority
     ahead = (q for r in service.queues if r <= priority for q in service.queues[r])
@@ -445,7 +446,7 @@
     if not service.service.share_at_once:
         bucket.cap = float(service.retry.budget_cap)
     elif is_primary(state, service.name):
-        min_hosts, count = service.service.entry_hosts, len(list_primaries(state, service.name))
+        min_hosts, count = service.service.entry_hosts, count_primaries(state, service.name)
         bucket.cap = service.retry.budget_cap * min(1.0, min_hosts / count)
     else:
         bucket.cap = NON_PRIMARY_BUDGET_CAP
@@ -532,7 +533,7 @@
         return None
     if not route.repeatable or not route.max_hedge_share or not is_primary(state, service.name):
         return None
-    count = len(list_primaries(state, service.name))
+    count = count_primaries(state, service.name)
     known = earn_hedge(service.hedging, pending.route.name, route.max_hedge_share, count, at)
     pending.is_measured = True
     return known.delay
@@ -561,8 +562,7 @@
 
 def _get_quota(state: HostState, pending: RequestState) -> float:
     """Returns the quota in requests per second by which the use of an account is divided."""
-    caller = pending.head.caller
-    account = state.objects.caller.get(caller) if caller is not None else None
+    account = find_account(state, pending.head.caller)
     quota = account.requests_per_s if account is not None else 0.0
     return quota or state.routes.greatest_quota_per_s
 
--- a/endivedrift/reducer/_explaining.py
+++ b/endivedrift/reducer/_explaining.py
@@ -32,7 +32,7 @@
 from endivedrift.policy import TargetCost, choose_target, list_costs
 from endivedrift.reducer._quotas import estimate_tokens
 from endivedrift.reducer._reduce import reduce
-from endivedrift.reducer._state import HostState, RequestState, get_limit_per_target
+from endivedrift.reducer._state import HostState, RequestState, find_account, get_limit_per_target
 
 EXPLAINED_REQUEST = RequestId("explained")
 MAX_CHOICES = 3
@@ -182,7 +182,7 @@
 
 
 def _describe_quota(copy: HostState, at: Instant, caller: CallerName | None) -> Quota | None:
-    account = copy.objects.caller.get(caller) if caller is not None else None
+    account = find_account(copy, caller)
     if account is None or caller is None:
         return None
     tokens = estimate_tokens(copy, at, caller)
--- a/endivedrift/reducer/_state.py
+++ b/endivedrift/reducer/_state.py
@@ -40,7 +40,7 @@
     rank_hosts,
     sample_alive,
 )
-from endivedrift.objects import ObjectSet
+from endivedrift.objects import Caller, ObjectSet
 from endivedrift.policy import (
     AccountUse,
     KeptAccount,
@@ -341,6 +341,11 @@
     return HostState(identity, random, KeyTable(secret), view, store_is_relayed=store_is_relayed)
 
 
+def find_account(state: HostState, caller: CallerName | None) -> Caller | None:
+    """Finds a caller account of the object set in force; None if there is none of that name."""
+    return state.objects.caller.get(caller) if caller is not None else None
+
+
 def rank_service_hosts(state: HostState, name: ServiceName) -> tuple[Member, ...]:
     """Returns the hosts that callers of a service may use, best first."""
     return _get_ranking(state, name).members
@@ -352,6 +357,11 @@
     return ranked.members[: ranked.primary_count]
 
 
+def count_primaries(state: HostState, name: ServiceName) -> int:
+    """Returns the number of primaries of a service."""
+    return _get_ranking(state, name).primary_count
+
+
 def list_entry_hosts(
     state: HostState, name: ServiceName, domain: FailureDomain
 ) -> tuple[Member, ...]:
--- a/endivedrift/reducer/_targets.py
+++ b/endivedrift/reducer/_targets.py
@@ -35,7 +35,7 @@
     take_unsent_evidence,
 )
 from endivedrift.reducer._attempts import dispatch_queued
-from endivedrift.reducer._state import HostState, is_primary, list_primaries
+from endivedrift.reducer._state import HostState, count_primaries, is_primary, list_primaries
 
 USER_TTL = timedelta(minutes=2)
 """Time after a report of a host on a service for which it is told of targets that fail: the time
@@ -150,7 +150,7 @@
     """Tells whether a service has so many primaries that not all are told of each attempt."""
     if not state.services[name].service.share_at_once:
         return False
-    return len(list_primaries(state, name)) > MAX_PRIMARIES_TOLD_ALL
+    return count_primaries(state, name) > MAX_PRIMARIES_TOLD_ALL
 
 
 def _send_by_domain(
