--- a/endivedrift/shell/_route_report.py
+++ b/endivedrift/shell/_route_report.py
@@ -14,10 +14,9 @@
 from endivedrift.fleet import RouteTable
 from endivedrift.policy import TargetCost
 from endivedrift.reducer import Explanation, explain_request
+from endivedrift.shell._requests import MAX_CALLER_TIMEOUT_MS
 from endivedrift.shell._runtime import Runtime
 
-MAX_DEADLINE_MS = 600_000
-
 
 def build_queried_head(fields: dict[str, str], routes: RouteTable) -> RequestHead:
     """Builds the head of the request that a query describes.
@@ -35,9 +34,9 @@
         raise ValueError("path must begin with a slash")
     deadline = fields.get("deadline_ms")
     if deadline is not None and not (
-        deadline.isdigit() and 0 < int(deadline[:9]) <= MAX_DEADLINE_MS
+        deadline.isdigit() and 0 < int(deadline[:9]) <= MAX_CALLER_TIMEOUT_MS
     ):
-        raise ValueError(f"deadline_ms must be from 1 to {MAX_DEADLINE_MS}")
+        raise ValueError(f"deadline_ms must be from 1 to {MAX_CALLER_TIMEOUT_MS}")
     account = fields.get("account")
     caller = CallerName(account) if account is not None else None
     digest = fields.get("key_digest")
