--- a/endivedrift/shell/_targets.py
+++ b/endivedrift/shell/_targets.py
@@ -122,7 +122,6 @@
         self._clock = clock
         self._conventions = conventions
         self._idle: dict[Address, deque[_Connection]] = {}
-        self._buffered = self.memory.budget
 
     async def attempt(
         self,
--- a/endivedrift/shell/endless_test.py
+++ b/endivedrift/shell/endless_test.py
@@ -83,7 +83,7 @@
                 self.assertIsNone(finished.answer)
                 self.assertLess(finished.latency, timedelta(seconds=DEADLINE_S))
                 self.assertLess(peak, MAX_MEMORY_BYTES)
-                self.assertEqual(pool._buffered.used, 0)
+                self.assertEqual(pool.memory.budget.used, 0)
 
     def test_endless_bytes_that_come_slowly_end_at_the_deadline(self) -> None:
         for name in ("header lines", "no status line", "chunks", "a body without a length"):
@@ -132,7 +132,7 @@
             target = EndlessTarget(*STREAMS["chunks"], 0.001)
             serving = await curio.spawn(target.serve(), daemon=True)
             pool = TargetPool(SystemClock())
-            pool._buffered.limit = 300_000
+            pool.memory.budget.limit = 300_000
             effect = replace(build_effect(target.address, DEADLINE_S), answer_limit_bytes=10**9)
             request = TargetRequest("GET", b"/", ((b"host", b"x"),), b"")
             tasks = [
@@ -140,7 +140,7 @@
             ]
             finished = [await task.join() for task in tasks]
             await serving.cancel()
-            self.assertEqual(pool._buffered.used, 0)
+            self.assertEqual(pool.memory.budget.used, 0)
             return finished
 
         outcomes = {finished.outcome for finished in curio.run(run)}
--- a/endivedrift/shell/targets_test.py
+++ b/endivedrift/shell/targets_test.py
@@ -383,7 +383,7 @@
         async def run() -> tuple[AttemptFinished, AttemptFinished]:
             large, small = SlowTarget(b"x" * 95, 0.3), SlowTarget(b"y" * 20, 0.0)
             pool = TargetPool(SystemClock())
-            pool._buffered.limit = 100
+            pool.memory.budget.limit = 100
             request = TargetRequest("GET", b"/", ((b"host", b"x"),), b"")
             tasks = []
             for target in (large, small):
