Attribute an answer without a request id to no request on a kept connection

Cause: an answer that names another request was rejected, but one that names none was taken for this request's, also on a connection on which earlier requests were answered. The class: an answer that is attributed by its position alone.

Ruled out: a refusal with the id of an earlier request, or of the same request after a retry: it is rejected, and a connection is closed after each refusal. Both are tested.

Change: on a connection on which a request was answered, every answer must echo the id, statuses 421, 429 and 503 as well as all others. A target that echoes none gets a connection for each request, as before.

Before: test_a_refusal_without_an_id_says_that_this_one_did_not_run failed for 421, 429 and 503 in the own and in the platform's conventions (NOT_RUN instead of MAY_HAVE_RUN); after: passes, with the other tests of endivedrift.shell.targets_test.

Also here: tests that an answer which breaks off anywhere in its head, or later, is never passed on as a whole one (each length, closed and reset, both conventions, three framings).

--- a/endivedrift/shell/_targets.py
+++ b/endivedrift/shell/_targets.py
@@ -1,10 +1,11 @@
 """Makes attempts at targets over pooled HTTP/1.1 connections.
 
 An answer is complete only when its framing says so and no bytes follow it. A connection is reused
-only after a complete answer that echoes the request id it was sent, so that a late or duplicate
-answer is never treated as the answer to a later request. The HTTP conventions may name a header
-that proves that an answer comes from the target itself. An answer with this header is complete at
-the end of its framing; bytes after it only prevent the reuse of the connection.
+only after a complete answer that echoes the request id it was sent, and then every answer on it
+must echo one, so that a late or duplicate answer is never treated as the answer to a later request.
+The HTTP conventions may name a header that proves that an answer comes from the target itself. An
+answer with this header is complete at the end of its framing; bytes after it only prevent the reuse
+of the connection.
 """
 
 import contextlib
@@ -94,6 +95,7 @@
     http: h11.Connection
     idle_since: Instant
     max_idle_time: timedelta = MAX_IDLE_TIME
+    has_answered: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -262,6 +264,7 @@
             await _close(connection.sock)
             return
         http.start_next_cycle()
+        connection.has_answered = True
         connection.idle_since = self._clock.monotonic()
         self._idle.setdefault(effect.address, deque()).append(connection)
 
@@ -467,9 +470,14 @@
         return proof is not None and find_header(self.headers, proof) is not None
 
     def _is_trustworthy(self, response: h11.Response) -> bool:
+        """Tells whether an answer is to this request, and says where it ends.
+
+        An answer without a request id may be to an earlier request on the connection, if there was
+        one.
+        """
         echoed = find_header(self.headers, self.conventions.request_id_header)
         sent = _find_sent_id(self.conventions, self.effect, self.request)
-        if echoed is not None and echoed != sent:
+        if echoed != sent and (echoed is not None or self.connection.has_answered):
             return False
         framed = is_framed(response, self.headers, self.request.method)
         return framed or self.effect.close_delimited
--- a/endivedrift/shell/targets_test.py
+++ b/endivedrift/shell/targets_test.py
@@ -6,8 +6,12 @@
 
 import contextlib
 import socket as stdlib_socket
+import struct
 import unittest
+from collections.abc import Callable
+from dataclasses import dataclass, replace
 from datetime import timedelta
+from itertools import product
 
 import curio
 from curio import socket
@@ -21,6 +25,8 @@
     ServiceName,
     SystemClock,
     TargetName,
+    Verdict,
+    judge_outcome,
 )
 from endivedrift.core.effects import SendToTarget
 from endivedrift.core.events import AttemptFinished
@@ -40,10 +46,14 @@
 
 
 class ScriptedTarget:
-    """Sends `answer`, then `late`, for every request; closes the connection if `close` is set."""
+    """Sends an answer, then `late`, for every request; closes the connection if `close` is set.
 
-    def __init__(self, answer: bytes, close: bool, late: bytes) -> None:
-        self.answer = answer
+    The first request gets the first of `answers`, and so on; the last one is repeated.
+    """
+
+    def __init__(self, answers: tuple[bytes, ...], close: bool, late: bytes) -> None:
+        self.answers = answers
+        self.received = 0
         self.late = late
         self.close = close
         self.accepted = 0
@@ -62,7 +72,8 @@
     async def answer_all(self, sock: socket.socket) -> None:
         with contextlib.suppress(OSError):
             while await sock.recv(65_536):
-                await sock.sendall(self.answer)
+                self.received += 1
+                await sock.sendall(self.answers[min(self.received, len(self.answers)) - 1])
                 await curio.sleep(0.01)
                 await sock.sendall(self.late)
                 if self.close:
@@ -97,11 +108,12 @@
     late: bytes = b"",
     conventions: HttpConventions = DEFAULT_CONVENTIONS,
     headers: Headers = ((b"host", b"x"),),
+    next_answers: tuple[bytes, ...] = (),
 ) -> tuple[list[AttemptFinished], int]:
     """Runs attempts one after the other; returns their results and the connections accepted."""
 
     async def run() -> tuple[list[AttemptFinished], int]:
-        target = ScriptedTarget(answer, close, late)
+        target = ScriptedTarget((answer, *next_answers), close, late)
         serving = await curio.spawn(target.serve(), daemon=True)
         pool = TargetPool(SystemClock(), conventions)
         request = TargetRequest("GET", b"/", headers, b"")
@@ -287,6 +299,167 @@
         self.assertIs(finished[0].outcome, AttemptOutcome.ANSWERED)
 
 
+@dataclass(frozen=True, slots=True)
+class Interface:
+    """One of the two HTTP conventions, with what requests and answers in it look like."""
+
+    conventions: HttpConventions
+    echo: str
+    foreign: str
+    signature: str = ""
+    request_headers: Headers = ((b"host", b"x"),)
+
+
+INTERFACES = (
+    Interface(DEFAULT_CONVENTIONS, ECHO, "x-request-id: earlier.t\r\n"),
+    Interface(
+        PLATFORM_CONVENTIONS,
+        "endivedrift-attempt-id: a1\r\n",
+        "endivedrift-attempt-id: a0\r\n",
+        "endivedrift-server-signature: s\r\n",
+        ((b"host", b"x"), (b"endivedrift-attempt-id", b"a1")),
+    ),
+)
+
+
+class EarlierRefusalTest(unittest.TestCase):
+    """A target repeats an earlier refusal on a kept connection while it runs the next request.
+
+    Taken for the answer to that request, it would tell the caller that nothing ran.
+    """
+
+    def read_earlier_refusal(
+        self, interface: Interface, status: int, earlier_id: str, is_answered: bool
+    ) -> tuple[AttemptFinished, int]:
+        """Returns the attempt on the kept connection, and the connections accepted."""
+        refusal = write_answer(b"full", status, f"{earlier_id}x-not-run: 1\r\n")
+        served = write_answer(extra=interface.echo + interface.signature)
+        rest = served if is_answered else b""
+        finished, accepted = run_attempts(
+            served,
+            count=2,
+            conventions=interface.conventions,
+            headers=interface.request_headers,
+            next_answers=(refusal + rest,),
+        )
+        self.assertIs(finished[0].outcome, AttemptOutcome.ANSWERED)
+        return finished[1], accepted
+
+    def check_promises_nothing(self, earlier_ids: Callable[[Interface], str]) -> None:
+        for interface, status, is_answered in product(INTERFACES, (421, 429, 503), (False, True)):
+            with self.subTest(interface=interface.echo, status=status, is_answered=is_answered):
+                finished, accepted = self.read_earlier_refusal(
+                    interface, status, earlier_ids(interface), is_answered
+                )
+                self.assertEqual(accepted, 1)
+                self.assertIsNone(finished.answer)
+                self.assertIs(judge_outcome(finished.outcome), Verdict.MAY_HAVE_RUN)
+                self.assertIsNone(finished.retry_after)
+
+    def test_a_refusal_of_another_request_says_that_this_one_did_not_run(self) -> None:
+        self.check_promises_nothing(lambda interface: interface.foreign)
+
+    def test_a_refusal_without_an_id_says_that_this_one_did_not_run(self) -> None:
+        self.check_promises_nothing(lambda interface: "")
+
+    # Nothing was refused on a new connection before.
+    def test_a_refusal_without_an_id_on_a_new_connection_is_believed(self) -> None:
+        for interface in INTERFACES:
+            finished, _ = run_attempts(
+                write_answer(b"full", 503, "x-not-run: 1\r\n"),
+                conventions=interface.conventions,
+                headers=interface.request_headers,
+            )
+            self.assertIs(finished[0].outcome, AttemptOutcome.SHED)
+
+    def test_a_connection_is_not_used_again_after_a_refusal(self) -> None:
+        for interface in INTERFACES:
+            refusal = write_answer(b"full", 503, f"{interface.echo}x-not-run: 1\r\n")
+            finished, accepted = run_attempts(
+                refusal,
+                count=2,
+                conventions=interface.conventions,
+                headers=interface.request_headers,
+                next_answers=(write_answer(extra=interface.echo + interface.signature),),
+            )
+            self.assertIs(finished[1].outcome, AttemptOutcome.ANSWERED)
+            self.assertEqual(accepted, 2)
+
+
+class CutHeadTest(unittest.TestCase):
+    """A target stops anywhere in its answer, mostly in its head, and closes the connection.
+
+    What was read until then must not be passed on as a whole answer with an empty or short body.
+    """
+
+    def list_accepted_lengths(self, interface: Interface, answer: bytes, resets: bool) -> list[int]:
+        """Returns the lengths of the beginnings of an answer that are taken for a whole one."""
+
+        async def run() -> list[int]:
+            listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+            listener.bind(("127.0.0.1", 0))
+            listener.listen(8)
+            ip, port = listener.getsockname()
+
+            async def send_beginnings() -> None:
+                while True:
+                    sock, _ = await listener.accept()
+                    data = await sock.recv(65_536)
+                    length = int(data.partition(b" /")[2].partition(b" ")[0] or 0)
+                    await sock.sendall(answer[:length])
+                    if resets:
+                        linger = struct.pack("ii", 1, 0)
+                        sock.setsockopt(stdlib_socket.SOL_SOCKET, stdlib_socket.SO_LINGER, linger)
+                    await sock.close()
+
+            serving = await curio.spawn(send_beginnings(), daemon=True)
+            accepted = []
+            for length in range(len(answer)):
+                # A pool of its own, since a cut attempt leaves an open connection in its pool.
+                pool = TargetPool(SystemClock(), interface.conventions)
+                effect = replace(
+                    build_effect(Address(f"{ip}:{port}"), 5.0),
+                    close_delimited=interface.conventions.proof_header is not None,
+                )
+                request = TargetRequest("GET", b"/%d" % length, interface.request_headers, b"")
+                finished = await pool.attempt(effect, request, never_abort)
+                if finished.answer is not None:
+                    accepted.append(length)
+                else:
+                    assert judge_outcome(finished.outcome) is Verdict.MAY_HAVE_RUN
+                await pool.close()
+            await serving.cancel()
+            await listener.close()
+            return accepted
+
+        accepted: list[int] = curio.run(run)
+        return accepted
+
+    def check_beginnings(self, framing: str, body: bytes) -> None:
+        """Checks both interfaces, with connections that are closed and that are reset.
+
+        Args:
+          framing: The header on the length of the answer, empty if it has none.
+          body: The body as it is sent.
+        """
+        for interface in INTERFACES:
+            head = f"HTTP/1.1 200 OK\r\n{interface.echo}{interface.signature}{framing}\r\n".encode()
+            for resets in (False, True):
+                with self.subTest(interface=interface.echo, resets=resets):
+                    accepted = self.list_accepted_lengths(interface, head + body, resets)
+                    self.assertEqual(accepted, [])
+
+    def test_an_answer_with_a_length_is_cut_and_passed_on(self) -> None:
+        self.check_beginnings("content-length: 5\r\n", BODY)
+
+    def test_an_answer_in_chunks_is_cut_and_passed_on(self) -> None:
+        self.check_beginnings("transfer-encoding: chunked\r\n", b"5\r\nwhole\r\n0\r\n\r\n")
+
+    # Only its end may be missing, since nothing tells where the body ends.
+    def test_an_answer_without_length_is_cut_in_its_head_and_passed_on(self) -> None:
+        self.check_beginnings("", b"")
+
+
 class EndedTargetTest(unittest.TestCase):
     """A cut attempt tells whether its target ended, or lives and only cut the connection."""
 
