Test that late requests in a planned stop are served or never passed on

Another operator saw requests that came late in a host's grace be passed on and cut at its end (LOST). It cannot happen here: a host refuses a request that may last longer than its stop (not run, come back at once), and closes idle connections half a second after it stops to accept new ones.

The test keeps 40 used connections open, stops one host of a fleet, and sends requests that must not be repeated, on these and on new connections, until its process has ended; with real processes on the own interface and on the platform's. Each that a target ran must get its answer.

--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -59,6 +59,7 @@
       ip: Loopback address of all its processes.
       directory: Temporary directory with settings, records and logs.
       entry_max_age_s: Time for which callers may cache an entry answer.
+      drain_s: Time that a stopping host has to finish requests after it accepts no new ones.
       next_port: Last port that was tried; the search for a free one starts after it.
       processes: All processes started so far.
       targets: Stand-in address of each target, by name.
@@ -70,6 +71,7 @@
     ip: str
     directory: Path
     entry_max_age_s: float = 1.0
+    drain_s: float = 150.0
     next_port: int = FIRST_PORT
     processes: list[subprocess.Popen[bytes]] = field(default_factory=list)
     targets: dict[str, Address] = field(default_factory=dict)
@@ -119,7 +121,7 @@
             f'hosts = "{self.platform}"\n'
             f'[fleet]\ndeployment = "{DEPLOYMENT}"\nkey = "{FLEET_KEY}"\n'
             f"seeds = {json.dumps(seed_addresses)}\n"
-            f"[limits]\nentry_max_age_s = {self.entry_max_age_s}\n",
+            f"[limits]\nentry_max_age_s = {self.entry_max_age_s}\ndrain_s = {self.drain_s}\n",
             "utf-8",
         )
         process = self.start_module(name, "endivedrift.daemon", "--settings", str(settings))
