--- a/tests/crashing_targets.py
+++ b/tests/crashing_targets.py
@@ -224,8 +224,11 @@
       traffic: The source of randomness for requests and targets.
       tick: Time between two ticks of a host.
       datagram_delay: Time that a datagram takes.
+      answer_after_s: Bounds of the time that a target works on a request.
     """
 
+    answer_after_s = ANSWER_AFTER_S
+
     def __init__(
         self, count: int, targets: int, seed: int = 1, objects: ObjectSet | None = None
     ) -> None:
@@ -402,7 +405,7 @@
         self.runs.append(run)
         target.running.append(run)
         behaviour = self.behaviours.get(sent.digest, ANSWERED)
-        usual = timedelta(seconds=self.traffic.uniform(*ANSWER_AFTER_S))
+        usual = timedelta(seconds=self.traffic.uniform(*self.answer_after_s))
         due = behaviour.after if behaviour.after is not None else usual
         left = effect.deadline - harness.clock.monotonic()
         if left < due:
