Log whether a host is a primary, and when a service is below its floor

The hypotheses on too little being served differ in two things that no log showed: whether the host that refused or failed a request was one that the fleet tells of attempts, and whether a host found the service failing with too few targets in use.

Each line on a request now has `primary`. The trail and the log have `Floor changed.` with the share of unserved requests, the targets in use and the floor, as that host sees them.

Test: test_the_trail_does_not_show_when_a_service_is_below_its_floor.

--- a/endivedrift/core/_states.py
+++ b/endivedrift/core/_states.py
@@ -155,6 +155,7 @@
     READMITTED = "readmitted"
     PROBATION = "probation"
     PAUSED = "paused"
+    FLOOR_CHANGED = "floor-changed"
     ATTEMPT_ABORTED = "attempt-aborted"
     PATH_CHANGED = "path-changed"
     RATE_LIMIT_CHANGED = "rate-limit-changed"
--- a/endivedrift/policy/__init__.py
+++ b/endivedrift/policy/__init__.py
@@ -7,6 +7,7 @@
     has_faster_target,
     is_large_body,
     list_costs,
+    note_floor,
 )
 from endivedrift.policy._ejection import (
     mark_leaving,
@@ -216,6 +217,7 @@
     "measure_rate",
     "merge_report",
     "mint_key",
+    "note_floor",
     "observe_late",
     "observe_response",
     "parse_minted_key",
--- a/endivedrift/policy/_choice.py
+++ b/endivedrift/policy/_choice.py
@@ -18,7 +18,14 @@
 from random import Random
 from typing import TypeAlias
 
-from endivedrift.core import FailureDomain, Instant, TargetName, TargetState
+from endivedrift.core import (
+    AuditEntry,
+    AuditKind,
+    FailureDomain,
+    Instant,
+    TargetName,
+    TargetState,
+)
 from endivedrift.policy._failure_record import RISK_LEVELS
 from endivedrift.policy._service import ServiceState, TargetRecord
 
@@ -302,12 +309,29 @@
     recent = state.recent_outcomes
     if recent.ended < MIN_RECENT_REQUESTS or recent.unserved_share <= MAX_UNSERVED_SHARE:
         return False
-    used = sum(
+    return count_used_targets(state, at) < state.floor
+
+
+def count_used_targets(state: ServiceState, at: Instant) -> int:
+    """Returns how many targets have had a request lately, as far as this host knows."""
+    return sum(
         1
         for r in state.targets.values()
         if r.last_request_at is not None and at - r.last_request_at < UNUSED_AFTER
     )
-    return used < state.floor
+
+
+def note_floor(state: ServiceState, at: Instant) -> list[AuditEntry]:
+    """Records that a service begins or ends to use fewer targets than its floor while it fails."""
+    is_below = uses_too_few_targets(state, at)
+    if is_below == state.is_below_floor:
+        return []
+    state.is_below_floor = is_below
+    share = state.recent_outcomes.unserved_share
+    used = count_used_targets(state, at)
+    cause = f"{share:.2f} of the requests unserved, {used} targets in use, floor {state.floor}"
+    subject = "below the floor" if is_below else "at the floor or served again"
+    return [AuditEntry(at, AuditKind.FLOOR_CHANGED, subject, cause, state.name)]
 
 
 def _find_unused_target(
--- a/endivedrift/policy/_service.py
+++ b/endivedrift/policy/_service.py
@@ -214,6 +214,7 @@
       repeat_share: Share of the targets that failed in the last minutes that failed again.
       users: When each other host last reported requests or outcomes of the service.
       hedging: Its hedged requests, or None if it has none.
+      is_below_floor: Whether it was found to fail with fewer targets in use than its floor.
     """
 
     name: ServiceName
@@ -242,6 +243,7 @@
     repeat_share: float = 0.0
     users: dict[HostId, Instant] = field(default_factory=dict)
     hedging: Hedging | None = None
+    is_below_floor: bool = False
 
     @property
     def queued_count(self) -> int:
@@ -368,6 +370,7 @@
     state.limit_per_target = previous.limit_per_target
     state.primary_count = previous.primary_count
     state.recent_outcomes = previous.recent_outcomes
+    state.is_below_floor = previous.is_below_floor
     state.repeat_share = previous.repeat_share
     state.users = previous.users
     if state.hedging is not None and previous.hedging is not None:
--- a/endivedrift/reducer/_periodic.py
+++ b/endivedrift/reducer/_periodic.py
@@ -10,6 +10,7 @@
     advance_date,
     count_overdue_attempts,
     drop_expired_records,
+    note_floor,
     update_failure_records,
     update_states,
     update_usual_bad_rate,
@@ -68,6 +69,7 @@
     update_usual_bad_rate(service)
     update_failure_records(service, at)
     effects: list[Effect] = [RecordAudit(entry) for entry in update_states(service, at)]
+    effects += [RecordAudit(entry) for entry in note_floor(service, at)]
     return effects + dispatch_queued(state, service, at)
 
 
--- a/endivedrift/shell/_callers.py
+++ b/endivedrift/shell/_callers.py
@@ -25,11 +25,13 @@
     Refusal,
     RefusalReason,
     RequestId,
+    ServiceName,
 )
 from endivedrift.core.events import CallerDisconnected
 from endivedrift.fleet import NamedRoute, find_route
 from endivedrift.objects import ConnectionLimit
 from endivedrift.policy import MIN_RATE, SMALL_BYTES, Holding
+from endivedrift.reducer import is_primary
 from endivedrift.settings import LimitsSection
 from endivedrift.shell._answers import HttpAnswer, make_refusal
 from endivedrift.shell._entry import ENTRY_PATH, answer_entry
@@ -497,10 +499,16 @@
         served = await serve_request(self._context, exchange.request_id, head, target_request)
         duration = runtime.clock.monotonic() - started_at
         route = find_route(runtime.state.routes, head.method, path, head.host)
-        service = route.route.service if route is not None else ""
+        service = ServiceName(route.route.service if route is not None else "")
         runtime.metrics.count_request(service, served.result, duration)
         log_request(
-            exchange.request_id, exchange.caller_request_id, head, service, served, duration
+            exchange.request_id,
+            exchange.caller_request_id,
+            head,
+            service,
+            served,
+            duration,
+            service in runtime.state.services and is_primary(runtime.state, service),
         )
         if isinstance(served.result, Answer):
             return HttpAnswer(served.result.status, served.result.headers, served.result.body)
--- a/endivedrift/shell/_request_log.py
+++ b/endivedrift/shell/_request_log.py
@@ -17,6 +17,7 @@
     service: str,
     served: ServedRequest,
     duration: timedelta,
+    is_primary: bool,
 ) -> None:
     """Logs a request that ended.
 
@@ -27,6 +28,7 @@
       service: Service of the request's route, or the empty string if no route matches.
       served: Result and attempts.
       duration: Time from the arrival of the request to its end.
+      is_primary: Whether this host is a primary of the service.
     """
     result = served.result
     fields: dict[str, object] = {
@@ -35,6 +37,7 @@
         "digest": head.digest.hex(),
         "path": f"{head.method} {head.host}{head.path}",
         "service": service,
+        "primary": is_primary,
         "account": head.caller or "",
         "took_ms": round(duration.total_seconds() * 1000.0, 1),
         "attempts": [_describe_attempt(end) for end in served.attempts],
--- a/tests/patterns_test.py
+++ b/tests/patterns_test.py
@@ -11,6 +11,8 @@
 
 from endivedrift.core import (
     AttemptOutcome,
+    AuditEntry,
+    AuditKind,
     EvidenceDelta,
     HostId,
     MessageKind,
@@ -75,6 +77,7 @@
         self.sent: list[tuple[float, TargetName]] = []
         self.peer_messages: list[SendPeerMessage] = []
         self.failing: dict[TargetName, AttemptOutcome] = {}
+        self.audit: list[AuditEntry] = []
         self.observe(range(9))
         self.harness.advance(1.0)
 
@@ -99,6 +102,8 @@
                 self.results[effect.refusal.reason.value] += 1
             elif isinstance(effect, SendPeerMessage):
                 self.peer_messages.append(effect)
+            elif isinstance(effect, RecordAudit):
+                self.audit.append(effect.entry)
 
     def finish_due(self) -> None:
         for request, (effect, due) in list(self.sending.items()):
@@ -440,6 +445,17 @@
             failing = recent.unserved_share > 0.1
             self.assertTrue(not failing or len(used) >= 0.7 * 9, (len(used), failing))
 
+    def test_the_trail_does_not_show_when_a_service_is_below_its_floor(self) -> None:
+        self.run_load(2.0, 20.0)
+        with inject_fault(_choice, "_find_unused_target", lambda *arguments: None):
+            self.break_targets(range(6))
+            self.run_load(6.0, 20.0)
+        self.failing.clear()
+        self.run_load(12.0, 20.0)
+        changes = [e.subject for e in self.audit if e.kind is AuditKind.FLOOR_CHANGED]
+        self.assertEqual(changes[0], "below the floor")
+        self.assertEqual(changes[-1], "at the floor or served again")
+
 
 class StoreTest(PatternTest):
     def list_targets(self) -> set[TargetName]:
