Give the scripted target of the memory tests its answers as a tuple

The class takes several answers since the tests of earlier refusals; these three tests failed with a TypeError in the whole suite, not in the modules that were run then.

--- a/endivedrift/shell/slow_callers_test.py
+++ b/endivedrift/shell/slow_callers_test.py
@@ -262,7 +262,7 @@
 
     def attempt(self, frees_memory: bool, deadline_s: float = EVENT_LIMIT_S) -> AttemptFinished:
         async def run() -> AttemptFinished:
-            target = ScriptedTarget(write_answer(bytes(ANSWER_BYTES)), False, b"")
+            target = ScriptedTarget((write_answer(bytes(ANSWER_BYTES)),), False, b"")
             serving = await curio.spawn(target.serve(), daemon=True)
             pool = TargetPool(SystemClock())
             other = pool.memory.open(RequestId("other"), 1)
