Let primaries take the retries that other hosts have none left for

Cause: such a host is not told of attempts elsewhere, so it chooses full targets, and targets that fail, far more often. Its retry budget starts empty and holds one retry, since these hosts are many and what each saves up would add up. Primaries, which see most requests, hardly use theirs. The class: a bound on a sum, divided among hosts in equal parts, while the need for it is where the knowledge is not.

Change: an attempt that fails at such a host, whose request may run again and has time left, is handed over to a primary, one of the own failure domain first. It takes the retry from its own budget or says that it has none; then up to two others are asked. It must have the same object set in force, so that no request is served by an older one than an earlier request was. A host that does not greet within 300 ms counts as frozen and is left out. Nothing is handed over twice, no large bodies, and no request that may have run and must not be repeated.

Tried and not taken: to hand each request over before its first attempt.

--- a/endivedrift/core/__init__.py
+++ b/endivedrift/core/__init__.py
@@ -24,6 +24,7 @@
     Version,
 )
 from endivedrift.core._records import (
+    ANY_VERSION,
     MAX_SLOTS,
     NO_CONFIG,
     NO_RATE_LIMIT,
@@ -111,6 +112,7 @@
     "MAX_SLOTS",
     "MAX_STORE_NUMBER",
     "NOT_RUN_OUTCOMES",
+    "ANY_VERSION",
     "NO_CONFIG",
     "NO_RATE_LIMIT",
     "PauseCause",
--- a/endivedrift/core/_records.py
+++ b/endivedrift/core/_records.py
@@ -28,6 +28,8 @@
 """Pairs of lower-case header name and value, in the order in which they were received."""
 
 NO_DIGEST = RequestDigest(b"")
+ANY_VERSION = Version(0)
+"""Stands for whatever version of the object set is in force."""
 NO_RATE_LIMIT = math.inf
 """Requests a second that a target takes which states no limit."""
 
@@ -47,8 +49,11 @@
       caller_timeout: Time for which the caller still waits, or None if it set no limit, so that
         only the route's deadline applies.
       forwarded: Whether another host forwarded the request because this host owns its key.
-      for_peer: Whether another host forwarded the request because it reaches no target.
+      for_peer: Whether another host forwarded the request because it reaches no target, or has no
+        retry left.
       earlier_attempts: Attempts at targets that such a host has made.
+      config_version: Version of the object set by which such a host wants it served, or 0 for any.
+      takes_retry: Whether it is a retry that this host takes from its own budget.
       digest: Digest of host name, caller, method, path, query and body, by which a request is
         recognised when it comes again. Empty if it is not known.
       body_bytes: Size of the body.
@@ -65,6 +70,8 @@
     forwarded: bool = False
     for_peer: bool = False
     earlier_attempts: int = 0
+    config_version: Version = ANY_VERSION
+    takes_retry: bool = False
     digest: RequestDigest = NO_DIGEST
     body_bytes: int = 0
 
--- a/endivedrift/core/_states.py
+++ b/endivedrift/core/_states.py
@@ -118,6 +118,7 @@
     OWNER_UNREACHABLE = "owner-unreachable"
     PEER_UNREACHABLE = "peer-unreachable"
     NO_PATH = "no-path"
+    NO_RETRY = "no-retry"
     QUARANTINED = "quarantined"
     QUEUE_FULL = "queue-full"
     QUEUE_WAIT = "queue-wait"
--- a/endivedrift/core/effects.py
+++ b/endivedrift/core/effects.py
@@ -15,8 +15,16 @@
     RequestId,
     ServiceName,
     TargetName,
+    Version,
+)
+from endivedrift.core._records import (
+    ANY_VERSION,
+    Answer,
+    AuditEntry,
+    ConfigRef,
+    PeerMessage,
+    Refusal,
 )
-from endivedrift.core._records import Answer, AuditEntry, ConfigRef, PeerMessage, Refusal
 
 
 @dataclass(frozen=True, slots=True)
@@ -117,9 +125,11 @@
 
 @dataclass(frozen=True, slots=True)
 class ForwardToPeer:
-    """Forward the request to a host that may reach targets, which this host does not.
+    """Forward the request to a host that may reach targets, or have a retry, unlike this one.
 
-    `earlier_attempts` is the number of attempts at targets that were made here.
+    `earlier_attempts` is the number of attempts at targets that were made here. The host must have
+    version `config_version` in force, unless that is 0. If `takes_retry` is set, it takes the retry
+    from its own budget.
     """
 
     request: RequestId
@@ -127,6 +137,8 @@
     address: Address
     deadline: Instant
     earlier_attempts: int
+    config_version: Version = ANY_VERSION
+    takes_retry: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/endivedrift/reducer/_attempts.py
+++ b/endivedrift/reducer/_attempts.py
@@ -66,6 +66,7 @@
 from endivedrift.reducer._paths import (
     PATH_OUTCOMES,
     forward_request,
+    hand_over_retry,
     hold_back_failure,
     may_be_path_failure,
     note_attempt,
@@ -287,19 +288,36 @@
             effects += _send_to_target(state, service, event.at, event.request, reserved)
         else:
             effects += admit(state, event.at, event.request)
+    elif not served and may_run_again and _may_hand_over(state, service, pending, event):
+        pending.failure_answer = answer or pending.failure_answer
+        pending.handed_over_for = _find_refusal_reason(event)
+        effects += hand_over_retry(state, event.at, event.request) or _end_failed(state, event)
     elif answer is not None:
         effects += end_with_answer(state, event.at, event.request, answer)
     elif is_barred:
         effects += _end_quarantined(state, event.at, event.request)
     else:
-        detail = f"target {event.target}: {event.outcome.value}"
-        reason = _REFUSAL_REASONS[event.outcome]
-        effects += end_with_refusal(state, event.at, event.request, reason, detail, timedelta(0))
+        effects += _end_failed(state, event)
     if service is not None:
         effects += dispatch_queued(state, service, event.at)
     return effects
 
 
+def _end_failed(state: HostState, event: AttemptFinished) -> list[Effect]:
+    """Ends a request whose last attempt has failed."""
+    detail = f"target {event.target}: {event.outcome.value}"
+    reason = _find_refusal_reason(event)
+    return end_with_refusal(state, event.at, event.request, reason, detail, timedelta(0))
+
+
+def _find_refusal_reason(event: AttemptFinished) -> RefusalReason:
+    """Returns why a request is refused after a failed attempt.
+
+    After a server error, its answer is delivered in place of the refusal.
+    """
+    return _REFUSAL_REASONS.get(event.outcome, RefusalReason.TARGET_MALFORMED)
+
+
 def may_try_again(state: HostState, pending: RequestState, at: Instant) -> bool:
     """Tells whether a request that another host has not served may still be tried."""
     service = state.services.get(pending.service)
@@ -780,6 +798,23 @@
     return not pending.attempt_count or service.retry_budget.take(event.at)
 
 
+def _may_hand_over(
+    state: HostState, service: ServiceState | None, pending: RequestState, event: AttemptFinished
+) -> bool:
+    """Tells whether a retry for which this host has none saved up is handed over to a primary.
+
+    Hosts that are not primaries are not told what the targets are doing, so their attempts fail
+    more often than their retries allow, while primaries have retries that they do not need.
+    """
+    if service is None or not service.service.share_at_once or is_primary(state, service.name):
+        return False
+    if event.outcome in _FINAL_OUTCOMES or pending.head.for_peer or pending.asked_peers:
+        return False
+    if pending.may_have_run and not pending.route.route.repeatable:
+        return False
+    return has_retry_left(service, pending, event.at) and not _has_large_body(pending)
+
+
 def has_retry_left(service: ServiceState, pending: RequestState, at: Instant) -> bool:
     """Tells whether attempts are left, and enough time for one more to be answered."""
     if pending.attempt_count >= _get_max_attempts(service, pending):
--- a/endivedrift/reducer/_paths.py
+++ b/endivedrift/reducer/_paths.py
@@ -1,16 +1,18 @@
-"""Forwards requests to other hosts while this host reaches no target itself.
+"""Forwards requests to other hosts that reach targets, or that have retries for them.
 
 A request goes to another primary of its service if this host has lost its paths to all targets, or
-if several targets refused the connections of that request. Only one that may still run is
-forwarded, and never one that another host has forwarded. Hosts that reply that they reach no target
-either are left out for a moment; if that holds for all, the targets are at fault, and requests are
-tried here.
+if several targets refused the connections of that request. It also goes to a primary if an attempt
+has failed at a host that is not one, and that has no retry left. Only a request that may still run
+is forwarded, and never one that another host has forwarded. Hosts that reply that they reach no
+target either are left out for a moment; if that holds for all, the targets are at fault, and
+requests are tried here.
 
 The failures of a lost path say nothing of targets. They are reported to other hosts only after
 another target was reached, and undone once the path is known to be lost.
 """
 
 from collections.abc import Iterable
+from dataclasses import replace
 from datetime import timedelta
 
 from endivedrift.core import (
@@ -37,7 +39,12 @@
     record_connection,
     record_failed_connection,
 )
-from endivedrift.reducer._state import HostState, RequestState, list_primaries
+from endivedrift.reducer._state import (
+    HostState,
+    RequestState,
+    list_entry_hosts,
+    list_primaries,
+)
 
 MAX_PEERS = 3
 """Hosts to which one request is forwarded, one after the other, until one may serve it."""
@@ -138,15 +145,38 @@
         return []
     if not state.path.is_cut and state.forwarding_blocked.get(pending.service, at) > at:
         return []
-    peer = _choose_peer(state, pending, at)
-    if peer is None:
-        return []
+    peer = _choose_peer(state, pending, at, list_primaries(state, pending.service))
+    return [_forward(pending, request, peer)] if peer is not None else []
+
+
+def _forward(pending: RequestState, request: RequestId, peer: Member) -> ForwardToPeer:
     pending.peer = peer.host
     pending.asked_peers |= {peer.host}
-    effect = ForwardToPeer(
+    return ForwardToPeer(
         request, peer.host, peer.peer_address, pending.deadline, pending.attempt_count
     )
-    return [effect]
+
+
+def hand_over_retry(state: HostState, at: Instant, request: RequestId) -> list[Effect]:
+    """Forwards a request to a primary of its service, which takes the retry from its own budget.
+
+    The primary must have the same object set in force. With an older or a newer one, it could serve
+    the request otherwise than this host has served or will serve another.
+
+    Returns:
+      The effect, or nothing if there is no such host.
+    """
+    pending = state.requests[request]
+    if len(pending.asked_peers) >= MAX_PEERS:
+        return []
+    near = list_entry_hosts(state, pending.service, state.identity.failure_domain)
+    peer = _choose_peer(state, pending, at, near) or _choose_peer(
+        state, pending, at, list_primaries(state, pending.service)
+    )
+    if peer is None:
+        return []
+    effect = _forward(pending, request, peer)
+    return [replace(effect, config_version=state.config.version, takes_retry=True)]
 
 
 def mark_peer_unable(state: HostState, peer: HostId, at: Instant) -> None:
@@ -159,11 +189,13 @@
     state.forwarding_blocked[service] = at + PEER_RETRY_DELAY
 
 
-def _choose_peer(state: HostState, pending: RequestState, at: Instant) -> Member | None:
-    """Chooses a primary of the service, since these know the load of its targets."""
+def _choose_peer(
+    state: HostState, pending: RequestState, at: Instant, primaries: tuple[Member, ...]
+) -> Member | None:
+    """Chooses one of the primaries of a service, since these know the load of its targets."""
     able = [
         member
-        for member in list_primaries(state, pending.service)
+        for member in primaries
         if member.host != state.identity.host
         and member.status is MemberStatus.ALIVE
         and member.host not in pending.asked_peers
--- a/endivedrift/reducer/_requests.py
+++ b/endivedrift/reducer/_requests.py
@@ -3,6 +3,7 @@
 from datetime import timedelta
 
 from endivedrift.core import (
+    ANY_VERSION,
     NO_CONFIG,
     RefusalReason,
     ServiceName,
@@ -47,6 +48,10 @@
             NO_CONFIG_RETRY_DELAY,
             key=head.key,
         )
+    if head.config_version not in (ANY_VERSION, state.config.version):
+        detail = f"this host has version {state.config.version} in force"
+        reason = RefusalReason.NO_CONFIGURATION
+        return refuse(state, event.at, event.request, head, reason, detail, timedelta(0))
     found = find_route(state.routes, head.method, head.path, head.host)
     if found is None:
         detail = f"no route for {head.method} {head.host}{head.path}"
@@ -76,6 +81,19 @@
     refusal = _charge(state, event, pending)
     if refusal:
         return refusal
+    service = state.services.get(pending.service)
+    if head.takes_retry and service is not None and not service.retry_budget.take(event.at):
+        detail = "no retry is left here either"
+        return refuse(
+            state,
+            event.at,
+            event.request,
+            head,
+            RefusalReason.NO_RETRY,
+            detail,
+            timedelta(0),
+            service=pending.service,
+        )
     state.requests[event.request] = pending
     if head.key is not None and not found.route.repeatable:
         return start_keyed_request(state, event.at, event.request, head.key)
--- a/endivedrift/reducer/_state.py
+++ b/endivedrift/reducer/_state.py
@@ -21,6 +21,7 @@
     Instant,
     ListedMachine,
     Member,
+    RefusalReason,
     RequestDigest,
     RequestHead,
     RequestId,
@@ -85,6 +86,7 @@
       failure_answer: A target's server error, which is delivered if no other attempt succeeds.
       peer: Host to which it is forwarded at the moment, or None.
       asked_peers: Hosts to which it was forwarded.
+      handed_over_for: Why its attempt failed whose retry was handed over to those, or None.
       priority: Its importance in the queue: that of its caller account, or else of its route.
       key_withdrawn: Whether its account key was withdrawn, so that it gets no further attempt.
       charged_account: Account whose quota it was charged to, or None.
@@ -109,6 +111,7 @@
     failure_answer: Answer | None = None
     peer: HostId | None = None
     asked_peers: frozenset[HostId] = frozenset()
+    handed_over_for: RefusalReason | None = None
     holds_retry: bool = False
     key_withdrawn: bool = False
     priority: Importance = Importance.NORMAL
--- a/endivedrift/shell/_codec.py
+++ b/endivedrift/shell/_codec.py
@@ -17,6 +17,7 @@
 import capnp
 
 from endivedrift.core import (
+    ANY_VERSION,
     MAX_SLOTS,
     Address,
     Answer,
@@ -88,8 +89,8 @@
 class ForwardedRequest:
     """A request that is forwarded to another host.
 
-    That host owns the request's idempotency key, or reaches targets for a host that reaches none,
-    which has made `earlier_attempts` attempts. `key` is None in the second case.
+    That host owns the request's idempotency key, or serves it for a host that reaches no target or
+    has no retry left, and has made `earlier_attempts` attempts. `key` is None in the second case.
     """
 
     owner: HostId
@@ -103,6 +104,8 @@
     timeout: timedelta
     for_peer: bool = False
     earlier_attempts: int = 0
+    config_version: Version = ANY_VERSION
+    takes_retry: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -200,6 +203,8 @@
     forward.key = call.key or ""
     forward.forPeer = call.for_peer
     forward.earlierAttempts = call.earlier_attempts
+    forward.configVersion = call.config_version
+    forward.takesRetry = call.takes_retry
     forward.patienceMicros = max(0, call.timeout // MICROSECOND)
     return message.to_bytes()
 
@@ -225,6 +230,8 @@
                 timeout=forward.patienceMicros * MICROSECOND,
                 for_peer=forward.forPeer,
                 earlier_attempts=forward.earlierAttempts,
+                config_version=Version(forward.configVersion),
+                takes_retry=forward.takesRetry,
             )
     except _UNREADABLE:
         return None
--- a/endivedrift/shell/_peer_calls.py
+++ b/endivedrift/shell/_peer_calls.py
@@ -58,6 +58,7 @@
     call: Call,
     timeout: timedelta,
     reserve: Callable[[int], Awaitable[bool]] | None = None,
+    connect_timeout: timedelta | None = None,
 ) -> Reply:
     """Sends a call to another host and waits for its reply.
 
@@ -67,6 +68,8 @@
       call: The call.
       timeout: Limit of the time from connecting to the end of the reply.
       reserve: Reserves memory for the bytes of the reply; without room, the call fails.
+      connect_timeout: Limit of the time from connecting to the nonce, which shows that the process
+        of the host runs. By default, only `timeout` applies.
     Returns:
       The reply.
     Raises:
@@ -74,10 +77,12 @@
     """
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     sent = False
+    limit = min(timeout, connect_timeout or timeout)
     try:
         async with curio.timeout_after(max(0.001, timeout.total_seconds())):
-            await sock.connect(parse_endpoint(address).to_sockaddr())
-            nonce = await _read_exactly(sock, NONCE_BYTES)
+            async with curio.timeout_after(max(0.001, limit.total_seconds())):
+                await sock.connect(parse_endpoint(address).to_sockaddr())
+                nonce = await _read_exactly(sock, NONCE_BYTES)
             sent = True
             await _write_frame(sock, secret, nonce, CALL_LABEL, encode_call(call))
             reply = decode_reply(
--- a/endivedrift/shell/_peers.py
+++ b/endivedrift/shell/_peers.py
@@ -229,6 +229,8 @@
             forwarded=not call.for_peer,
             for_peer=call.for_peer,
             earlier_attempts=call.earlier_attempts,
+            config_version=call.config_version,
+            takes_retry=call.takes_retry,
             digest=digest_request(host, call.caller, request),
             body_bytes=len(call.body),
         )
--- a/endivedrift/shell/_serving.py
+++ b/endivedrift/shell/_serving.py
@@ -52,6 +52,11 @@
 )
 from endivedrift.store import Claim, ClaimResult, ClaimTable
 
+PEER_CONNECT_TIMEOUT = timedelta(milliseconds=300)
+"""Time after which a host counts as frozen to which a request is forwarded, so that the request is
+served elsewhere: what a host under load needs to accept a connection, and half the time in which
+hosts notice that another one is silent."""
+
 
 @dataclass(frozen=True, slots=True)
 class ServingContext:
@@ -324,8 +329,10 @@
         key=None,
         for_peer=True,
         earlier_attempts=effect.earlier_attempts,
+        config_version=effect.config_version,
+        takes_retry=effect.takes_retry,
     )
-    await _forward(context, effect.request, effect.address, call)
+    await _forward(context, effect.request, effect.address, call, PEER_CONNECT_TIMEOUT)
 
 
 def _build_forward_call(
@@ -349,7 +356,11 @@
 
 
 async def _forward(
-    context: ServingContext, request: RequestId, address: Address, call: ForwardedRequest
+    context: ServingContext,
+    request: RequestId,
+    address: Address,
+    call: ForwardedRequest,
+    connect_timeout: timedelta | None = None,
 ) -> None:
     clock = context.runtime.clock
     holding = context.pool.memory.find(request)
@@ -360,7 +371,9 @@
         return await context.pool.memory.reserve(holding, size, MAX_MEMORY_WAIT)
 
     try:
-        reply = await call_peer(context.secret, address, call, call.timeout, reserve)
+        reply = await call_peer(
+            context.secret, address, call, call.timeout, reserve, connect_timeout
+        )
     except PeerCallError as error:
         failed = ForwardFinished(
             clock.monotonic(), request, ForwardOutcome.BROKEN, connected=error.sent
--- a/endivedrift/shell/peer.capnp
+++ b/endivedrift/shell/peer.capnp
@@ -131,8 +131,11 @@
   caller @6 :Text;
   key @7 :Text;
   patienceMicros @8 :UInt64;  # Time for which the sender waits for the reply.
-  forPeer @9 :Bool;  # The sender reaches no target. Otherwise, the receiver owns the key.
+  # The sender reaches no target, or has no retry left. Otherwise, the receiver owns the key.
+  forPeer @9 :Bool;
   earlierAttempts @10 :UInt16;  # Attempts at targets that the sender has made.
+  configVersion @11 :UInt64;  # Version that the receiver must have in force, or 0 for any.
+  takesRetry @12 :Bool;  # The receiver takes the retry from its own budget.
 }
 
 # A call from one host to another over TCP.
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -5,6 +5,7 @@
 from random import Random
 
 from endivedrift.core import (
+    ANY_VERSION,
     Address,
     Answer,
     ConfigRef,
@@ -203,6 +204,8 @@
         digest: bytes = b"",
         for_peer: bool = False,
         earlier_attempts: int = 0,
+        config_version: Version = ANY_VERSION,
+        takes_retry: bool = False,
     ) -> tuple[RequestId, list[Effect]]:
         """Applies the arrival of a request and returns its id and effects."""
         self.request_count += 1
@@ -219,6 +222,8 @@
             forwarded=forwarded,
             for_peer=for_peer,
             earlier_attempts=earlier_attempts,
+            config_version=config_version,
+            takes_retry=takes_retry,
             digest=RequestDigest(digest),
         )
         event = RequestArrived(self.clock.monotonic(), self.clock.wall(), request, head)
--- a/tests/crashing_targets.py
+++ b/tests/crashing_targets.py
@@ -17,6 +17,7 @@
 from endivedrift.core import (
     NO_RATE_LIMIT,
     AttemptOutcome,
+    ForwardOutcome,
     HostId,
     Instant,
     ManualClock,
@@ -31,12 +32,14 @@
 from endivedrift.core.effects import (
     DeliverAnswer,
     Effect,
+    ForwardToPeer,
     QueueRequest,
     RefuseRequest,
     SendToTarget,
 )
 from endivedrift.core.events import (
     AttemptFinished,
+    ForwardFinished,
     PeerMessageReceived,
     QueueWaitExpired,
     TargetsObserved,
@@ -114,6 +117,7 @@
       refusal: Why it got no answer, or None.
       cut_count: Number of its attempts that a target cut off.
       write: Whether it must not be repeated.
+      forwarded: The request of a caller that another host forwarded as this one, or None.
     """
 
     host: str
@@ -124,6 +128,7 @@
     refusal: Refusal | None = None
     cut_count: int = 0
     write: bool = False
+    forwarded: "SentRequest | None" = None
 
     @property
     def is_quarantined(self) -> bool:
@@ -221,6 +226,7 @@
       sent: All requests that arrived.
       runs: All attempts that reached a running target.
       ends: All ends of a target's process.
+      forwards: When a request was forwarded, from which host and to which.
       traffic: The source of randomness for requests and targets.
       tick: Time between two ticks of a host.
       datagram_delay: Time that a datagram takes.
@@ -246,7 +252,9 @@
         self.sent: list[SentRequest] = []
         self.runs: list[Run] = []
         self.ends: list[TargetEnd] = []
+        self.forwards: list[tuple[timedelta, str, str]] = []
         self._open: dict[tuple[str, RequestId], SentRequest] = {}
+        self._origins: dict[tuple[str, RequestId], tuple[str, RequestId]] = {}
         self._queued: dict[tuple[str, RequestId], Instant] = {}
         self._agenda: list[tuple[timedelta, int, Callback]] = []
         self._agenda_count = 0
@@ -281,6 +289,9 @@
         """Starts a host, or restarts it with a new incarnation, and tells it all targets."""
         for key in [key for key in self._open if key[0] == name]:
             del self._open[key]
+            if key in self._origins:
+                origin = self._origins.pop(key)
+                self.schedule(DATAGRAM_DELAY, partial(self._break_forward, origin, connected=True))
         shared = self.clock
         offset = timedelta(seconds=self.traffic.uniform(0.0, MAX_CLOCK_OFFSET_S))
         self.clock = HostClock(shared, offset)
@@ -373,6 +384,10 @@
                 self.schedule(delay, partial(self._expire, sender, effect))
             elif isinstance(effect, DeliverAnswer | RefuseRequest):
                 self._end_request(sender, effect)
+            elif isinstance(effect, ForwardToPeer):
+                self._queued.pop((sender, effect.request), None)
+                self.forwards.append((self.now, sender, str(effect.peer)))
+                self.schedule(self.datagram_delay, partial(self._forward, sender, effect))
 
     def _end_request(self, host: str, effect: DeliverAnswer | RefuseRequest) -> None:
         sent = self._open.pop((host, effect.request))
@@ -381,6 +396,55 @@
             sent.status = effect.answer.status
         else:
             sent.refusal = effect.refusal
+        origin = self._origins.pop((host, effect.request), None)
+        if origin is not None:
+            self.schedule(self.datagram_delay, partial(self._reply, origin, effect))
+
+    def _forward(self, sender: str, effect: ForwardToPeer) -> None:
+        """Lets a request arrive at the host to which it is forwarded, unless that is stopped."""
+        sent = self._open.get((sender, effect.request))
+        if sent is None:
+            return
+        peer, harness = str(effect.peer), self.hosts[effect.peer]
+        if peer in self.stopped:
+            self._break_forward((sender, effect.request), connected=False)
+            return
+        request = RequestId(f"{harness.state.identity.host}-{harness.request_count + 1}")
+        copy = SentRequest(peer, sent.digest, self.now, write=sent.write, forwarded=sent)
+        self._open[peer, request] = copy
+        self._origins[peer, request] = (sender, effect.request)
+        left = effect.deadline - self.hosts[sender].clock.monotonic()
+        method, path = ("POST", WRITE_PATH) if sent.write else ("GET", READ_PATH)
+        effects = harness.receive_request(
+            method,
+            path,
+            digest=sent.digest,
+            caller_timeout=left.total_seconds(),
+            for_peer=True,
+            earlier_attempts=effect.earlier_attempts,
+            config_version=effect.config_version,
+            takes_retry=effect.takes_retry,
+        )[1]
+        self.handle_effects(peer, effects)
+
+    def _break_forward(self, origin: tuple[str, RequestId], connected: bool) -> None:
+        """Tells a host that another one did not reply."""
+        if origin in self._open:
+            host, request = origin
+            now = self.hosts[host].clock.monotonic()
+            event = ForwardFinished(now, request, ForwardOutcome.BROKEN, connected=connected)
+            self.handle_effects(host, self.hosts[host].apply(event))
+
+    def _reply(self, origin: tuple[str, RequestId], effect: DeliverAnswer | RefuseRequest) -> None:
+        """Delivers the reply of the host to which a request was forwarded."""
+        host, request = origin
+        harness = self.hosts[host]
+        now = harness.clock.monotonic()
+        if isinstance(effect, DeliverAnswer):
+            event = ForwardFinished(now, request, ForwardOutcome.ANSWERED, answer=effect.answer)
+        else:
+            event = ForwardFinished(now, request, ForwardOutcome.REFUSED, refusal=effect.refusal)
+        self.handle_effects(host, harness.apply(event))
 
     def _expire(self, host: str, effect: QueueRequest) -> None:
         if self._queued.get((host, effect.request)) != effect.until:
@@ -460,7 +524,8 @@
         host = run.sent.host
         if self.hosts[host] is not run.harness:
             return
-        run.sent.cut_count += outcome is AttemptOutcome.CUT
+        for sent in filter(None, (run.sent, run.sent.forwarded)):
+            sent.cut_count += outcome is AttemptOutcome.CUT
         is_from_target = outcome in (AttemptOutcome.ANSWERED, AttemptOutcome.SHED)
         event = AttemptFinished(
             run.harness.clock.monotonic(),
--- a/tests/partitioned_hosts.py
+++ b/tests/partitioned_hosts.py
@@ -8,19 +8,10 @@
 from enum import Enum
 from functools import partial
 
-from endivedrift.core import AttemptOutcome, ForwardOutcome, Instant, RequestId, TargetName
-from endivedrift.core.effects import (
-    AbortAttempt,
-    DeliverAnswer,
-    Effect,
-    ForwardToPeer,
-    RefuseRequest,
-    SendToTarget,
-)
-from endivedrift.core.events import AttemptLate, ForwardFinished
-from tests.builders import READ_PATH, WRITE_PATH
+from endivedrift.core import AttemptOutcome, Instant, RequestId, TargetName
+from endivedrift.core.effects import AbortAttempt, SendToTarget
+from endivedrift.core.events import AttemptLate
 from tests.crashing_targets import (
-    DATAGRAM_DELAY,
     FAST_FAILURE,
     CrashingFleet,
     Run,
@@ -45,7 +36,6 @@
 
     Attributes:
       losses: What has happened to the paths of each host that reaches no target.
-      forwards: When a request was forwarded, from which host and to which.
     """
 
     def __init__(self, count: int, targets: int, entry_hosts: int, seed: int = 1) -> None:
@@ -60,8 +50,6 @@
         self.losses: dict[str, PathLoss] = {}
         self._is_kept = False
         self._idle: dict[tuple[str, TargetName], list[timedelta]] = defaultdict(list)
-        self.forwards: list[tuple[timedelta, str, str]] = []
-        self._origins: dict[tuple[str, RequestId], tuple[str, RequestId]] = {}
         self._deadlines: dict[tuple[str, RequestId], Instant] = {}
         super().__init__(count, targets, seed, build_crash_set(entry_hosts))
 
@@ -114,54 +102,6 @@
                 return True
         return False
 
-    def handle_effects(self, sender: str, effects: list[Effect]) -> None:
-        """Carries out the effects that a host returned."""
-        super().handle_effects(sender, effects)
-        for effect in effects:
-            if isinstance(effect, ForwardToPeer):
-                self._queued.pop((sender, effect.request), None)
-                self.forwards.append((self.now, sender, str(effect.peer)))
-                self.schedule(DATAGRAM_DELAY, partial(self._forward, sender, effect))
-
-    def _forward(self, sender: str, effect: ForwardToPeer) -> None:
-        """Lets a request arrive at the host to which it is forwarded."""
-        sent = self._open.get((sender, effect.request))
-        if sent is None:
-            return
-        peer, harness = str(effect.peer), self.hosts[effect.peer]
-        request = RequestId(f"{harness.state.identity.host}-{harness.request_count + 1}")
-        copy = SentRequest(peer, sent.digest, self.now, write=sent.write)
-        self._open[peer, request] = copy
-        self._origins[peer, request] = (sender, effect.request)
-        left = effect.deadline - self.hosts[sender].clock.monotonic()
-        method, path = ("POST", WRITE_PATH) if sent.write else ("GET", READ_PATH)
-        effects = harness.receive_request(
-            method,
-            path,
-            digest=sent.digest,
-            caller_timeout=left.total_seconds(),
-            for_peer=True,
-            earlier_attempts=effect.earlier_attempts,
-        )[1]
-        self.handle_effects(peer, effects)
-
-    def _end_request(self, host: str, effect: DeliverAnswer | RefuseRequest) -> None:
-        super()._end_request(host, effect)
-        origin = self._origins.pop((host, effect.request), None)
-        if origin is not None:
-            self.schedule(DATAGRAM_DELAY, partial(self._reply, origin, effect))
-
-    def _reply(self, origin: tuple[str, RequestId], effect: DeliverAnswer | RefuseRequest) -> None:
-        """Delivers the reply of the host to which a request was forwarded."""
-        host, request = origin
-        harness = self.hosts[host]
-        now = harness.clock.monotonic()
-        if isinstance(effect, DeliverAnswer):
-            event = ForwardFinished(now, request, ForwardOutcome.ANSWERED, answer=effect.answer)
-        else:
-            event = ForwardFinished(now, request, ForwardOutcome.REFUSED, refusal=effect.refusal)
-        self.handle_effects(host, harness.apply(event))
-
     def _report(
         self, run: Run, outcome: AttemptOutcome, status: int = 0, target_ended: bool = False
     ) -> None:
