--- a/endivedrift/shell/codec_test.py
+++ b/endivedrift/shell/codec_test.py
@@ -36,6 +36,7 @@
     TargetEnd,
     TargetName,
     Verdict,
+    Version,
 )
 from endivedrift.core.effects import SendPeerMessage
 from endivedrift.core.events import PeerMessageReceived
@@ -131,7 +132,14 @@
     IdempotencyKey("k"),
     timedelta(seconds=1),
 )
-FOR_PEER = replace(FORWARD, key=None, for_peer=True, earlier_attempts=2)
+FOR_PEER = replace(
+    FORWARD,
+    key=None,
+    for_peer=True,
+    earlier_attempts=2,
+    config_version=Version(7),
+    takes_retry=True,
+)
 CALLS = [
     encode_call(call) for call in (FORWARD, FOR_PEER, ConfigQuery(Digest("d")), TargetsQuery())
 ]
--- a/endivedrift/shell/forwarding_test.py
+++ b/endivedrift/shell/forwarding_test.py
@@ -8,6 +8,7 @@
 from unittest import mock
 
 import curio
+from curio import socket
 
 from endivedrift.core import (
     Address,
@@ -23,7 +24,7 @@
 from endivedrift.shell import _peer_calls, _peers
 from endivedrift.shell._codec import ForwardedRequest, encode_call, encode_reply
 from endivedrift.shell._metrics import Metrics
-from endivedrift.shell._peer_calls import call_peer
+from endivedrift.shell._peer_calls import PeerCallError, call_peer
 from endivedrift.shell._peers import PeerTransport
 from endivedrift.shell._runtime import Runtime
 from endivedrift.shell._serving import ServedRequest, ServingContext
@@ -120,5 +121,35 @@
         self.assertLessEqual(len(reply), _peer_calls.MAX_REPLY_BYTES)
 
 
+class FrozenPeerTest(unittest.TestCase):
+    """The kernel accepts connections for a frozen process, which sends no nonce."""
+
+    def test_a_call_to_a_frozen_host_lasts_until_the_deadline(self) -> None:
+        async def run() -> tuple[bool, float]:
+            listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+            listener.bind(("127.0.0.1", 0))
+            listener.listen(8)
+            ip, port = listener.getsockname()
+            clock = SystemClock()
+            began = clock.monotonic()
+            sent = True
+            try:
+                await call_peer(
+                    SECRET,
+                    Address(f"{ip}:{port}"),
+                    FOR_PEER,
+                    timedelta(seconds=DEADLINE_S),
+                    connect_timeout=timedelta(milliseconds=100),
+                )
+            except PeerCallError as error:
+                sent = error.sent
+            await listener.close()
+            return sent, (clock.monotonic() - began).total_seconds()
+
+        sent, took = curio.run(run)
+        self.assertFalse(sent)
+        self.assertLess(took, WAIT_LIMIT_S)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/floating_callers_test.py
+++ b/tests/floating_callers_test.py
@@ -33,6 +33,10 @@
     def test_they_refuse_what_fits_into_busy_targets_of_a_large_fleet(self) -> None:
         self.check(FloatingLoad(hosts=109, busy_share=0.6))
 
+    # Here the attempts that find their target full are more than the fleet's retries.
+    def test_they_refuse_what_fits_when_the_fleet_has_no_retry_left(self) -> None:
+        self.check(FloatingLoad(hosts=109, busy_share=0.6, seed=2))
+
 
 if __name__ == "__main__":
     unittest.main()
