--- a/endivedrift/shell/_peer_calls.py
+++ b/endivedrift/shell/_peer_calls.py
@@ -80,9 +80,12 @@
     limit = min(timeout, connect_timeout or timeout)
     try:
         async with curio.timeout_after(max(0.001, timeout.total_seconds())):
-            async with curio.timeout_after(max(0.001, limit.total_seconds())):
+            nonce = b""
+            async with curio.ignore_after(max(0.001, limit.total_seconds())):
                 await sock.connect(parse_endpoint(address).to_sockaddr())
                 nonce = await _read_exactly(sock, NONCE_BYTES)
+            if not nonce:
+                raise PeerCallError("no connection in time", sent)
             sent = True
             await _write_frame(sock, secret, nonce, CALL_LABEL, encode_call(call))
             reply = decode_reply(
