Hand over no retry of a split route

Found in reading: the primary divides the requests of a split route by weight anew, so that a request that found one part short of room could go to another part. Such requests end as before, refused by the part that was chosen for them.

--- a/endivedrift/reducer/_attempts.py
+++ b/endivedrift/reducer/_attempts.py
@@ -812,7 +812,10 @@
         return False
     if pending.may_have_run and not pending.route.route.repeatable:
         return False
-    return has_retry_left(service, pending, event.at) and not _has_large_body(pending)
+    # A primary would choose one of the services of a split route anew.
+    if pending.split_service is not None or _has_large_body(pending):
+        return False
+    return has_retry_left(service, pending, event.at)
 
 
 def has_retry_left(service: ServiceState, pending: RequestState, at: Instant) -> bool:
--- a/tests/handed_over_test.py
+++ b/tests/handed_over_test.py
@@ -82,6 +82,16 @@
         effects = self.fail_first_attempt(AttemptOutcome.CUT, write=True)
         self.assertIsNone(self.find_forward(effects))
 
+    # The primary would divide the requests of the route anew.
+    def test_a_request_of_a_split_route_goes_to_another_of_its_services(self) -> None:
+        _, effects = self.host.receive_request("POST", WRITE_PATH)
+        sent = next(effect for effect in effects if isinstance(effect, SendToTarget))
+        self.host.state.requests[sent.request].split_service = ServiceName(SERVICE)
+        now = self.host.clock.monotonic()
+        took = timedelta(milliseconds=5)
+        shed = AttemptFinished(now, sent.request, sent.target, AttemptOutcome.SHED, took)
+        self.assertIsNone(self.find_forward(self.host.apply(shed)))
+
     def test_a_retry_is_taken_from_no_budget(self) -> None:
         version = self.primary.state.config.version
         effects, refusal = self.receive(version)
