--- a/endivedrift/shell/_serving.py
+++ b/endivedrift/shell/_serving.py
@@ -53,9 +53,8 @@
 from endivedrift.store import Claim, ClaimResult, ClaimTable
 
 PEER_CONNECT_TIMEOUT = timedelta(milliseconds=300)
-"""Time after which a host counts as frozen to which a request is forwarded, so that the request is
-served elsewhere: what a host under load needs to accept a connection, and half the time in which
-hosts notice that another one is silent."""
+"""Time without a greeting after which a forwarded request is served elsewhere: half the time after
+which hosts tell one another that a host is silent."""
 
 
 @dataclass(frozen=True, slots=True)
