Measure how late the event loop of a host runs, and how long requests wait before they are handled

Change: metrics endivedrift_loop_lag_seconds (how late the periodic timer is) and endivedrift_request_wait_seconds (from the last bytes of a request to its handling); waited_ms in the log line of each request, whose took_ms now begins at those bytes. The events of ticks and arrivals carry both; no decision uses them yet.

--- a/endivedrift/core/events.py
+++ b/endivedrift/core/events.py
@@ -24,12 +24,16 @@
 
 @dataclass(frozen=True, slots=True)
 class RequestArrived:
-    """A caller's request was read in full; `wall` is used for the expiry of keys."""
+    """A caller's request was read in full.
+
+    `wall` is used for the expiry of keys. `waited` is how long ago its last bytes were read.
+    """
 
     at: Instant
     wall: datetime
     request: RequestId
     head: RequestHead
+    waited: timedelta = timedelta(0)
 
 
 @dataclass(frozen=True, slots=True)
@@ -217,10 +221,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Ticked:
-    """The periodic timer expired."""
+    """The periodic timer expired, `late` after it was due."""
 
     at: Instant
     wall: datetime
+    late: timedelta = timedelta(0)
 
 
 @dataclass(frozen=True, slots=True)
--- a/endivedrift/shell/_callers.py
+++ b/endivedrift/shell/_callers.py
@@ -97,6 +97,7 @@
       http: Parser that read the request and frames the answer.
       caller_request_id: The request id that the caller sent, or None.
       holding: The bytes that the host holds for the request.
+      received_at: When its last bytes were read from the socket.
       body: Body of the request until it is served.
       is_done: Whether serving has ended; if there is no answer then, the request was abandoned.
     """
@@ -106,6 +107,7 @@
     caller_request_id: bytes | None
     method: str
     holding: Holding
+    received_at: Instant
     body: bytes = b""
     answer: HttpAnswer | None = None
     is_done: bool = False
@@ -121,6 +123,7 @@
       wakeup: Set when bytes arrive, an answer was sent, or the connection must end.
       read_resumed: Set when the parser needs more bytes, so that reading continues.
       unparsed_bytes: Bytes given to the parser since it last asked for more.
+      received_at: When the first of these were read. They may complete the request.
       is_reading: Whether a request is being read, from its first byte until it is in `exchanges`.
       is_ended: Whether the caller closed the connection, or it can no longer be used.
       is_closing: Whether the host wants to close the connection.
@@ -136,6 +139,7 @@
     wakeup: curio.Event = field(default_factory=curio.Event)
     read_resumed: curio.Event = field(default_factory=curio.Event)
     unparsed_bytes: int = 0
+    received_at: Instant = Instant(0)
     is_reading: bool = False
     is_ended: bool = False
     is_closing: bool = False
@@ -260,6 +264,8 @@
             except OSError:
                 data = b""
             connection.is_ended = not data
+            if not connection.unparsed_bytes:
+                connection.received_at = self._runtime.clock.monotonic()
             connection.unparsed_bytes += len(data)
             try:
                 connection.http.receive_data(data)
@@ -307,12 +313,15 @@
         http = connection.http
         caller_request_id = find_header(headers, self._context.conventions.request_id_header)
         holding = self._memory.open(request_id, id(connection))
-        exchange = _Exchange(http, request_id, caller_request_id, method, holding)
+        exchange = _Exchange(
+            http, request_id, caller_request_id, method, holding, connection.received_at
+        )
         try:
             exchange.body = await self._read_body(connection, headers, named_route, holding)
         except BaseException:
             self._memory.close(holding)
             raise
+        exchange.received_at = connection.received_at
         if connection.close_announced:
             self._memory.close(holding)
             return False
@@ -495,9 +504,12 @@
             refusal = make_refusal(RefusalReason.BAD_REQUEST, str(error))
             return conventions.describe_refusal(refusal, exchange.request_id)
         self._memory.assign_account(exchange.holding, head.caller)
-        started_at = runtime.clock.monotonic()
-        served = await serve_request(self._context, exchange.request_id, head, target_request)
-        duration = runtime.clock.monotonic() - started_at
+        waited = runtime.clock.monotonic() - exchange.received_at
+        runtime.metrics.request_wait.observe(waited.total_seconds())
+        served = await serve_request(
+            self._context, exchange.request_id, head, target_request, waited
+        )
+        duration = runtime.clock.monotonic() - exchange.received_at
         route = find_route(runtime.state.routes, head.method, path, head.host)
         service = ServiceName(route.route.service if route is not None else "")
         runtime.metrics.count_request(service, served.result, duration)
@@ -508,6 +520,7 @@
             service,
             served,
             duration,
+            waited,
             service in runtime.state.services and is_primary(runtime.state, service),
         )
         if isinstance(served.result, Answer):
@@ -525,7 +538,14 @@
         answer = self._context.conventions.describe_refusal(refusal, request_id)
         holding = self._memory.open(request_id, id(connection))
         exchange = _Exchange(
-            connection.http, request_id, None, "", holding, answer=answer, is_done=True
+            connection.http,
+            request_id,
+            None,
+            "",
+            holding,
+            connection.received_at,
+            answer=answer,
+            is_done=True,
         )
         connection.is_closing = True
         with contextlib.suppress(OSError, h11.LocalProtocolError, curio.TaskTimeout):
--- a/endivedrift/shell/_daemon.py
+++ b/endivedrift/shell/_daemon.py
@@ -183,10 +183,14 @@
 
 
 async def _tick(runtime: Runtime) -> None:
+    clock = runtime.clock
     while True:
+        due = clock.monotonic() + TICK_PERIOD
         await curio.sleep(TICK_PERIOD.total_seconds())
-        clock = runtime.clock
-        await runtime.dispatch(Ticked(clock.monotonic(), clock.wall()))
+        now = clock.monotonic()
+        late = max(timedelta(0), now - due)
+        runtime.metrics.loop_lag.observe(late.total_seconds())
+        await runtime.dispatch(Ticked(now, clock.wall(), late))
 
 
 async def _clean_pool(pool: TargetPool) -> None:
--- a/endivedrift/shell/_metrics.py
+++ b/endivedrift/shell/_metrics.py
@@ -56,6 +56,8 @@
     Attributes:
       requests: Requests of callers by service and result.
       request_seconds: Time from a request's arrival to its answer, by service.
+      request_wait: Time from the last bytes of a request to the begin of its handling.
+      loop_lag: Time by which the periodic timer was late.
       attempts: Attempts at targets by service and outcome.
       hedges: Hedges by service and outcome: `answered` if the hedge won, `cancelled` if the first
         attempt did.
@@ -72,6 +74,8 @@
         """Creates all metrics with the value 0."""
         self.requests: Counter[tuple[str, str]] = Counter()
         self.request_seconds: dict[str, Durations] = {}
+        self.request_wait = Durations()
+        self.loop_lag = Durations()
         self.attempts: Counter[tuple[str, str]] = Counter()
         self.hedges: Counter[tuple[str, str]] = Counter()
         self.audit: Counter[str] = Counter()
@@ -157,6 +161,21 @@
         for service, durations in self.request_seconds.items():
             histogram.add_metric([service], durations.list_buckets(), durations.sum_s)
         yield histogram
+        for name, text, durations in (
+            (
+                "endivedrift_request_wait_seconds",
+                "Time from the last bytes of a request to the begin of its handling",
+                self.request_wait,
+            ),
+            (
+                "endivedrift_loop_lag_seconds",
+                "Time by which the periodic timer was late",
+                self.loop_lag,
+            ),
+        ):
+            yield HistogramMetricFamily(
+                name, text, buckets=durations.list_buckets(), sum_value=durations.sum_s
+            )
 
 
 class _Snapshot:
--- a/endivedrift/shell/_request_log.py
+++ b/endivedrift/shell/_request_log.py
@@ -17,6 +17,7 @@
     service: str,
     served: ServedRequest,
     duration: timedelta,
+    waited: timedelta,
     is_primary: bool,
 ) -> None:
     """Logs a request that ended.
@@ -27,7 +28,8 @@
       head: Head of the request.
       service: Service of the request's route, or the empty string if no route matches.
       served: Result and attempts.
-      duration: Time from the arrival of the request to its end.
+      duration: Time from the last bytes of the request to its end.
+      waited: Part of this time that passed before the request was handled.
       is_primary: Whether this host is a primary of the service.
     """
     result = served.result
@@ -40,6 +42,7 @@
         "primary": is_primary,
         "account": head.caller or "",
         "took_ms": round(duration.total_seconds() * 1000.0, 1),
+        "waited_ms": round(waited.total_seconds() * 1000.0, 1),
         "attempts": [_describe_attempt(end) for end in served.attempts],
     }
     if any(finished.is_hedge for finished in served.attempts):
--- a/endivedrift/shell/_serving.py
+++ b/endivedrift/shell/_serving.py
@@ -78,7 +78,11 @@
 
 
 async def serve_request(
-    context: ServingContext, request_id: RequestId, head: RequestHead, request: TargetRequest
+    context: ServingContext,
+    request_id: RequestId,
+    head: RequestHead,
+    request: TargetRequest,
+    waited: timedelta = timedelta(0),
 ) -> ServedRequest:
     """Serves a request until it is answered or refused.
 
@@ -87,6 +91,7 @@
       request_id: Id of the request.
       head: What the reducer needs to know of the request.
       request: The request as it is sent to a target.
+      waited: Time since its last bytes were read.
     Returns:
       A target's complete answer or a refusal, with the attempts made.
     Raises:
@@ -97,7 +102,8 @@
     runtime.mailboxes[request_id] = mailbox
     clock = runtime.clock
     try:
-        await runtime.dispatch(RequestArrived(clock.monotonic(), clock.wall(), request_id, head))
+        arrived = RequestArrived(clock.monotonic(), clock.wall(), request_id, head, waited)
+        await runtime.dispatch(arrived)
         while True:
             effect = await mailbox.take()
             served = _read_result(context, mailbox, effect)
--- a/endivedrift/shell/hedging_test.py
+++ b/endivedrift/shell/hedging_test.py
@@ -152,7 +152,7 @@
         self.assertEqual([end.is_hedge for end in served.attempts], [True, False])
         with mock.patch.object(_request_log, "_log") as log:
             head = RequestHead(method="GET", path=READ_PATH)
-            log_request("r", None, head, SERVICE, served, timedelta(0), True)  # type: ignore[arg-type]
+            log_request("r", None, head, SERVICE, served, timedelta(0), timedelta(0), True)  # type: ignore[arg-type]
         fields = log.info.call_args.kwargs
         self.assertEqual(fields["won"], served.attempts[0].target)
         self.assertTrue(fields["attempts"][0].endswith(", hedge"), fields)
