Refuse at once what a host has no processor time for

Cause: a host judges targets but never itself. With more requests than its processor can serve, its event loop runs late: bytes wait in sockets, timers behind other work, and the time limit of a request counted only from when the request was handled. It went on taking every request, and spent its time on those that were answered too late.

Change: the lag of the periodic timer over two ticks in a row tells that the host is behind. While it is over 100 ms, the admitted share of requests shrinks with each tick, else it grows back; the least important are refused first, some of each importance are admitted (policy/_overload.py). The time limit counts from the last bytes of the request, less the lag. What can no longer be answered in time is refused as not run. A late tick alone changes nothing: that is a pause.

Ruled out: forwarded requests are not refused this way; the host that forwards them has admitted them, and hosts of earlier builds do not know the reason.

--- a/endivedrift/policy/__init__.py
+++ b/endivedrift/policy/__init__.py
@@ -72,6 +72,7 @@
     parse_minted_key,
     store_answer,
 )
+from endivedrift.policy._overload import Overload, admits_request, note_overload, observe_lag
 from endivedrift.policy._path import (
     FAILURE_TTL,
     MIN_FAILED_TARGETS,
@@ -170,6 +171,7 @@
     "Holding",
     "KeyRecord",
     "KeyTable",
+    "Overload",
     "MintedKey",
     "PathState",
     "PeerInFlight",
@@ -185,6 +187,7 @@
     "absolve_target",
     "add_own_evidence",
     "add_shared_evidence",
+    "admits_request",
     "advance_date",
     "assign_account",
     "build_report",
@@ -218,6 +221,8 @@
     "merge_report",
     "mint_key",
     "note_floor",
+    "note_overload",
+    "observe_lag",
     "observe_late",
     "observe_response",
     "parse_minted_key",
--- a/endivedrift/reducer/_periodic.py
+++ b/endivedrift/reducer/_periodic.py
@@ -11,6 +11,8 @@
     count_overdue_attempts,
     drop_expired_records,
     note_floor,
+    note_overload,
+    observe_lag,
     update_failure_records,
     update_states,
     update_usual_bad_rate,
@@ -35,7 +37,10 @@
     advance_date(state.keys, event.wall)
     if state.started_at is None:
         state.started_at = event.at
-    effects: list[Effect] = list(retry_fetch(state, event.at))
+    observe_lag(state.overload, event.late)
+    noted = note_overload(state.overload, state.identity.host, event.at)
+    effects: list[Effect] = [RecordAudit(entry) for entry in noted]
+    effects += retry_fetch(state, event.at)
     effects += remove_lapsed_targets(state, event.at)
     effects += ask_for_targets(state, event.at)
     effects += advance_relaying(state, event.at)
--- a/endivedrift/reducer/_requests.py
+++ b/endivedrift/reducer/_requests.py
@@ -11,7 +11,7 @@
 from endivedrift.core.effects import AbandonRequest, Effect
 from endivedrift.core.events import CallerDisconnected, QueueWaitExpired, RequestArrived
 from endivedrift.fleet import NamedRoute, find_route
-from endivedrift.policy import advance_date, remove_queued_request
+from endivedrift.policy import admits_request, advance_date, remove_queued_request
 from endivedrift.reducer._accounts import check_caller, get_priority
 from endivedrift.reducer._attempts import admit, end_with_refusal, refuse_queued
 from endivedrift.reducer._keyed import start_keyed_request
@@ -21,6 +21,8 @@
 from endivedrift.reducer._state import HostState, RequestState
 
 NO_CONFIG_RETRY_DELAY = timedelta(seconds=1)
+TURNS_FROM_SENDING = 2
+"""Turns of the event loop from the arrival of a target's answer until the caller is sent it."""
 GOLDEN_RATIO = (5.0**0.5 - 1.0) / 2.0
 
 
@@ -66,16 +68,19 @@
         detail = "this host stops before the request would have to end"
         reason, retry = RefusalReason.STOPPING, timedelta(0)
         return refuse(state, event.at, event.request, head, reason, detail, retry, key=head.key)
+    # The time limit counts from when the request reached this host's socket.
+    waited = event.waited + state.overload.lasting_lag
     pending = RequestState(
         head,
         found,
         event.at,
-        event.at + time_limit,
+        event.at + time_limit - waited,
         attempt_count=head.earlier_attempts,
         split_service=_choose_split_service(state, found),
         priority=get_priority(state, head, found),
     )
     refusal = refuse_quarantined(state, event.at, event.request, pending)
+    refusal = refusal or _refuse_overload(state, event, pending, time_limit)
     if refusal:
         return refusal
     refusal = _charge(state, event, pending)
@@ -100,6 +105,33 @@
     return admit(state, event.at, event.request)
 
 
+def _refuse_overload(
+    state: HostState, event: RequestArrived, pending: RequestState, time_limit: timedelta
+) -> list[Effect]:
+    """Refuses a request for which this host is short of processor time.
+
+    A request that another host has forwarded is admitted, since that host has admitted it.
+    """
+    head, overload = pending.head, state.overload
+    if head.forwarded or head.for_peer:
+        return []
+    is_admitted = admits_request(overload, pending.priority, state.random)
+    needed = timedelta(0)
+    service = state.services.get(pending.service)
+    if overload.is_late and service is not None:
+        needed = service.typical_latency + overload.lasting_lag * TURNS_FROM_SENDING
+    is_too_late = event.at + needed >= pending.deadline and needed < time_limit
+    if is_admitted and not is_too_late:
+        return []
+    lag = overload.lasting_lag
+    detail = f"this host is short of processor time and {lag.total_seconds():.2f} s late"
+    key = None if pending.route.route.repeatable else head.key
+    reason = RefusalReason.OVERLOADED
+    return refuse(
+        state, event.at, event.request, head, reason, detail, lag, key=key, service=pending.service
+    )
+
+
 def _charge(state: HostState, event: RequestArrived, pending: RequestState) -> list[Effect]:
     """Charges a request to the quota of its account, and returns the refusal if there is no room.
 
--- a/endivedrift/reducer/_state.py
+++ b/endivedrift/reducer/_state.py
@@ -46,6 +46,7 @@
     AccountUse,
     KeptAccount,
     KeyTable,
+    Overload,
     PathState,
     Quarantine,
     RateLimit,
@@ -267,6 +268,7 @@
       unsent_limits: Those of them of which the other hosts are told at the next tick.
       next_limits_at: When reports on limits are next repeated.
       path: What is known of this host's own paths to targets.
+      overload: What is known of the load of this host's own processor.
       unconfirmed_failures: Bad outcomes, and whether the target was paused, that are not reported
         to other hosts yet since this host's path may be the cause, by service and target.
       unable_peers: Until when nothing is forwarded to a host that could not serve a request.
@@ -319,6 +321,7 @@
     unsent_limits: set[tuple[ServiceName, TargetName]] = field(default_factory=set)
     next_limits_at: Instant = Instant(0)
     path: PathState = field(default_factory=PathState)
+    overload: Overload = field(default_factory=Overload)
     unconfirmed_failures: dict[tuple[ServiceName, TargetName], tuple[int, bool]] = field(
         default_factory=dict
     )
--- a/endivedrift/shell/_metrics.py
+++ b/endivedrift/shell/_metrics.py
@@ -227,6 +227,11 @@
             "Limit on the bytes that are held",
             metrics.held_bytes.limit,
         ),
+        (
+            "endivedrift_admitted_share",
+            "Share of the requests for which the host has processor time",
+            state.overload.admitted_share,
+        ),
         ("endivedrift_serving", "1 while the host serves, else 0", serving),
     ):
         yield GaugeMetricFamily(name, text, value=value)
--- a/endivedrift/shell/_report.py
+++ b/endivedrift/shell/_report.py
@@ -23,6 +23,8 @@
         "config_digest": state.config.digest,
         "wanted_version": state.newest_config.version,
         "requests": len(state.requests),
+        "loop_lag_ms": round(state.overload.lasting_lag.total_seconds() * 1000.0, 1),
+        "admitted_share": round(state.overload.admitted_share, 3),
         "keys": len(state.keys.records),
         "quotas": describe_quotas(state, now),
         "quarantined": _describe_quarantine(state.quarantine, now),
--- a/tests/overloaded_host_test.py
+++ b/tests/overloaded_host_test.py
@@ -11,7 +11,7 @@
 from endivedrift.core import Importance
 from endivedrift.objects import ObjectSet
 from tests.builders import build_discovered_set
-from tests.slow_host import SERVE_COST, SentRequest, SlowHost
+from tests.slow_host import READ_COST, REFUSE_COST, SERVE_COST, SentRequest, SlowHost
 
 HELD = timedelta(milliseconds=500)
 """Time after a route's time limit at which the users count a request as held."""
@@ -19,6 +19,8 @@
 MAX_HELD_SHARE = 0.25
 """Held requests, and their share of those that reach their time limit, above which the users' rules
 are broken."""
+MIN_POSSIBLE_SHARE = 0.65
+"""Share of the requests that an overloaded host could serve, beside those that it must refuse."""
 TARGETS = 60
 ROUTES = ("critical", "normal", "deferrable")
 FULL_INTERVAL_S = SERVE_COST.total_seconds()
@@ -56,11 +58,13 @@
                 self.assertLess(held, max(MIN_HELD, MAX_HELD_SHARE * reaching), reaching)
 
     # Guards against refusing more than the processor makes necessary.
-    def test_half_of_what_the_processor_could_serve_is_served(self) -> None:
+    def test_most_of_what_the_processor_could_serve_is_served(self) -> None:
+        refusal_cost = (READ_COST + REFUSE_COST) / SERVE_COST
         for factor in (1.5, 2.5):
             with self.subTest(factor=factor):
-                host = self.overload(factor)
-                self.assertGreaterEqual(measure_served(host.requests), 0.5 / factor)
+                possible = (1.0 / factor - refusal_cost) / (1.0 - refusal_cost)
+                served = measure_served(self.overload(factor).requests)
+                self.assertGreaterEqual(served, MIN_POSSIBLE_SHARE * possible, possible)
 
     def test_a_host_with_enough_processor_time_refuses_nothing(self) -> None:
         self.assertEqual(measure_served(self.overload(0.8).requests), 1.0)
