Let an odd entry among the registrations cost nothing but itself

Cause, three ways here: (1) a key with half of a character (JSON escapes allow it) is reported to other hosts as removed, and cannot be encoded; the exception ends the loop that follows the table, and with it the process, at each start while the entry is there. The same key at the end of a page fails in the next call. (2) A row whose key is no text made the whole reply unreadable, so the list was not followed. (3) An entry with an absurd sequence number was used.

Deep nesting, numbers too large elsewhere, and a port out of range were rejected before too.

Change: rows without a key that is text are left out and counted in the log; keys that no target can have are neither entries nor removals; a page that does not go on from the one before is an error in place of the end of the list; sequence numbers have bounds.

--- a/endivedrift/platform/_entries.py
+++ b/endivedrift/platform/_entries.py
@@ -35,7 +35,7 @@
     if state not in _IS_LEAVING_BY_STATE:
         raise WireError(f"status.state: {escape_text(state)} is not known")
     # Write counter of the target's process. It is only validated, since it carries no state.
-    read_field(document, "status.sequence", int)
+    read_integer(document, "status.sequence")
     return TargetEntry(
         name=TargetName(read_name({"id": name}, "id")),
         service=ServiceName(read_name(document, "info.service")),
--- a/endivedrift/platform/_environment.py
+++ b/endivedrift/platform/_environment.py
@@ -24,6 +24,7 @@
     TargetName,
 )
 from endivedrift.core.events import SeedsRead, StoreRecovered, StoreUnavailable, TargetsObserved
+from endivedrift.objects import NAME_PATTERN
 from endivedrift.platform._configuration import read_configuration
 from endivedrift.platform._entries import read_entry
 from endivedrift.platform._headers import PLATFORM_CONVENTIONS
@@ -227,6 +228,10 @@
         entries: dict[TargetName, TargetEntry] = {}
         removed: set[TargetName] = set()
         for row in read.rows:
+            if NAME_PATTERN.check(row.key) is not None:
+                # No target has such a name, which may not even fit a message to other hosts.
+                _log.warning("Entry without a valid name.", name=escape_text(row.key))
+                continue
             name = TargetName(row.key)
             entry = _read_target(row)
             if entry is None:
--- a/endivedrift/platform/_store.py
+++ b/endivedrift/platform/_store.py
@@ -22,6 +22,7 @@
 from endivedrift.platform._headers import STORE_ERA_HEADERS
 from endivedrift.platform._values import WireError, read_field, read_integer
 from endivedrift.shell.interface import parse_endpoint
+from endivedrift.shell.running import make_logger
 
 CALL_TIMEOUT = timedelta(seconds=2)
 """Limit for a call that the store answers at once, which takes milliseconds."""
@@ -35,6 +36,8 @@
 HISTORY_GONE_STATUS = 410
 MAX_ERA_DIGITS = 7
 
+_log = make_logger("platform")
+
 
 class StoreError(Exception):
     """The store gave no valid reply."""
@@ -55,10 +58,14 @@
 
 @dataclass(frozen=True, slots=True)
 class TableRead:
-    """Rows read from a table and the store version, with its era, up to which they are current."""
+    """Rows read from a table and the store version, with its era, up to which they are current.
+
+    `last_key` is the last key in the reply, also that of a row that is left out as invalid.
+    """
 
     rows: tuple[StoreRow, ...]
     version: int
+    last_key: str = ""
 
 
 class StoreClient:
@@ -90,9 +97,11 @@
             # The version of the first page counts: rows may change while the others are read, and
             # such changes are then delivered again by `read_changes`.
             version = version or read.version
-            if not page.get("truncated") or not read.rows:
-                return TableRead(tuple(rows), version)
-            start_key = read.rows[-1].key + "\0"
+            if not page.get("truncated"):
+                return TableRead(tuple(rows), version, read.last_key)
+            if read.last_key + "\0" <= start_key:
+                raise StoreError("a page of the table does not continue the one before")
+            start_key = read.last_key + "\0"
 
     async def read_changes(self, table: str, version: int) -> TableRead:
         """Waits for changes of a table after a version; returns no rows if the wait times out.
@@ -120,7 +129,8 @@
     async def _get(self, call: str, query: dict[str, str], timeout: timedelta) -> dict[str, Any]:
         try:
             async with curio.timeout_after(timeout.total_seconds()):
-                status, body = await self._exchange(f"/endivedrift/{call}?{urlencode(query)}")
+                encoded = urlencode(query, errors="surrogatepass")
+                status, body = await self._exchange(f"/endivedrift/{call}?{encoded}")
         except curio.TaskTimeout:
             await self.close()
             raise StoreError("no reply in time") from None
@@ -205,16 +215,15 @@
 
 
 def _read_rows(document: dict[str, Any], era: int) -> TableRead:
+    """Reads the rows of a reply; one without a key that is text is left out."""
     try:
-        rows = tuple(
-            StoreRow(
-                key=read_field(row, "key", str),
-                value=_read_value(row),
-                deleted=row.get("deleted") is True,
-            )
-            for row in read_field(document, "rows", list)
-        )
+        listed = read_field(document, "rows", list)
         number = read_integer(document, "ver", most=MAX_STORE_NUMBER)
-        return TableRead(rows, build_store_version(era, number))
     except WireError as error:
         raise StoreError(f"unreadable reply: {error}") from None
+    keyed = [row for row in listed if isinstance(row, dict) and isinstance(row.get("key"), str)]
+    if len(keyed) < len(listed):
+        _log.warning("Rows without a key are left out.", count=len(listed) - len(keyed))
+    rows = tuple(StoreRow(r["key"], _read_value(r), r.get("deleted") is True) for r in keyed)
+    last_key = rows[-1].key if rows else ""
+    return TableRead(rows, build_store_version(era, number), last_key)
--- a/endivedrift/platform/input_test.py
+++ b/endivedrift/platform/input_test.py
@@ -182,6 +182,22 @@
         row = StoreRow("i-1", read_row_value.__name__, False)
         self.assertIsNone(_environment._read_target(row))
 
+    # Guards against readers that stop following a table for one row among many.
+    def test_a_row_without_a_key_costs_only_itself(self) -> None:
+        row = {"key": "i-1", "value": "e30=", "ver": 4}
+        for odd in ({**row, "key": 7}, {**row, "key": None}, {"ver": 4}, [row], None, DEEP):
+            with self.subTest(type(odd).__name__):
+                read = _read_rows({"rows": [odd, row, odd], "ver": 4}, 1)
+                self.assertEqual([found.key for found in read.rows], ["i-1"])
+
+    def test_an_entry_with_a_number_too_large_is_rejected(self) -> None:
+        entry = build_entry()
+        with self.assertRaisesRegex(WireError, "status.sequence"):
+            read_entry("i-1", build_entry(sequence=10**400))
+        for changes in ({"born": 10**400}, {"info": {**entry["info"], "slots": 10**400}}):
+            with self.assertRaises(WireError):
+                read_entry("i-1", {**entry, **changes})
+
     def test_invalid_tenants_are_rejected_with_their_field_and_without_their_keys(self) -> None:
         tenants = {
             "tenants.0.name": [build_tenant("", "k1")],
--- a/endivedrift/platform/store_test.py
+++ b/endivedrift/platform/store_test.py
@@ -1,6 +1,7 @@
 """Tests that calls of the store's client end in a reply or in a `StoreError`."""
 
 import contextlib
+import json
 import os
 import secrets
 import socket
@@ -39,6 +40,39 @@
                 curio.run(client.read_table, "op")
 
 
+class OddPagesTest(unittest.TestCase):
+    """Reads a table of several pages that hold rows with odd keys."""
+
+    def read_table(self, pages: list[dict[str, object]]) -> list[str]:
+        client = StoreClient(Address("127.0.0.1:1"))
+        replies = iter(pages)
+
+        async def exchange(target: str) -> tuple[int, bytes]:
+            target.encode("ascii")
+            return 200, json.dumps({"ver": 4, **next(replies)}).encode()
+
+        with mock.patch.object(client, "_exchange", exchange):
+            return [row.key for row in curio.run(client.read_table, "servers").rows]
+
+    # Guards against a reader that ends at a page whose last key is no valid text.
+    def test_a_page_may_end_with_a_key_that_no_encoding_can_write(self) -> None:
+        pages: list[dict[str, object]] = [
+            {"rows": [{"key": "a"}, {"key": "\ud800"}], "truncated": True},
+            {"rows": [{"key": "\ud800b"}]},
+        ]
+        self.assertEqual(self.read_table(pages), ["a", "\ud800", "\ud800b"])
+
+    # Guards against a list that is taken for complete, or read for ever.
+    def test_a_page_that_does_not_go_on_is_an_error(self) -> None:
+        for rows in ([], [{"key": 7}], [{"key": "a"}]):
+            pages: list[dict[str, object]] = [
+                {"rows": [{"key": "a"}], "truncated": True},
+                {"rows": rows, "truncated": True},
+            ]
+            with self.subTest(rows), self.assertRaises(StoreError):
+                self.read_table(pages)
+
+
 class RestoredStoreTest(unittest.TestCase):
     """Reads a store that is restored from an older copy."""
 
