Send no request to a target that has begun to leave since it was chosen

On a host that is short of processor time a turn takes a second and more, so that the request arrives as much later than the choice.

Change: just before sending, the host looks whether the target still takes requests. If not, the attempt ends as 'withdrawn': not run, no evidence, no attempt counted, no retry taken. All ways lead through that point: first attempts, retries, hedges, the queue, kept connections, forwarded requests; owners of keys send like any other host.

Ruled out: targets that leave are chosen by none of these ways once they are known to leave (read: choose_target, reservations for retries and hedges leave out LEAVING).

--- a/endivedrift/core/_states.py
+++ b/endivedrift/core/_states.py
@@ -49,12 +49,16 @@
 
 
 class AttemptOutcome(Enum):
-    """How one attempt at a target ended."""
+    """How one attempt at a target ended.
+
+    WITHDRAWN: it was not sent, since the target was found to be leaving in the meantime.
+    """
 
     ANSWERED = "answered"
     SHED = "shed"
     DRAINING = "draining"
     NOT_CONNECTED = "not-connected"
+    WITHDRAWN = "withdrawn"
     MISDIRECTED = "misdirected"
     CUT = "cut"
     TIMED_OUT = "timed-out"
--- a/endivedrift/core/_verdicts.py
+++ b/endivedrift/core/_verdicts.py
@@ -21,6 +21,7 @@
         AttemptOutcome.SHED,
         AttemptOutcome.DRAINING,
         AttemptOutcome.NOT_CONNECTED,
+        AttemptOutcome.WITHDRAWN,
         AttemptOutcome.MISDIRECTED,
     }
 )
--- a/endivedrift/policy/_evidence.py
+++ b/endivedrift/policy/_evidence.py
@@ -50,6 +50,7 @@
     {
         AttemptOutcome.SHED,
         AttemptOutcome.DRAINING,
+        AttemptOutcome.WITHDRAWN,
         AttemptOutcome.MISDIRECTED,
         AttemptOutcome.NO_MEMORY,
     }
--- a/endivedrift/reducer/__init__.py
+++ b/endivedrift/reducer/__init__.py
@@ -1,5 +1,6 @@
 """The decisions of one host: a reducer over events with effects as data."""
 
+from endivedrift.reducer._attempts import may_still_send
 from endivedrift.reducer._discovery import list_registered_targets
 from endivedrift.reducer._explaining import Explanation, explain_request
 from endivedrift.reducer._quotas import describe_quotas, list_quota_counts
@@ -31,6 +32,7 @@
     "list_quota_counts",
     "list_readers",
     "list_registered_targets",
+    "may_still_send",
     "rank_service_hosts",
     "reduce",
     "resolve_entry_hosts",
--- a/endivedrift/reducer/_attempts.py
+++ b/endivedrift/reducer/_attempts.py
@@ -94,6 +94,7 @@
     AttemptOutcome.DRAINING: RefusalReason.TARGET_REFUSED,
     AttemptOutcome.MISDIRECTED: RefusalReason.TARGET_REFUSED,
     AttemptOutcome.NOT_CONNECTED: RefusalReason.TARGET_UNREACHABLE,
+    AttemptOutcome.WITHDRAWN: RefusalReason.NO_TARGET,
     AttemptOutcome.CUT: RefusalReason.TARGET_CUT,
     AttemptOutcome.CANCELLED: RefusalReason.TARGET_CUT,
     AttemptOutcome.TIMED_OUT: RefusalReason.TARGET_TIMEOUT,
@@ -230,6 +231,22 @@
     return end_with_refusal(state, at, request, reason, detail, QUARANTINED_RETRY_DELAY)
 
 
+def may_still_send(state: HostState, effect: SendToTarget) -> bool:
+    """Tells whether the target of an attempt still takes requests when the attempt can be sent.
+
+    Time passes between the choice of the target and the sending: the event loop may be late, and a
+    connection has to be opened. A target that is gone, or another process at its address, takes
+    none.
+    """
+    service = state.services.get(effect.service)
+    if service is None:
+        return True
+    record = service.targets.get(effect.target)
+    if record is None or record.target.address != effect.address:
+        return False
+    return record.state is not TargetState.LEAVING
+
+
 def finish_attempt(state: HostState, event: AttemptFinished) -> list[Effect]:
     """Records the end of an attempt and answers, retries or refuses its request.
 
@@ -247,6 +264,8 @@
     if event.outcome is AttemptOutcome.NOT_CONNECTED:
         pending.attempt_count -= 1
         pending.failed_connections += 1
+    elif event.outcome is AttemptOutcome.WITHDRAWN:
+        pending.attempt_count -= 1
     pending.may_have_run |= judge_outcome(event.outcome) is Verdict.MAY_HAVE_RUN
     service = state.services.get(pending.service)
     effects = note_attempt(state, event)
--- a/endivedrift/shell/_serving.py
+++ b/endivedrift/shell/_serving.py
@@ -40,6 +40,7 @@
     QueueWaitExpired,
     RequestArrived,
 )
+from endivedrift.reducer import may_still_send
 from endivedrift.shell._codec import ForwardedRequest, Reply
 from endivedrift.shell._conventions import DEFAULT_CONVENTIONS, HttpConventions
 from endivedrift.shell._peer_calls import PeerCallError, call_peer
@@ -254,7 +255,9 @@
             mailbox.effects.remove(abort)
         return bool(aborts)
 
-    return await context.pool.attempt(effect, request, is_aborted)
+    return await context.pool.attempt(
+        effect, request, is_aborted, lambda: may_still_send(runtime.state, effect)
+    )
 
 
 def _record_attempt(
--- a/endivedrift/shell/_targets.py
+++ b/endivedrift/shell/_targets.py
@@ -130,6 +130,7 @@
         effect: SendToTarget,
         request: TargetRequest,
         is_aborted: Callable[[], Awaitable[bool]],
+        may_send: Callable[[], bool] = lambda: True,
     ) -> AttemptFinished:
         """Sends a request to a target and reads its answer.
 
@@ -138,13 +139,16 @@
           request: The request.
           is_aborted: Called each time that `late_after` passes without a complete answer; tells
             whether to end the attempt as timed out.
+          may_send: Called when the request can be sent; tells whether to send it.
         Returns:
           How the attempt ended.
         Raises:
           curio.CancelledError: If the attempt was cancelled; its connection is closed.
         """
         started = self._clock.monotonic()
-        attempt_result = await self._connect_and_exchange(effect, request, started, is_aborted)
+        attempt_result = await self._connect_and_exchange(
+            effect, request, started, is_aborted, may_send
+        )
         # The wait for memory says nothing about the target.
         latency = self._clock.monotonic() - started - attempt_result.memory_wait
         target_ended = False
@@ -186,6 +190,7 @@
         request: TargetRequest,
         started: Instant,
         is_aborted: Callable[[], Awaitable[bool]],
+        may_send: Callable[[], bool],
     ) -> _AttemptResult:
         remaining = (effect.deadline - started).total_seconds()
         if remaining <= 0.0:
@@ -196,6 +201,9 @@
             connection = await self._open(effect, remaining)
         if connection is None:
             return _AttemptResult(AttemptOutcome.NOT_CONNECTED)
+        if not may_send():
+            await _close(connection.sock)
+            return _AttemptResult(AttemptOutcome.WITHDRAWN)
         try:
             attempt_result = await self._exchange(effect, request, connection, is_aborted)
             return replace(attempt_result, new_connection=is_new)
