--- a/tests/platform_path.py
+++ b/tests/platform_path.py
@@ -50,6 +50,7 @@
       ends: Path and time of each end of a target by a deadly request.
       directory: Holds node files and logs of the hosts.
       hosts: The processes of the hosts by address.
+      sources: Directory of the program of a host, if it is not the one of these tests, by address.
     """
 
     def __init__(self, host_count: int = 2, target_count: int = 2) -> None:
@@ -61,6 +62,7 @@
         self.ends: list[tuple[str, float]] = []
         self.directory = Path(tempfile.mkdtemp(prefix="endivedrift-"))
         self.hosts: dict[str, subprocess.Popen[bytes]] = {}
+        self.sources: dict[str, Path] = {}
 
     async def start(self) -> None:
         """Starts store, targets and hosts and waits until all hosts are ready."""
@@ -127,7 +129,7 @@
                 [sys.executable, "-m", "endivedrift.platform"],
                 stdout=log,
                 stderr=log,
-                cwd=ROOT,
+                cwd=self.sources.get(ip, ROOT),
                 env={**os.environ, "ENDIVEDRIFT_NODE_FILE": str(node_file)},
             )
 
