--- a/tests/overloaded_host_test.py
+++ b/tests/overloaded_host_test.py
@@ -19,6 +19,9 @@
 MAX_HELD_SHARE = 0.25
 """Held requests, and their share of those that reach their time limit, above which the users' rules
 are broken."""
+MAX_INSTALL_TIME = timedelta(seconds=1)
+"""Part of the two seconds within which a change must be in force that is left for the host itself,
+after the time between two reads of the store and the way from another host."""
 MIN_POSSIBLE_SHARE = 0.65
 """Share of the requests that an overloaded host could serve, beside those that it must refuse."""
 TARGETS = 60
@@ -70,6 +73,19 @@
         self.assertEqual(measure_served(self.overload(0.8).requests), 1.0)
 
 
+class NewObjectSetTest(unittest.TestCase):
+    # Guards against CONFIG: requests that are handled by an older version, since the host is late.
+    def test_a_new_object_set_is_in_force_in_time_on_an_overloaded_host(self) -> None:
+        for factor in (1.5, 2.5):
+            with self.subTest(factor=factor):
+                host = SlowHost(build_objects(), TARGETS)
+                host.run(5.0, FULL_INTERVAL_S / factor, ROUTES)
+                host.publish(build_objects(), 2)
+                host.run(5.0, FULL_INTERVAL_S / factor, ROUTES)
+                assert host.installed_after is not None
+                self.assertLessEqual(host.installed_after, MAX_INSTALL_TIME)
+
+
 class UnequalRequestsTest(unittest.TestCase):
     # Guards against less important requests that are served in place of important ones.
     def test_important_requests_are_served_first_and_no_kind_is_left_out(self) -> None:
--- a/tests/slow_host.py
+++ b/tests/slow_host.py
@@ -34,7 +34,7 @@
     Ticked,
 )
 from endivedrift.objects import ObjectSet
-from tests.builders import HostHarness, build_answer, build_target_entry
+from tests.builders import HostHarness, build_answer, build_config_fetched, build_target_entry
 
 TICK_PERIOD = timedelta(milliseconds=100)
 READ_COST = timedelta(milliseconds=2)
@@ -42,6 +42,8 @@
 SEND_COST = timedelta(milliseconds=4)
 ANSWER_COST = timedelta(milliseconds=4)
 TICK_COST = timedelta(microseconds=200)
+INSTALL_COST = timedelta(milliseconds=20)
+FETCH_TURNS = 4
 SERVE_COST = READ_COST + SEND_COST + ANSWER_COST
 """Processor time of a request that is served."""
 
@@ -82,12 +84,14 @@
     Attributes:
       requests: All requests that were sent, in order.
       slowdown: Factor on the time that all work takes.
+      installed_after: Time from the publication of the latest object set until it was in force.
     """
 
     objects: ObjectSet
     targets: int
     work: timedelta = timedelta(milliseconds=100)
     slowdown: float = 1.0
+    installed_after: timedelta | None = None
     requests: list[SentRequest] = field(default_factory=list)
     harness: HostHarness = field(init=False)
     _by_id: dict[RequestId, SentRequest] = field(default_factory=dict)
@@ -116,6 +120,27 @@
                 due = [timer[0] for timer in self._timers[:1]]
                 self._wait_until(min([next_at, end, *due]))
 
+    def publish(self, objects: ObjectSet, version: int) -> None:
+        """Lets a new object set arrive as at a host that fetches it from another one.
+
+        The turns are those of the announcement, the connection, its nonce, the reply, and the
+        installation; the other host replies at once.
+        """
+        sent_at = self._now()
+
+        def install() -> None:
+            self._spend(INSTALL_COST)
+            fetched = build_config_fetched(self.harness.clock, objects, version)
+            self._perform(self.harness.apply(fetched))
+            self.installed_after = self._now() - sent_at
+
+        def go_on(turns_left: int) -> None:
+            self._spend(READ_COST)
+            following = (lambda: go_on(turns_left - 1)) if turns_left else install
+            self._ready.append(following)
+
+        self._at(sent_at, lambda: go_on(FETCH_TURNS - 1))
+
     def pause(self, seconds: float, interval_s: float, routes: tuple[str, ...]) -> None:
         """Stops the process for a while; requests that are sent meanwhile wait in its socket."""
         start = self._now()
