Tell hosts that are no primaries of a service of its targets that leave

Cause: what a target states in an answer is told to the primaries only. Other hosts that use the service were told of pauses, not of leaving, and went on until the store listed it, which it cannot while it is unavailable.

Change: primaries pass both on to the other users of the service. Test: tests/telling_test.py test_a_host_that_is_no_primary_is_told_of_a_target_that_leaves fails without it (HEALTHY is not LEAVING).

--- a/endivedrift/reducer/_targets.py
+++ b/endivedrift/reducer/_targets.py
@@ -5,9 +5,11 @@
 each attempt. With many, that would cost each request a message to each of them. Only those near the
 target are then told at once: the primaries of this host's failure domain and those of the target's,
 which use it most. The others get a report twice a second, and are told at once when a target is
-paused or leaves. Hosts that use a service without being its primaries are told only of pauses.
+paused or leaves. Hosts that use a service without being its primaries are told only of pauses and
+of targets that leave.
 """
 
+from dataclasses import replace
 from datetime import timedelta
 
 from endivedrift.core import (
@@ -19,7 +21,6 @@
     LeavingSource,
     PauseCause,
     ServiceName,
-    TargetName,
 )
 from endivedrift.core.effects import Effect, RecordAudit
 from endivedrift.fleet import send_evidence
@@ -87,6 +88,8 @@
             entries = mark_leaving(service, delta.target, at, LeavingSource.ANNOUNCED, cause)
             service.targets[delta.target].unsent_leaving = False
             effects += [RecordAudit(entry) for entry in entries]
+            if entries and _passes_on(state, service.name, sender):
+                effects += _tell_users(state, at, service.name, [delta])
     for name in sorted(services):
         if state.services[name].queued_count:
             effects += dispatch_queued(state, state.services[name], at)
@@ -111,8 +114,8 @@
         cause = f"{sender} saw it fail"
         entry = AuditEntry(at, AuditKind.PAUSED, delta.target, cause, service.name)
         passed_on: list[Effect] = []
-        if _relays_pauses(state, service.name, sender):
-            passed_on = _tell_users(state, at, service.name, [delta.target])
+        if _passes_on(state, service.name, sender):
+            passed_on = _tell_users(state, at, service.name, [delta])
         return [RecordAudit(entry), *passed_on]
     return []
 
@@ -129,7 +132,7 @@
         flagged = [delta for delta in deltas if delta.paused or delta.leaving]
         far = take_far_evidence(service, flagged) if has_far else ()
         effects += _send_by_domain(state, name, deltas, far)
-        effects += _tell_users(state, at, name, [d.target for d in deltas if d.paused])
+        effects += _tell_users(state, at, name, flagged)
     return effects
 
 
@@ -188,11 +191,11 @@
     return effects
 
 
-def _relays_pauses(state: HostState, name: ServiceName, sender: HostId) -> bool:
-    """Tells whether this host passes on pauses that another one has told it.
+def _passes_on(state: HostState, name: ServiceName, sender: HostId) -> bool:
+    """Tells whether this host passes on what another one has told it of a target.
 
     A primary tells the other users of the service itself. Other hosts know only the primaries, the
-    first of which passes their pauses on.
+    first of which passes on what they tell.
     """
     primaries = list_primaries(state, name)
     if not primaries or primaries[0].host != state.identity.host:
@@ -201,18 +204,18 @@
 
 
 def _tell_users(
-    state: HostState, at: Instant, name: ServiceName, paused: list[TargetName]
+    state: HostState, at: Instant, name: ServiceName, flagged: list[EvidenceDelta]
 ) -> list[Effect]:
-    """Tells hosts that use a service and are not its primaries which targets have failed."""
+    """Tells hosts that use a service and are not its primaries which targets failed or leave."""
     service = state.services[name]
-    if not paused or not is_primary(state, name):
+    if not flagged or not is_primary(state, name):
         return []
     service.users = {h: seen_at for h, seen_at in service.users.items() if at - seen_at < USER_TTL}
     told = {member.host for member in list_primaries(state, name)}
     records = state.membership.records
     users = [records[h].member for h in service.users if h not in told and h in records]
     deltas = tuple(
-        EvidenceDelta(name, target, 0, 0, False, len(service.targets[target].attempts), True)
-        for target in paused
+        replace(delta, good=0, bad=0, running=len(service.targets[delta.target].attempts))
+        for delta in flagged
     )
     return send_evidence(state.membership, users, deltas) if users else []
--- a/tests/telling_test.py
+++ b/tests/telling_test.py
@@ -4,7 +4,7 @@
 from collections import Counter
 from datetime import timedelta
 
-from endivedrift.core import AttemptOutcome, Member, ServiceName, TargetName
+from endivedrift.core import AttemptOutcome, Member, ServiceName, TargetName, TargetState
 from endivedrift.core.effects import Effect, SendPeerMessage, SendToTarget
 from endivedrift.core.events import AttemptFinished, TargetsObserved
 from endivedrift.policy import TargetRecord
@@ -91,6 +91,44 @@
             record = self.get_record(self.network.hosts[name], sent.target)
             self.assertGreater(record.paused_until, now)
 
+    def use_elsewhere(self) -> HostHarness:
+        """Lets a host that is not a primary use the service, and returns it."""
+        primaries = {str(member.host) for member in self.list_primaries()}
+        name, user = next((n, h) for n, h in self.network.hosts.items() if n not in primaries)
+        effects = user.receive_request("GET", READ_PATH)[1]
+        self.network.handle_effects(name, effects)
+        sent = next(e for e in effects if isinstance(e, SendToTarget))
+        now = self.network.clock.monotonic()
+        answered = AttemptFinished(
+            now,
+            sent.request,
+            sent.target,
+            AttemptOutcome.ANSWERED,
+            timedelta(milliseconds=150),
+            build_answer(),
+        )
+        self.network.handle_effects(name, user.apply(answered))
+        self.network.run(1.0)
+        return user
+
+    # Guards against DRAIN: a host that is not told of what a target says in an answer to another.
+    def test_a_host_that_is_no_primary_is_told_of_a_target_that_leaves(self) -> None:
+        user = self.use_elsewhere()
+        sent, _ = self.send_request()
+        now = self.network.clock.monotonic()
+        leaving = AttemptFinished(
+            now,
+            sent.request,
+            sent.target,
+            AttemptOutcome.ANSWERED,
+            timedelta(milliseconds=150),
+            build_answer(),
+            leaving=True,
+        )
+        self.apply(leaving)
+        self.network.run(0.2)
+        self.assertIs(self.get_record(user, sent.target).state, TargetState.LEAVING)
+
     def count_shared_outcomes(self) -> dict[str, tuple[float, ...]]:
         """Sends requests that fail, and returns the evidence that each other primary has then."""
         names = []
