Ask the next host for a new object set if one does not greet in 0.3 s

Cause: a host that hears of a new object set fetches it from the host that has announced it. Shown in tests; that the report had this cause is suspected.

Change: the greeting must come within 0.3 s, as for forwarded requests, or the next host is asked; for targets too.

It is a second fault beside the lack of processor time, with another cause; either can show as 'an older version'.

--- a/endivedrift/shell/_peers.py
+++ b/endivedrift/shell/_peers.py
@@ -50,6 +50,9 @@
 from endivedrift.shell._targets import TargetRequest
 
 FETCH_TIMEOUT = timedelta(seconds=2)
+FETCH_CONNECT_TIMEOUT = timedelta(milliseconds=300)
+"""Time without a greeting after which the next peer is asked. A peer may end right after it has
+announced a new object set, and a change must be in force within two seconds."""
 MAX_PEER_CONNECTIONS = 256
 
 _log = make_logger("peers")
@@ -145,9 +148,7 @@
         """Asks peers, one after the other, for registered targets, until one of them knows any."""
         for address in effect.peers:
             try:
-                reply = await call_peer(
-                    self._context.secret, address, TargetsQuery(), FETCH_TIMEOUT
-                )
+                reply = await self._ask(address, TargetsQuery())
             except PeerCallError as error:
                 _log.info("Targets not received.", peer=address, cause=str(error))
                 continue
@@ -166,9 +167,23 @@
         await self._udp.close()
         await self._tcp.close()
 
+    async def _ask(self, address: Address, query: ConfigQuery | TargetsQuery) -> Reply:
+        """Asks another host.
+
+        Raises:
+          PeerCallError: If it does not reply in time.
+        """
+        return await call_peer(
+            self._context.secret,
+            address,
+            query,
+            FETCH_TIMEOUT,
+            connect_timeout=FETCH_CONNECT_TIMEOUT,
+        )
+
     async def _request_config(self, address: Address, query: ConfigQuery) -> bytes | None:
         try:
-            reply = await call_peer(self._context.secret, address, query, FETCH_TIMEOUT)
+            reply = await self._ask(address, query)
         except PeerCallError:
             return None
         if isinstance(reply, ConfigBytes) and digest_bytes(reply.canonical) == query.digest:
--- a/tests/network.py
+++ b/tests/network.py
@@ -2,6 +2,7 @@
 
 import random
 from collections.abc import Callable
+from dataclasses import replace
 from datetime import timedelta
 
 from endivedrift.core import (
@@ -20,7 +21,12 @@
     RecordAudit,
     SendPeerMessage,
 )
-from endivedrift.core.events import ConfigFetched, PeerMessageReceived, PeerTargetsReceived
+from endivedrift.core.events import (
+    ConfigFetched,
+    ConfigFetchFailed,
+    PeerMessageReceived,
+    PeerTargetsReceived,
+)
 from endivedrift.objects import ObjectSet
 from endivedrift.reducer import list_registered_targets
 from tests.builders import HostHarness, build_identity, build_object_set
@@ -38,6 +44,9 @@
       audit: Audit entries that hosts recorded, with the name of the host.
       canonical: The encoded object set that answers every fetch.
       stopped: Hosts that neither run nor receive anything.
+      silent_fetch_time: Time that the fetch of an object set waits for a stopped host. Without
+        one, all fetches succeed at once.
+      fetches: The ends of fetches in progress: when, at which host, and the event.
     """
 
     store_is_relayed = False
@@ -60,6 +69,8 @@
         self.domain_count = domains
         self.canonical = b""
         self.stopped: set[str] = set()
+        self.silent_fetch_time = timedelta(0)
+        self.fetches: list[tuple[timedelta, str, ConfigFetched | ConfigFetchFailed]] = []
         for number in range(count):
             self.start_host(f"h{number}")
 
@@ -86,6 +97,7 @@
         """Advances the clock in steps, with a tick of every running host at each."""
         for _ in range(round(seconds / STEP_S)):
             self.clock.advance(timedelta(seconds=STEP_S))
+            self.end_fetches()
             for name in list(self.hosts):
                 if name not in self.stopped:
                     self.handle_effects(name, self.hosts[name].advance(0.0001, step=0.0001))
@@ -97,14 +109,38 @@
                 receiver = effect.address.partition(":")[0]
                 self.deliver(sender, receiver, effect.message)
             elif isinstance(effect, FetchConfig):
-                now = self.clock.monotonic()
-                fetched = ConfigFetched(now, effect.config, self.canonical)
-                self.handle_effects(sender, self.hosts[sender].apply(fetched))
+                self.fetch_config(sender, effect)
             elif isinstance(effect, FetchTargets):
                 self.answer_target_query(sender, effect)
             elif isinstance(effect, RecordAudit):
                 self.audit.append((sender, effect))
 
+    def fetch_config(self, asker: str, effect: FetchConfig) -> None:
+        """Asks peers one after the other for an object set; those that are stopped are silent."""
+        now = self.clock.monotonic()
+        if not self.silent_fetch_time:
+            fetched = ConfigFetched(now, effect.config, self.canonical)
+            self.handle_effects(asker, self.hosts[asker].apply(fetched))
+            return
+        end: ConfigFetched | ConfigFetchFailed = ConfigFetchFailed(now, effect.config)
+        for address in effect.peers:
+            peer = address.partition(":")[0]
+            if peer in self.stopped:
+                now += self.silent_fetch_time
+            elif self.hosts[peer].state.config == effect.config:
+                end = ConfigFetched(now, effect.config, self.canonical)
+                break
+        self.fetches.append((now, asker, replace(end, at=now)))
+
+    def end_fetches(self) -> None:
+        """Reports the fetches that have ended."""
+        now = self.clock.monotonic()
+        ended = [fetch for fetch in self.fetches if fetch[0] <= now]
+        self.fetches = [fetch for fetch in self.fetches if fetch[0] > now]
+        for _, asker, event in ended:
+            if asker not in self.stopped:
+                self.handle_effects(asker, self.hosts[asker].apply(replace(event, at=now)))
+
     def answer_target_query(self, asker: str, effect: FetchTargets) -> None:
         """Answers a host's query with the targets of the first reachable peer that has any."""
         for address in effect.peers:
--- a/tests/relaying_test.py
+++ b/tests/relaying_test.py
@@ -19,6 +19,7 @@
 from endivedrift.core.effects import Effect, SetStoreReading
 from endivedrift.core.events import StoreRecovered, StoreUnavailable, TargetsObserved
 from endivedrift.reducer import _relaying, list_readers
+from endivedrift.shell import _peers
 from tests.builders import build_config_fetched, build_discovered_set, build_target_entry
 from tests.fuzzing import inject_fault
 from tests.network import Network
@@ -133,6 +134,14 @@
             if name not in self.stopped and set(harness.state.discovered.values()) != expected
         }
 
+    def list_versions(self) -> set[int]:
+        """Returns the versions of the object sets in force at running hosts."""
+        return {
+            int(harness.state.config.version)
+            for name, harness in self.hosts.items()
+            if name not in self.stopped
+        }
+
     def find_readers(self) -> set[str]:
         """Returns the hosts that the first running host considers readers."""
         first = next(name for name in self.hosts if name not in self.stopped)
@@ -236,8 +245,26 @@
         reader = min(network.find_readers())
         network.handle_effects(reader, network.hosts[reader].apply(fetched))
         network.run(IN_FORCE_LIMIT_S)
-        versions = {harness.state.config.version for harness in network.hosts.values()}
-        self.assertEqual(versions, {9})
+        self.assertEqual(network.list_versions(), {9})
+
+    # Guards against CONFIG: an older version that stays in force as the host that has told of the
+    # newer one has ended before it could be asked for it.
+    def test_a_new_object_set_is_in_force_in_time_if_its_announcer_ends(self) -> None:
+        network = self.start_network()
+        network.silent_fetch_time = _peers.FETCH_CONNECT_TIMEOUT
+        fetched = build_config_fetched(network.clock, network.objects, version=9)
+        network.canonical = fetched.canonical
+        readers = sorted(network.find_readers())
+        announcer = readers[0]
+        effects = network.hosts[announcer].apply(fetched) + network.hosts[announcer].advance(0.1)
+        network.stopped.add(announcer)
+        network.handle_effects(announcer, effects)
+        network.run(0.5)
+        for reader in readers:
+            if int(reader[1:]) % DOMAINS != int(announcer[1:]) % DOMAINS:
+                network.handle_effects(reader, network.hosts[reader].apply(fetched))
+        network.run(IN_FORCE_LIMIT_S - 0.5)
+        self.assertEqual(network.list_versions(), {9})
 
     def test_changes_spread_in_time_again_after_all_hosts_were_killed_at_once(self) -> None:
         network = self.start_network()
