Read the store where a newer object set is known than the readers have

Callers can be refused as an older version says at hosts whose readers have lost the store (CONFIG; found while looking for the same cause elsewhere).

Cause: a host counts as up to date if an update of a reader names nothing newer than what is in force. A reader that cannot reach the store goes on sending updates with the older version, so that its hosts did not read the store themselves, though they had heard of a newer set elsewhere and could not fetch it.

A set that this build cannot read is left out: it would make the whole fleet read the store for ever.

Test: tests/relaying_test.py test_a_reader_that_is_behind_keeps_no_host_from_reading_the_store failed before (the host was not among those that read the store after two seconds); test_a_set_that_was_rejected_makes_no_host_read_the_store guards the exception.

--- a/endivedrift/reducer/_config.py
+++ b/endivedrift/reducer/_config.py
@@ -101,6 +101,7 @@
             text = f"version {event.config.version}: {cause}"
             entry = AuditEntry(event.at, AuditKind.CONFIG_REJECTED, "objects", text)
             state.next_fetch_at = event.at + REJECTED_RETRY_DELAY
+            state.rejected_version = event.config.version
             return [RecordAudit(entry)]
     raise AssertionError("a result is either ok or an error")
 
--- a/endivedrift/reducer/_relaying.py
+++ b/endivedrift/reducer/_relaying.py
@@ -5,7 +5,8 @@
 each change of the targets to the hosts of its domain and to the readers of the other domains. At
 short intervals it also sends the version of the store that it has read; the message names the
 object set in force. A host that misses a change requests it from the reader that announced it. A
-host that receives no update, or cannot get the announced changes, reads the store itself.
+host that receives no update, or cannot get the announced changes, reads the store itself. So does
+one that knows of a newer object set than its readers have: these may have lost the store.
 """
 
 from dataclasses import replace
@@ -90,7 +91,8 @@
     elif update.version > state.targets_version and at >= state.next_ask_at:
         state.next_ask_at = at + ASK_INTERVAL
         effects.append(FetchTargets((sender.peer_address,)))
-    if update.version <= state.targets_version and message.config.version <= state.config.version:
+    is_behind = update.version > state.targets_version or state.misses_config
+    if not is_behind and message.config.version <= state.config.version:
         state.last_update_at = at
     return effects
 
--- a/endivedrift/reducer/_state.py
+++ b/endivedrift/reducer/_state.py
@@ -29,6 +29,7 @@
     ServiceName,
     TargetEntry,
     TargetName,
+    Version,
 )
 from endivedrift.fleet import (
     Membership,
@@ -232,6 +233,7 @@
       phase: Phase of the process from its start to its end.
       config: Object set in force.
       newest_config: Newest object set known to be accepted, in force or not.
+      rejected_version: Version of the latest object set that this host cannot read, or 0.
       serves_until: When a stopping host cuts off requests in progress, or None.
       has_read_head: Whether the table service has reported an accepted object set.
       started_at: Time of the first tick, or None before it.
@@ -284,6 +286,7 @@
     serves_until: Instant | None = None
     config: ConfigRef = NO_CONFIG
     newest_config: ConfigRef = NO_CONFIG
+    rejected_version: Version = Version(0)
     has_read_head: bool = False
     started_at: Instant | None = None
     fetching: ConfigRef | None = None
@@ -328,6 +331,12 @@
     unable_peers: dict[HostId, Instant] = field(default_factory=dict)
     forwarding_blocked: dict[ServiceName, Instant] = field(default_factory=dict)
 
+    @property
+    def misses_config(self) -> bool:
+        """Whether a newer object set is known that is not in force, though it could be."""
+        newest = self.newest_config.version
+        return newest > max(self.config.version, self.rejected_version)
+
 
 def build_host(
     identity: HostIdentity, secret: bytes, seed: int, store_is_relayed: bool = False
--- a/tests/relaying_test.py
+++ b/tests/relaying_test.py
@@ -266,6 +266,35 @@
         network.run(IN_FORCE_LIMIT_S - 0.5)
         self.assertEqual(network.list_versions(), {9})
 
+    # Guards against CONFIG: a reader without the store that keeps its hosts from reading it.
+    def test_a_reader_that_is_behind_keeps_no_host_from_reading_the_store(self) -> None:
+        network = self.start_network()
+        readers = network.find_readers()
+        behind = {name for name in readers if int(name[1:]) % DOMAINS == 0}
+        follower = next(
+            name for name in network.hosts if int(name[1:]) % DOMAINS == 0 and name not in readers
+        )
+        network.silent_fetch_time = _peers.FETCH_CONNECT_TIMEOUT
+        network.is_delivered = lambda sender, receiver: receiver != follower or sender in behind
+        newest = build_config_fetched(network.clock, network.objects, version=9).config
+        network.hosts[follower].state.newest_config = newest
+        network.run(IN_FORCE_LIMIT_S)
+        self.assertIn(follower, network.read_versions)
+
+    # Guards against a fleet that reads the store for ever for a set that this build cannot read.
+    def test_a_set_that_was_rejected_makes_no_host_read_the_store(self) -> None:
+        network = self.start_network()
+        unreadable = build_config_fetched(network.clock, network.objects, version=9)
+        network.canonical = b"{}"
+        reader = min(network.find_readers())
+        event = replace(unreadable, canonical=b"{}")
+        for name in network.hosts:
+            network.handle_effects(name, network.hosts[name].apply(event))
+            network.hosts[name].state.newest_config = event.config
+        network.run(5.0)
+        self.assertIn(reader, network.read_versions)
+        self.assertEqual(set(network.read_versions), network.find_readers())
+
     def test_changes_spread_in_time_again_after_all_hosts_were_killed_at_once(self) -> None:
         network = self.start_network()
         for name in list(network.hosts):
