Forward a request for want of a path only to hosts with the same object set

Callers could be handled as an older version says after a newer one had taken effect at their host (CONFIG, 'came back older'; found while looking for the same cause elsewhere).

Cause: a request whose connections several targets have refused is forwarded to any primary, also to one that has an older object set in force, or a newer one. Retries that are handed over name the version since; these did not.

Change: they name it too. A host that reaches no target at all leaves it open: it may hear of no newer set either.

Test: tests/handed_over_test.py WithoutPathTest; before, the version of the forwarded request was 0 (any). tests.handed_over_test, partition_test, path_test and shell.forwarding_test pass.

--- a/endivedrift/reducer/_paths.py
+++ b/endivedrift/reducer/_paths.py
@@ -135,6 +135,9 @@
 def forward_request(state: HostState, at: Instant, request: RequestId) -> list[Effect]:
     """Forwards a request to another host.
 
+    The host must have the same object set in force, as for a retry that is handed over. Only a host
+    that reaches no target leaves it open, since it may not hear of newer sets either.
+
     Returns:
       The effect, or nothing if the request must not be forwarded or no host may serve it.
     """
@@ -146,7 +149,10 @@
     if not state.path.is_cut and state.forwarding_blocked.get(pending.service, at) > at:
         return []
     peer = _choose_peer(state, pending, at, list_primaries(state, pending.service))
-    return [_forward(pending, request, peer)] if peer is not None else []
+    if peer is None:
+        return []
+    effect = _forward(pending, request, peer)
+    return [effect if state.path.is_cut else replace(effect, config_version=state.config.version)]
 
 
 def _forward(pending: RequestState, request: RequestId, peer: Member) -> ForwardToPeer:
--- a/tests/handed_over_test.py
+++ b/tests/handed_over_test.py
@@ -137,6 +137,35 @@
         self.assertEqual(delivered.answer.status, 500)
 
 
+class WithoutPathTest(unittest.TestCase):
+    """Drives a primary, some of whose targets refuse its connections."""
+
+    def forward(self, is_cut: bool) -> tuple[ForwardToPeer, Version]:
+        fleet = FloatingFleet(SMALL)
+        host = fleet.hosts[sorted(fleet.primaries)[0]]
+        host.state.path.is_cut = is_cut
+        _, effects = host.receive_request("POST", WRITE_PATH)
+        while not any(isinstance(effect, ForwardToPeer) for effect in effects):
+            sent = next(effect for effect in effects if isinstance(effect, SendToTarget))
+            now = host.clock.monotonic()
+            failed = AttemptOutcome.NOT_CONNECTED
+            host.state.path.failed_at.clear()  # Other requests reach targets meanwhile.
+            took = timedelta(milliseconds=5)
+            effects = host.apply(AttemptFinished(now, sent.request, sent.target, failed, took))
+        forward = next(effect for effect in effects if isinstance(effect, ForwardToPeer))
+        return forward, host.state.config.version
+
+    # Guards against CONFIG: a request that a host with an older version serves, after this one has
+    # served others by the newer version.
+    def test_a_request_goes_to_a_host_with_another_object_set(self) -> None:
+        forward, version = self.forward(is_cut=False)
+        self.assertEqual(forward.config_version, version)
+
+    def test_a_host_that_reaches_no_target_finds_no_host_with_its_object_set(self) -> None:
+        forward, _ = self.forward(is_cut=True)
+        self.assertEqual(forward.config_version, ANY_VERSION)
+
+
 class LostPrimaryTest(unittest.TestCase):
     def test_a_request_runs_twice_when_primaries_stop_and_restart(self) -> None:
         fleet = FloatingFleet(FloatingLoad(hosts=32, busy_share=0.6, seconds=6.0))
