Say of a request that waited behind another one why it is refused

A request that had waited on its connection until its time ended was refused with the words for a lack of processor time, which sends on-call to the wrong place (found when reading the diff). The reason and the verdict stay. Tests of both, and that the time limit counts from the last bytes of the request.

--- a/endivedrift/reducer/_requests.py
+++ b/endivedrift/reducer/_requests.py
@@ -125,6 +125,9 @@
         return []
     lag = overload.lasting_lag
     detail = f"this host is short of processor time and {lag.total_seconds():.2f} s late"
+    if is_admitted and not overload.is_late:
+        # It waited behind another request of its connection, or while the process was paused.
+        detail = f"its time ended while it waited here for {event.waited.total_seconds():.2f} s"
     key = None if pending.route.route.repeatable else head.key
     reason = RefusalReason.OVERLOADED
     return refuse(
--- a/tests/overloaded_host_test.py
+++ b/tests/overloaded_host_test.py
@@ -8,9 +8,11 @@
 from dataclasses import replace
 from datetime import timedelta
 
-from endivedrift.core import Importance
+from endivedrift.core import Importance, RefusalReason, RequestHead, RequestId, Verdict
+from endivedrift.core.effects import Effect, RefuseRequest, SendToTarget
+from endivedrift.core.events import RequestArrived
 from endivedrift.objects import ObjectSet
-from tests.builders import build_discovered_set
+from tests.builders import HostHarness, build_discovered_set
 from tests.slow_host import READ_COST, REFUSE_COST, SERVE_COST, SentRequest, SlowHost
 
 HELD = timedelta(milliseconds=500)
@@ -86,6 +88,31 @@
                 self.assertLessEqual(host.installed_after, MAX_INSTALL_TIME)
 
 
+class WaitedRequestTest(unittest.TestCase):
+    """Requests that waited in a host that is not overloaded, behind another of their connection."""
+
+    def arrive(self, waited_s: float) -> tuple[HostHarness, list[Effect]]:
+        harness = SlowHost(build_objects(), TARGETS).harness
+        now = harness.clock.monotonic()
+        head = RequestHead(method="GET", path="/normal")
+        waited = timedelta(seconds=waited_s)
+        event = RequestArrived(now, harness.clock.wall(), RequestId("r"), head, waited)
+        return harness, harness.apply(event)
+
+    # Guards against a time limit that begins only when the request is handled.
+    def test_the_time_limit_counts_from_the_last_bytes(self) -> None:
+        harness, effects = self.arrive(0.4)
+        sent = next(effect for effect in effects if isinstance(effect, SendToTarget))
+        self.assertEqual(sent.deadline - harness.clock.monotonic(), timedelta(seconds=0.8))
+
+    def test_a_request_whose_time_has_ended_is_refused_as_not_run(self) -> None:
+        _, effects = self.arrive(1.3)
+        refusal = next(e.refusal for e in effects if isinstance(e, RefuseRequest))
+        self.assertIs(refusal.reason, RefusalReason.OVERLOADED)
+        self.assertIs(refusal.verdict, Verdict.NOT_RUN)
+        self.assertIn("while it waited here for 1.30 s", refusal.detail)
+
+
 class UnequalRequestsTest(unittest.TestCase):
     # Guards against less important requests that are served in place of important ones.
     def test_important_requests_are_served_first_and_no_kind_is_left_out(self) -> None:
