--- a/tests/telling_test.py
+++ b/tests/telling_test.py
@@ -91,6 +91,18 @@
             record = self.get_record(self.network.hosts[name], sent.target)
             self.assertGreater(record.paused_until, now)
 
+    def build_answered(self, sent: SendToTarget, leaving: bool = False) -> AttemptFinished:
+        """Builds the end of an attempt with an answer, which may state that the target leaves."""
+        return AttemptFinished(
+            self.network.clock.monotonic(),
+            sent.request,
+            sent.target,
+            AttemptOutcome.ANSWERED,
+            timedelta(milliseconds=150),
+            build_answer(),
+            leaving,
+        )
+
     def use_elsewhere(self) -> HostHarness:
         """Lets a host that is not a primary use the service, and returns it."""
         primaries = {str(member.host) for member in self.list_primaries()}
@@ -98,16 +110,7 @@
         effects = user.receive_request("GET", READ_PATH)[1]
         self.network.handle_effects(name, effects)
         sent = next(e for e in effects if isinstance(e, SendToTarget))
-        now = self.network.clock.monotonic()
-        answered = AttemptFinished(
-            now,
-            sent.request,
-            sent.target,
-            AttemptOutcome.ANSWERED,
-            timedelta(milliseconds=150),
-            build_answer(),
-        )
-        self.network.handle_effects(name, user.apply(answered))
+        self.network.handle_effects(name, user.apply(self.build_answered(sent)))
         self.network.run(1.0)
         return user
 
@@ -115,17 +118,7 @@
     def test_a_host_that_is_no_primary_is_told_of_a_target_that_leaves(self) -> None:
         user = self.use_elsewhere()
         sent, _ = self.send_request()
-        now = self.network.clock.monotonic()
-        leaving = AttemptFinished(
-            now,
-            sent.request,
-            sent.target,
-            AttemptOutcome.ANSWERED,
-            timedelta(milliseconds=150),
-            build_answer(),
-            leaving=True,
-        )
-        self.apply(leaving)
+        self.apply(self.build_answered(sent, leaving=True))
         self.network.run(0.2)
         self.assertIs(self.get_record(user, sent.target).state, TargetState.LEAVING)
 
