Count a withdrawn attempt as not run in the fuzz test of a host

The check stays: each refusal must say truthfully whether the request may have run. tests.host_test passes (the failing example was found within 14 s before).

--- a/tests/host_test.py
+++ b/tests/host_test.py
@@ -133,6 +133,7 @@
             AttemptOutcome.SHED,
             AttemptOutcome.DRAINING,
             AttemptOutcome.NOT_CONNECTED,
+            AttemptOutcome.WITHDRAWN,
             AttemptOutcome.MISDIRECTED,
         ):
             self.may_have_run.add(request)
