--- a/tests/overloaded_host_test.py
+++ b/tests/overloaded_host_test.py
@@ -139,6 +139,15 @@
         host.run(2.0, 10.0, ROUTES)
         self.assertEqual(measure_served(host.requests[before:]), 1.0)
 
+    # Guards against a host that has time and refuses by what it could serve before.
+    def test_a_single_request_after_a_burst_is_served(self) -> None:
+        host = SlowHost(build_objects(), TARGETS)
+        host.run(2.0, FULL_INTERVAL_S / 3.0, ROUTES)
+        host.run(1.5, 10.0, ROUTES)
+        before = len(host.requests)
+        host.run(2.0, 10.0, ROUTES)
+        self.assertEqual(measure_served(host.requests[before:]), 1.0)
+
     # Guards against taking a pause of the process for a lasting lack of processor time.
     def test_a_pause_of_the_process_is_no_overload(self) -> None:
         host = SlowHost(build_objects(), TARGETS)
