Judge by one check whether a host misses an object set

Found when reading the change again: added a check that a newer set is known and not in force beside the older one, that the update names one that is not in force. Every version that an update names is noted before, so the new check covers the older one, but for sets that this build has rejected: there the older one still made every host read the store, for as long as the readers, of a later build, had such a set in force.

Its test did not show that: it took '{}' for a set that cannot be read, and that is a valid, empty one. Now the set has a field of a later build, the readers name it, and the test checks that it is in force nowhere. With both checks it failed (hosts that are no readers read the store); with the one it passes. tests.relaying_test, config_test and platform.platform_test pass.

--- a/endivedrift/reducer/_relaying.py
+++ b/endivedrift/reducer/_relaying.py
@@ -91,8 +91,7 @@
     elif update.version > state.targets_version and at >= state.next_ask_at:
         state.next_ask_at = at + ASK_INTERVAL
         effects.append(FetchTargets((sender.peer_address,)))
-    is_behind = update.version > state.targets_version or state.misses_config
-    if not is_behind and message.config.version <= state.config.version:
+    if update.version <= state.targets_version and not state.misses_config:
         state.last_update_at = at
     return effects
 
--- a/tests/relaying_test.py
+++ b/tests/relaying_test.py
@@ -284,16 +284,19 @@
     # Guards against a fleet that reads the store for ever for a set that this build cannot read.
     def test_a_set_that_was_rejected_makes_no_host_read_the_store(self) -> None:
         network = self.start_network()
-        unreadable = build_config_fetched(network.clock, network.objects, version=9)
-        network.canonical = b"{}"
-        reader = min(network.find_readers())
-        event = replace(unreadable, canonical=b"{}")
+        network.canonical = b'{"a_field_of_a_later_build": 1}'
+        fetched = build_config_fetched(network.clock, network.objects, version=9)
+        event = replace(fetched, canonical=network.canonical)
         for name in network.hosts:
             network.handle_effects(name, network.hosts[name].apply(event))
             network.hosts[name].state.newest_config = event.config
+        readers = network.find_readers()
+        for name in readers:
+            # The readers run a build that can read it.
+            network.hosts[name].state.membership.config = event.config
         network.run(5.0)
-        self.assertIn(reader, network.read_versions)
-        self.assertEqual(set(network.read_versions), network.find_readers())
+        self.assertNotIn(9, network.list_versions())
+        self.assertEqual(set(network.read_versions), readers)
 
     def test_changes_spread_in_time_again_after_all_hosts_were_killed_at_once(self) -> None:
         network = self.start_network()
