Keep the period of the timer and the limit on a greeting in one place each

The admission of requests judges how late the timer is by a period that the daemon defined a second time, and the model of the tests a third: one that is changed alone would misjudge every tick. The limit on a host's greeting was defined for forwarded requests and again for fetches, with the same value and the same reason. A factor of the model that nothing sets is gone. No behaviour changes; tests of the model, of fetches, of forwarding and of the lag pass.

--- a/endivedrift/policy/__init__.py
+++ b/endivedrift/policy/__init__.py
@@ -72,7 +72,13 @@
     parse_minted_key,
     store_answer,
 )
-from endivedrift.policy._overload import Overload, admits_request, note_overload, observe_lag
+from endivedrift.policy._overload import (
+    TICK_PERIOD,
+    Overload,
+    admits_request,
+    note_overload,
+    observe_lag,
+)
 from endivedrift.policy._path import (
     FAILURE_TTL,
     MIN_FAILED_TARGETS,
@@ -164,6 +170,7 @@
     "SAMPLE_PERIOD",
     "SHORTAGE_SHARE",
     "SMALL_BYTES",
+    "TICK_PERIOD",
     "Attempt",
     "FairQueue",
     "Hedging",
--- a/endivedrift/policy/_overload.py
+++ b/endivedrift/policy/_overload.py
@@ -25,6 +25,7 @@
 LASTING_TIME = timedelta(milliseconds=700)
 """Number of late ticks in a row, and their time together, from which a lag lasts."""
 TICK_PERIOD = timedelta(milliseconds=100)
+"""Period of the periodic timer."""
 SHRINK_FACTOR = 0.8
 GROWTH = 0.05
 """Factor on the admitted rate at a late tick, and the part of the arrived rate that is added to it
--- a/endivedrift/shell/_daemon.py
+++ b/endivedrift/shell/_daemon.py
@@ -20,6 +20,7 @@
     SystemClock,
 )
 from endivedrift.core.events import StopRequested, Ticked
+from endivedrift.policy import TICK_PERIOD
 from endivedrift.reducer import build_host
 from endivedrift.settings import Settings
 from endivedrift.shell._callers import CallerServer
@@ -34,7 +35,6 @@
 from endivedrift.shell._signals import SignalInbox
 from endivedrift.shell._targets import TargetPool
 
-TICK_PERIOD = timedelta(milliseconds=100)
 POOL_CLEANING_PERIOD = timedelta(seconds=5)
 DRAIN_POLL_PERIOD = timedelta(milliseconds=50)
 FLUSH_TIME = timedelta(milliseconds=200)
--- a/endivedrift/shell/_peer_calls.py
+++ b/endivedrift/shell/_peer_calls.py
@@ -33,6 +33,10 @@
 """Bytes of a call or reply besides the body of the request or answer that it carries."""
 MAX_CALL_BYTES = MAX_BODY_BYTES + MAX_ENVELOPE_BYTES
 MAX_REPLY_BYTES = MAX_BODY_BYTES + MAX_ENVELOPE_BYTES
+PEER_CONNECT_TIMEOUT = timedelta(milliseconds=300)
+"""Time without a greeting after which another host is asked, or serves a forwarded request: half
+the time after which hosts tell one another that a host is silent. A host may end right after it has
+announced a new object set, and a change must be in force within two seconds."""
 CALL_READ_TIMEOUT = timedelta(seconds=10)
 REPLY_WRITE_TIMEOUT = timedelta(seconds=10)
 CALL_LABEL = b"call"
--- a/endivedrift/shell/_peers.py
+++ b/endivedrift/shell/_peers.py
@@ -44,15 +44,17 @@
 )
 from endivedrift.shell._http import parse_endpoint
 from endivedrift.shell._log import make_logger
-from endivedrift.shell._peer_calls import PeerCallError, call_peer, serve_call
+from endivedrift.shell._peer_calls import (
+    PEER_CONNECT_TIMEOUT,
+    PeerCallError,
+    call_peer,
+    serve_call,
+)
 from endivedrift.shell._requests import digest_request, fingerprint_request, read_host
 from endivedrift.shell._serving import ServingContext, serve_request
 from endivedrift.shell._targets import TargetRequest
 
 FETCH_TIMEOUT = timedelta(seconds=2)
-FETCH_CONNECT_TIMEOUT = timedelta(milliseconds=300)
-"""Time without a greeting after which the next peer is asked. A peer may end right after it has
-announced a new object set, and a change must be in force within two seconds."""
 MAX_PEER_CONNECTIONS = 256
 
 _log = make_logger("peers")
@@ -178,7 +180,7 @@
             address,
             query,
             FETCH_TIMEOUT,
-            connect_timeout=FETCH_CONNECT_TIMEOUT,
+            connect_timeout=PEER_CONNECT_TIMEOUT,
         )
 
     async def _request_config(self, address: Address, query: ConfigQuery) -> bytes | None:
--- a/endivedrift/shell/_serving.py
+++ b/endivedrift/shell/_serving.py
@@ -43,7 +43,7 @@
 from endivedrift.reducer import may_still_send
 from endivedrift.shell._codec import ForwardedRequest, Reply
 from endivedrift.shell._conventions import DEFAULT_CONVENTIONS, HttpConventions
-from endivedrift.shell._peer_calls import PeerCallError, call_peer
+from endivedrift.shell._peer_calls import PEER_CONNECT_TIMEOUT, PeerCallError, call_peer
 from endivedrift.shell._runtime import Mailbox, Runtime
 from endivedrift.shell._targets import (
     MAX_MEMORY_WAIT,
@@ -53,10 +53,6 @@
 )
 from endivedrift.store import Claim, ClaimResult, ClaimTable
 
-PEER_CONNECT_TIMEOUT = timedelta(milliseconds=300)
-"""Time without a greeting after which a forwarded request is served elsewhere: half the time after
-which hosts tell one another that a host is silent."""
-
 
 @dataclass(frozen=True, slots=True)
 class ServingContext:
--- a/tests/relaying_test.py
+++ b/tests/relaying_test.py
@@ -19,7 +19,7 @@
 from endivedrift.core.effects import Effect, SetStoreReading
 from endivedrift.core.events import StoreRecovered, StoreUnavailable, TargetsObserved
 from endivedrift.reducer import _relaying, list_readers
-from endivedrift.shell import _peers
+from endivedrift.shell._peer_calls import PEER_CONNECT_TIMEOUT
 from tests.builders import build_config_fetched, build_discovered_set, build_target_entry
 from tests.fuzzing import inject_fault
 from tests.network import Network
@@ -251,7 +251,7 @@
     # newer one has ended before it could be asked for it.
     def test_a_new_object_set_is_in_force_in_time_if_its_announcer_ends(self) -> None:
         network = self.start_network()
-        network.silent_fetch_time = _peers.FETCH_CONNECT_TIMEOUT
+        network.silent_fetch_time = PEER_CONNECT_TIMEOUT
         fetched = build_config_fetched(network.clock, network.objects, version=9)
         network.canonical = fetched.canonical
         readers = sorted(network.find_readers())
@@ -274,7 +274,7 @@
         follower = next(
             name for name in network.hosts if int(name[1:]) % DOMAINS == 0 and name not in readers
         )
-        network.silent_fetch_time = _peers.FETCH_CONNECT_TIMEOUT
+        network.silent_fetch_time = PEER_CONNECT_TIMEOUT
         network.is_delivered = lambda sender, receiver: receiver != follower or sender in behind
         newest = build_config_fetched(network.clock, network.objects, version=9).config
         network.hosts[follower].state.newest_config = newest
--- a/tests/slow_host.py
+++ b/tests/slow_host.py
@@ -34,9 +34,9 @@
     Ticked,
 )
 from endivedrift.objects import ObjectSet
+from endivedrift.policy import TICK_PERIOD
 from tests.builders import HostHarness, build_answer, build_config_fetched, build_target_entry
 
-TICK_PERIOD = timedelta(milliseconds=100)
 READ_COST = timedelta(milliseconds=2)
 REFUSE_COST = timedelta(milliseconds=1)
 SEND_COST = timedelta(milliseconds=4)
@@ -83,14 +83,12 @@
 
     Attributes:
       requests: All requests that were sent, in order.
-      slowdown: Factor on the time that all work takes.
       installed_after: Time from the publication of the latest object set until it was in force.
     """
 
     objects: ObjectSet
     targets: int
     work: timedelta = timedelta(milliseconds=100)
-    slowdown: float = 1.0
     installed_after: timedelta | None = None
     requests: list[SentRequest] = field(default_factory=list)
     harness: HostHarness = field(init=False)
@@ -157,7 +155,7 @@
             self.harness.clock.advance(at - self._now())
 
     def _spend(self, cost: timedelta) -> None:
-        self.harness.clock.advance(cost * self.slowdown)
+        self.harness.clock.advance(cost)
 
     def _send(self, at: Instant, name: str) -> None:
         route = self.objects.route[name]
