Set what is known of a request and of a forward once, and read a host's state in one place

Found when reading the change again: when the last bytes of a request were read was set twice, for requests that are refused unread too; the version that a forward names was patched into it at both callers of one function; a withdrawn attempt was taken off the count by a branch that repeated another; three tests read the state of a host each in its own words, one of them older than the change; a test's docstring named what does not exist. No behaviour changes, and no assertion. The tests of callers, hand-overs, hosts, leaving targets, hedges, odd entries, both builds and the platform's path pass.

--- a/endivedrift/reducer/_attempts.py
+++ b/endivedrift/reducer/_attempts.py
@@ -261,11 +261,10 @@
         return []
     other = pending.hedge_target if event.target == pending.target else pending.target
     pending.target, pending.hedge_target = other, None
-    if event.outcome is AttemptOutcome.NOT_CONNECTED:
+    if event.outcome in (AttemptOutcome.NOT_CONNECTED, AttemptOutcome.WITHDRAWN):
         pending.attempt_count -= 1
+    if event.outcome is AttemptOutcome.NOT_CONNECTED:
         pending.failed_connections += 1
-    elif event.outcome is AttemptOutcome.WITHDRAWN:
-        pending.attempt_count -= 1
     pending.may_have_run |= judge_outcome(event.outcome) is Verdict.MAY_HAVE_RUN
     service = state.services.get(pending.service)
     effects = note_attempt(state, event)
--- a/endivedrift/reducer/_paths.py
+++ b/endivedrift/reducer/_paths.py
@@ -16,6 +16,7 @@
 from datetime import timedelta
 
 from endivedrift.core import (
+    ANY_VERSION,
     AttemptOutcome,
     AuditEntry,
     AuditKind,
@@ -26,6 +27,7 @@
     RequestId,
     ServiceName,
     TargetName,
+    Version,
 )
 from endivedrift.core.effects import Effect, ForwardToPeer, RecordAudit
 from endivedrift.core.events import AttemptFinished
@@ -151,15 +153,22 @@
     peer = _choose_peer(state, pending, at, list_primaries(state, pending.service))
     if peer is None:
         return []
-    effect = _forward(pending, request, peer)
-    return [effect if state.path.is_cut else replace(effect, config_version=state.config.version)]
+    version = ANY_VERSION if state.path.is_cut else state.config.version
+    return [_forward(pending, request, peer, version)]
 
 
-def _forward(pending: RequestState, request: RequestId, peer: Member) -> ForwardToPeer:
+def _forward(
+    pending: RequestState, request: RequestId, peer: Member, config_version: Version
+) -> ForwardToPeer:
     pending.peer = peer.host
     pending.asked_peers |= {peer.host}
     return ForwardToPeer(
-        request, peer.host, peer.peer_address, pending.deadline, pending.attempt_count
+        request,
+        peer.host,
+        peer.peer_address,
+        pending.deadline,
+        pending.attempt_count,
+        config_version,
     )
 
 
@@ -181,8 +190,8 @@
     )
     if peer is None:
         return []
-    effect = _forward(pending, request, peer)
-    return [replace(effect, config_version=state.config.version, takes_retry=True)]
+    effect = _forward(pending, request, peer, state.config.version)
+    return [replace(effect, takes_retry=True)]
 
 
 def mark_peer_unable(state: HostState, peer: HostId, at: Instant) -> None:
--- a/endivedrift/shell/_callers.py
+++ b/endivedrift/shell/_callers.py
@@ -107,7 +107,7 @@
     caller_request_id: bytes | None
     method: str
     holding: Holding
-    received_at: Instant
+    received_at: Instant = Instant(0)
     body: bytes = b""
     answer: HttpAnswer | None = None
     is_done: bool = False
@@ -313,9 +313,7 @@
         http = connection.http
         caller_request_id = find_header(headers, self._context.conventions.request_id_header)
         holding = self._memory.open(request_id, id(connection))
-        exchange = _Exchange(
-            http, request_id, caller_request_id, method, holding, connection.received_at
-        )
+        exchange = _Exchange(http, request_id, caller_request_id, method, holding)
         try:
             exchange.body = await self._read_body(connection, headers, named_route, holding)
         except BaseException:
@@ -538,14 +536,7 @@
         answer = self._context.conventions.describe_refusal(refusal, request_id)
         holding = self._memory.open(request_id, id(connection))
         exchange = _Exchange(
-            connection.http,
-            request_id,
-            None,
-            "",
-            holding,
-            connection.received_at,
-            answer=answer,
-            is_done=True,
+            connection.http, request_id, None, "", holding, answer=answer, is_done=True
         )
         connection.is_closing = True
         with contextlib.suppress(OSError, h11.LocalProtocolError, curio.TaskTimeout):
--- a/endivedrift/shell/leaving_targets_test.py
+++ b/endivedrift/shell/leaving_targets_test.py
@@ -41,8 +41,9 @@
     """A host and targets in this process; targets leave while a request is on its way to them.
 
     Attributes:
-      ran: The requests that reached each target, by its number.
-      cuts: How many requests end with the connection, before targets answer.
+      ran: Number of requests that reached each target, by its number.
+      entries: Registrations in the store, by the number of the target.
+      version: Version of the store.
     """
 
     def __init__(self, count: int) -> None:
--- a/tests/mixed_builds_test.py
+++ b/tests/mixed_builds_test.py
@@ -17,7 +17,7 @@
 from tests.earlier_build import extract_build
 from tests.platform_builders import LISTENER_HOST, build_configuration, build_entry, build_rule
 from tests.platform_path import PlatformFleet
-from tests.platform_path_test import OPERATORS_OFFSET, has_ended
+from tests.platform_path_test import has_ended
 
 OLD_COUNT = 2
 HOST_COUNT = 4
@@ -44,10 +44,7 @@
         curio.run(run)
 
     async def read_states(self) -> list[dict[str, Any]]:
-        replies = [
-            await self.fleet.query(ip, OPERATORS_OFFSET, "/state") for ip in self.fleet.hosts
-        ]
-        return [json.loads(reply.body) for reply in replies]
+        return [await self.fleet.read_state(ip) for ip in self.fleet.hosts]
 
     async def know_all_hosts(self) -> bool:
         """Tells whether each host takes all others for alive."""
--- a/tests/network.py
+++ b/tests/network.py
@@ -130,7 +130,7 @@
             elif self.hosts[peer].state.config == effect.config:
                 end = ConfigFetched(now, effect.config, self.canonical)
                 break
-        self.fetches.append((now, asker, replace(end, at=now)))
+        self.fetches.append((now, asker, end))
 
     def end_fetches(self) -> None:
         """Reports the fetches that have ended."""
--- a/tests/odd_entries_test.py
+++ b/tests/odd_entries_test.py
@@ -12,7 +12,6 @@
 
 from tests.platform_builders import build_entry
 from tests.platform_path import PlatformFleet
-from tests.platform_path_test import OPERATORS_OFFSET
 
 DEEP = "[" * 100_000 + "]" * 100_000
 HUGE = 10**400
@@ -60,12 +59,8 @@
 
     async def know_targets(self, names: set[str]) -> bool:
         """Tells whether all hosts have exactly these targets."""
-        for ip in self.fleet.hosts:
-            state = json.loads((await self.fleet.query(ip, OPERATORS_OFFSET, "/state")).body)
-            known = {name for service in state["services"].values() for name in service["targets"]}
-            if known != names:
-                return False
-        return True
+        known = [await self.fleet.list_known_targets(ip) for ip in self.fleet.hosts]
+        return known == [names] * HOST_COUNT
 
     def check_alive(self) -> None:
         for ip, process in self.fleet.hosts.items():
--- a/tests/platform_path.py
+++ b/tests/platform_path.py
@@ -1,6 +1,7 @@
 """A small fleet on the platform's interface: real hosts with stand-ins for store and targets."""
 
 import itertools
+import json
 import os
 import secrets
 import subprocess
@@ -11,6 +12,7 @@
 from datetime import timedelta
 from functools import partial
 from pathlib import Path
+from typing import Any
 
 import curio
 
@@ -23,6 +25,8 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 FIRST_PORT = 21_000
+OPERATORS_OFFSET = 9
+"""Port of metrics and state of a host, above its first port."""
 WAIT_TIMEOUT_S = 20.0
 STORE_PORT = 20_900
 TARGET_AWAY_S = 1.5
@@ -163,6 +167,16 @@
         address = Address(f"{ip}:{FIRST_PORT + offset}")
         return await exchange(address, "GET", path, b"", CALL_TIMEOUT)
 
+    async def read_state(self, ip: str) -> dict[str, Any]:
+        """Returns what a host tells operators of its state."""
+        state: dict[str, Any] = json.loads((await self.query(ip, OPERATORS_OFFSET, "/state")).body)
+        return state
+
+    async def list_known_targets(self, ip: str) -> set[str]:
+        """Returns the targets that a host knows."""
+        services = (await self.read_state(ip))["services"].values()
+        return {name for service in services for name in service["targets"]}
+
     async def call(
         self,
         ip: str,
--- a/tests/platform_path_test.py
+++ b/tests/platform_path_test.py
@@ -14,9 +14,6 @@
 from tests.platform_builders import LISTENER_HOST, build_configuration, build_entry
 from tests.platform_path import FIRST_PORT, PlatformFleet
 
-OPERATORS_OFFSET = 9
-"""Port of metrics and state of a host, above its first port."""
-
 
 class PlatformPathTest(unittest.TestCase):
     def run_scenario(self, scenario: Callable[[PlatformFleet], Awaitable[None]]) -> None:
@@ -220,16 +217,13 @@
             store.remove("servers", "i-1")
             store.write("op", "config", build_configuration(version=9))
 
-            async def list_known() -> set[str]:
-                reply = await platform_fleet.query(host, OPERATORS_OFFSET, "/state")
-                services = json.loads(reply.body)["services"].values()
-                return {name for service in services for name in service["targets"]}
-
-            await platform_fleet.poll_until(lambda: equals(list_known(), {"i-2"}))
+            await platform_fleet.poll_until(
+                lambda: equals(platform_fleet.list_known_targets(host), {"i-2"})
+            )
             store.restore(copy)
             for _ in range(30):
                 await curio.sleep(0.1)
-                self.assertEqual(await list_known(), {"i-2"})
+                self.assertEqual(await platform_fleet.list_known_targets(host), {"i-2"})
             # Versions after the copy are given out again; a change at one of them must be read.
             store.write("servers", "i-1", {**build_entry(address), "born": 1779015099999})
             ran_before = len(platform_fleet.targets["i-1"].ran)
