--- a/review/2/case.py
+++ b/review/2/case.py
@@ -20,12 +20,14 @@
 )
 
 HOST_COUNT = 3
-UPSTREAM_COUNT = 5
-SPOILING_COUNT = 3
-"""Number of upstreams that spoil answers: a share of 0.6."""
-SPOIL_EVERY = 34
-"""One answer of so many is spoiled: a share of less than 0.03."""
+UPSTREAM_COUNT = 4
+SPOILING_COUNT = 2
+"""Number of upstreams that spoil answers: a share of 0.5."""
+SPOIL_EVERY = 50
+"""One answer of so many is spoiled: a share of 0.02."""
 TROUBLE_S = 5.0
+TROUBLE_COUNT = 3
+PAUSE_S = 5.0
 SPOILED_KEEP_ALIVE = "timeout=9223372036854775807"
 SERVICE = "wuno96b"
 PREFIX = "/xapu221/ny95/"
@@ -46,23 +48,22 @@
     await asyncio.sleep(5.0)
     record = deployment.record
     upstreams = list(deployment.upstreams.values())
-    if has_trouble():
-        for upstream in upstreams[:SPOILING_COUNT]:
+    sending: list[asyncio.Task] = []
+    for number in range(TROUBLE_COUNT):
+        if number:
+            await asyncio.sleep(PAUSE_S)
+        for upstream in upstreams[: SPOILING_COUNT if has_trouble() else 0]:
             upstream.spoiled_keep_alive = SPOILED_KEEP_ALIVE
             upstream.spoil_every = SPOIL_EVERY
             record.write(f"{upstream.name} begins to spoil some answers")
-    sending = []
-    until = record.now() + TROUBLE_S
-    while record.now() < until:
-        for address in deployment.addresses:
-            sending.append(
-                asyncio.create_task(
-                    deployment.send(address, "POST", PREFIX + "2f", CLIENT_DEADLINE_MS)
-                )
-            )
-        await asyncio.sleep(SENDING_PERIOD_S)
-    for upstream in upstreams:
-        upstream.spoil_every = 0
+        until = record.now() + TROUBLE_S
+        while record.now() < until:
+            for address in deployment.addresses:
+                request = deployment.send(address, "POST", PREFIX + "2f", CLIENT_DEADLINE_MS)
+                sending.append(asyncio.create_task(request))
+            await asyncio.sleep(SENDING_PERIOD_S)
+        for upstream in upstreams:
+            upstream.spoil_every = 0
     sent = [await task for task in sending]
     ran = {attempt for upstream in upstreams for _, attempt, _, _ in upstream.ran}
     spoiled = {attempt for upstream in upstreams for attempt in upstream.spoiled}
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -28,13 +28,16 @@
 """Time after the last heartbeat of an upstream until the store removes its entry."""
 SENDING_PERIOD_S = 0.04
 FIRST, SECOND = "wuno96b", "kafi81c"
+FIRST_COUNT = 5
+"""One of so many upstreams of its service leaves while its path to the store is cut."""
 PREFIX = "/xapu221/ny95/"
 
 
 async def play(deployment: Deployment) -> bool:
     """Plays the case and tells whether the rule DRAIN was kept."""
+    for number in range(FIRST_COUNT):
+        deployment.add_upstream(f"i-first{number}", FIRST, slots=5, work_s=0.3)
     for number in range(3):
-        deployment.add_upstream(f"i-first{number}", FIRST, slots=8, work_s=0.3)
         deployment.add_upstream(f"i-second{number}", SECOND)
     rules = [
         build_rule("r-book", "unsafe", PREFIX, FIRST),
