Ask the store questions beside the waits for its changes

Cause: a reader learned of changes only from calls that the store holds open for 20 s. A silence of the store just after a change takes the calls of all readers with it. The connections stay open and answer keep-alive probes, so a lost call looks like a store with nothing new until it ends after 22 s.

Ruled out: a slow relay (all hosts lag alike, by seconds) and the fetch of the object set (it begins with the end of the calls).

Change: hosts that read the store ask it for changes every 0.6 s on connections of their own, with a limit of 1 s without a byte. An answer shows that all is known that the store had accepted when the question was asked; the time is kept. A wait that missed a change which an answer shows is begun again. A question that fails in any way is reported, so that the next one is asked. What the reducer knows of the contact is in one module; the waits no longer report outages.

The stand-in of the store now loses calls in a silence for good, as the platform does, and answers a call that waits for 0 ms. StoreNetwork models questions and waits apart.

--- a/endivedrift/core/effects.py
+++ b/endivedrift/core/effects.py
@@ -171,9 +171,21 @@
     peers: tuple[Address, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class AskStore:
+    """Ask the store at once for the changes of its tables after these versions.
+
+    A version of 0 stands for the whole table. The end of the call is reported by `StoreAnswered` or
+    `StoreUnavailable`.
+    """
+
+    targets_after: int = 0
+    config_after: int = 0
+
+
 @dataclass(frozen=True, slots=True)
 class SetStoreReading:
-    """Start or stop reading the store's changes on this host."""
+    """Start or stop waiting for the store's changes on this host."""
 
     enabled: bool
 
@@ -199,6 +211,7 @@
     | SendPeerMessage
     | FetchConfig
     | FetchTargets
+    | AskStore
     | SetStoreReading
     | RecordAudit
 )
--- a/endivedrift/core/events.py
+++ b/endivedrift/core/events.py
@@ -197,17 +197,24 @@
 
 @dataclass(frozen=True, slots=True)
 class StoreUnavailable:
-    """The store in which targets register no longer answers this host."""
+    """The store did not answer a question of this host."""
 
     at: Instant
     cause: str
 
 
 @dataclass(frozen=True, slots=True)
-class StoreRecovered:
-    """The store in which targets register answers this host again."""
+class StoreAnswered:
+    """The store answered a question of this host; the changes in its answers have been applied.
+
+    The tables are known up to these versions of the store, and with them all that it had accepted
+    by `asked_at`.
+    """
 
     at: Instant
+    asked_at: Instant
+    targets_version: int = 0
+    config_version: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -256,7 +263,7 @@
     | PeerTargetsReceived
     | SeedsRead
     | StoreUnavailable
-    | StoreRecovered
+    | StoreAnswered
     | PeerMessageReceived
     | Ticked
     | StopRequested
--- a/endivedrift/platform/_environment.py
+++ b/endivedrift/platform/_environment.py
@@ -6,6 +6,7 @@
 
 import json
 from collections.abc import Callable, Coroutine
+from dataclasses import dataclass
 from datetime import timedelta
 from pathlib import Path
 from typing import Any
@@ -23,13 +24,15 @@
     TargetEntry,
     TargetName,
 )
-from endivedrift.core.events import SeedsRead, StoreRecovered, StoreUnavailable, TargetsObserved
+from endivedrift.core.effects import AskStore
+from endivedrift.core.events import SeedsRead, StoreAnswered, StoreUnavailable, TargetsObserved
 from endivedrift.objects import NAME_PATTERN
 from endivedrift.platform._configuration import read_configuration
 from endivedrift.platform._entries import read_entry
 from endivedrift.platform._headers import PLATFORM_CONVENTIONS
 from endivedrift.platform._node_file import ENTRY_MAX_AGE_S, NodeFile, read_node_file
 from endivedrift.platform._store import (
+    LONG_POLL_WAIT,
     HistoryGoneError,
     StoreClient,
     StoreError,
@@ -55,7 +58,7 @@
 from those that read the store need not follow it, which saves each start a call for each table. It
 is the time without such an update after which a host reads the store itself."""
 RETRY_PERIOD = timedelta(milliseconds=500)
-"""Delay before another call to a store that did not answer."""
+"""Delay before waiting for changes again after a call that failed."""
 SETTINGS_CHECK_PERIOD = timedelta(seconds=2)
 """Time between two checks of the settings file for changes. It may be long, since only the seeds
 are reloaded, and a host that knows other hosts does not need them."""
@@ -129,11 +132,70 @@
         ]
 
 
+@dataclass(slots=True)
+class _Table:
+    """One table that is read.
+
+    Attributes:
+      name: Its name.
+      apply: Takes the rows and the version after which they changed, or 0 for a whole table.
+      version: Version of the store up to which the table has been read, or 0.
+      waits: Connection on which the store waits for changes.
+      questions: Connection for questions that it answers at once.
+      waiting: The wait in progress, or None.
+      waiting_after: The version that it waits for changes after.
+    """
+
+    name: str
+    apply: Callable[[TableRead, int], Coroutine[Any, Any, None]]
+    waits: StoreClient
+    questions: StoreClient
+    version: int = 0
+    waiting: curio.Task | None = None
+    waiting_after: int = 0
+
+    async def wait_for_changes(self) -> tuple[TableRead, bool] | None:
+        """Waits for changes; returns None if `end_wait` was called.
+
+        Raises:
+          StoreError: If the store does not answer.
+        """
+        self.waiting_after = self.version
+        self.waiting = await curio.spawn(
+            _read_updates, self.waits, self.name, self.version, LONG_POLL_WAIT, daemon=True
+        )
+        try:
+            read, complete = await self.waiting.join()
+        except curio.TaskError as error:
+            if isinstance(error.__cause__, StoreError):
+                raise error.__cause__ from None
+            if isinstance(error.__cause__, curio.CancelledError):
+                return None
+            raise
+        finally:
+            self.waiting = None
+        return read, complete
+
+    def must_have_seen(self, after: int) -> bool:
+        """Tells whether a wait is in progress that a change after a version should have ended."""
+        return self.waiting is not None and self.waiting_after <= after
+
+    async def end_wait(self) -> None:
+        """Ends the wait in progress and closes its connection."""
+        if self.waiting is not None:
+            await self.waiting.cancel()
+
+
 class Feeds:
-    """Follows tables of the store and converts their rows into events."""
+    """Reads tables of the store and converts their rows into events.
+
+    A host that reads the store for others waits for the changes of each table on a connection of
+    its own. Beside that, the reducer has questions asked that the store answers at once, on other
+    connections: they tell a store that has nothing new from a connection that delivers nothing.
+    """
 
     def __init__(self, node_file: NodeFile, runtime: Runtime, install: ConfigInstaller) -> None:
-        """Lets the runtime switch the reading of the store on and off.
+        """Lets the runtime ask the store, and switch the waiting for changes on and off.
 
         Args:
           node_file: Names the store and the bounds of the fleet.
@@ -143,72 +205,93 @@
         self._node_file = node_file
         self._runtime = runtime
         self._install = install
-        self._reading_enabled = curio.Event()
+        self._waiting_enabled = curio.Event()
+        address = node_file.store_address
+        self._tables = {
+            name: _Table(name, apply, StoreClient(address), StoreClient(address))
+            for name, apply in (
+                (OPERATOR_TABLE, self._apply_configuration),
+                (TARGET_TABLE, self._apply_entries),
+            )
+        }
         runtime.set_store_reading = self._set_reading
+        runtime.ask_store = self.ask
 
     def build_loops(self) -> dict[str, Coroutine[Any, Any, None]]:
         """Builds one loop for each table, by the table's name."""
-        return {
-            OPERATOR_TABLE: self._follow(OPERATOR_TABLE, self._apply_configuration, False),
-            TARGET_TABLE: self._follow(TARGET_TABLE, self._apply_entries, True),
-        }
+        return {name: self._follow(table) for name, table in self._tables.items()}
 
-    async def _follow(
-        self,
-        table: str,
-        apply: Callable[[TableRead, int], Coroutine[Any, Any, None]],
-        holds_targets: bool,
-    ) -> None:
-        """Passes what is read from a table to `apply` while this host reads the store.
+    async def ask(self, effect: AskStore) -> None:
+        """Asks for the changes of both tables, applies them, and reports whether it was answered.
 
-        Only the feed of the target table reports to the reducer that the store is unavailable,
-        since the configuration feed may fail on its own.
-
-        Args:
-          table: Name of the table.
-          apply: Takes the rows and the version after which they changed, or 0 for a whole table.
-          holds_targets: Whether this is the target table.
+        A failure of any kind is reported, since no other question is asked before.
         """
-        client = StoreClient(self._node_file.store_address)
-        version: int | None = None
-        unavailable = False
-        pause = FIRST_FEED_DELAY
-        await self._reading_enabled.set()
+        asked_at = self._now()
+        targets, config = self._tables[TARGET_TABLE], self._tables[OPERATOR_TABLE]
+        targets.version = max(targets.version, effect.targets_after)
+        config.version = max(config.version, effect.config_after)
+        questions = [await curio.spawn(self._ask_table, table) for table in (config, targets)]
+        failures = [failure for q in questions if (failure := await q.join()) is not None]
+        now = self._now()
+        if failures:
+            await self._runtime.dispatch(StoreUnavailable(now, failures[0]))
+            return
+        await self._runtime.dispatch(StoreAnswered(now, asked_at, targets.version, config.version))
+
+    async def _ask_table(self, table: _Table) -> str | None:
+        """Asks for the changes of a table and applies them; returns why that failed, if it did."""
+        after = table.version
+        try:
+            read, complete = await _read_updates(table.questions, table.name, after)
+            await self._apply(table, read, after, complete)
+        except StoreError as error:
+            cause = str(error)
+        except Exception as error:
+            _log.exception("Reading the store failed.", table=table.name)
+            cause = f"{type(error).__name__}: {error}"
+        else:
+            if read.rows and not complete and table.must_have_seen(after):
+                _log.warning("A connection delivers no changes; it is replaced.", table=table.name)
+                await table.end_wait()
+            return None
+        self._runtime.metrics.platform_failures[table.name] += 1
+        return f"{table.name}: {cause}"
+
+    async def _follow(self, table: _Table) -> None:
+        """Waits for changes of a table and applies them while this host reads the store."""
+        await self._waiting_enabled.set()
+        while not table.version:
+            await curio.sleep(RETRY_PERIOD.total_seconds())
+        await curio.sleep(FIRST_FEED_DELAY.total_seconds())
         while True:
-            if not self._reading_enabled.is_set():
-                # Updates that other hosts relay meanwhile advance past this version, so the whole
-                # table is read afterwards.
-                version = None
-                await client.close()
-                await self._reading_enabled.wait()
+            if not self._waiting_enabled.is_set():
+                await table.waits.close()
+                await self._waiting_enabled.wait()
+            after = table.version
             try:
-                read, complete = await _read_updates(client, table, version)
+                found = await table.wait_for_changes()
             except StoreError as error:
-                self._runtime.metrics.platform_failures[table] += 1
-                version = None
-                if not unavailable:
-                    unavailable = True
-                    _log.warning("Store unavailable.", table=table, cause=str(error))
-                    if holds_targets:
-                        await self._runtime.dispatch(StoreUnavailable(self._now(), str(error)))
+                self._runtime.metrics.platform_failures[table.name] += 1
+                _log.info("Waiting for changes failed.", table=table.name, cause=str(error))
                 await curio.sleep(jitter_period(RETRY_PERIOD))
                 continue
-            since, version = version or 0, read.version
-            if unavailable:
-                unavailable = False
-                _log.info("Store recovered.", table=table)
-                if holds_targets:
-                    await self._runtime.dispatch(StoreRecovered(self._now()))
-            await apply(read, 0 if complete else since)
-            await curio.sleep(pause.total_seconds())
-            pause = MIN_FEED_INTERVAL
+            if found is not None:
+                await self._apply(table, found[0], after, found[1])
+            await curio.sleep(MIN_FEED_INTERVAL.total_seconds())
+
+    async def _apply(self, table: _Table, read: TableRead, after: int, complete: bool) -> None:
+        """Applies rows, unless later ones were applied while these were read."""
+        if table.version > after and not complete and read.version <= table.version:
+            return
+        await table.apply(read, 0 if complete else after)
+        table.version = max(table.version, read.version)
 
     async def _set_reading(self, enabled: bool) -> None:
-        """Starts following the store, or stops after the call in progress."""
+        """Starts waiting for changes, or stops after the call in progress."""
         if enabled:
-            await self._reading_enabled.set()
+            await self._waiting_enabled.set()
         else:
-            self._reading_enabled.clear()
+            self._waiting_enabled.clear()
 
     async def _apply_configuration(self, read: TableRead, since: int) -> None:
         """Installs the configuration if its row was read and is valid."""
@@ -240,6 +323,8 @@
             else:
                 removed.discard(name)
                 entries[name] = entry
+        if since and not read.rows:
+            return
         event = TargetsObserved(
             self._now(),
             tuple(entries.values()),
@@ -255,18 +340,23 @@
 
 
 async def _read_updates(
-    client: StoreClient, table: str, version: int | None
+    client: StoreClient, table: str, version: int, wait: timedelta = timedelta(0)
 ) -> tuple[TableRead, bool]:
     """Reads the changes of a table after a version, or the whole table if they are unavailable.
 
+    Args:
+      client: The connection.
+      table: Name of the table.
+      version: The version, or 0 for none.
+      wait: How long the store waits for a change if there is none.
     Returns:
       The rows, and whether they are the whole table.
     Raises:
       StoreError: If the store does not answer.
     """
-    if version is not None:
+    if version:
         try:
-            return await client.read_changes(table, version), False
+            return await client.read_changes(table, version, wait), False
         except HistoryGoneError:
             _log.info("History is gone; reading the whole table.", table=table, version=version)
     return await client.read_table(table), True
--- a/endivedrift/platform/_store.py
+++ b/endivedrift/platform/_store.py
@@ -1,4 +1,9 @@
-"""Client of the platform's store: reads tables and follows their changes by long polling."""
+"""Client of the platform's store: reads tables, and asks or waits for their changes.
+
+A connection on which the store waits for changes shows nothing while there are none, so that a
+connection that delivers nothing any more looks the same. A question that the store answers at once
+tells the two apart.
+"""
 
 import contextlib
 import json
@@ -25,7 +30,12 @@
 from endivedrift.shell.running import make_logger
 
 CALL_TIMEOUT = timedelta(seconds=2)
-"""Limit for a call that the store answers at once, which takes milliseconds."""
+"""Limit for a call that reads a page of a table, which takes milliseconds."""
+QUESTION_TIMEOUT = timedelta(seconds=1)
+"""Limit on the time without a byte of the answer to a question for changes. Half of it is left of
+the time within which a change must be in force."""
+MAX_ANSWER_TIME = timedelta(seconds=10)
+"""Limit on the time of a whole answer, most of which passes while it is transferred."""
 CONNECT_TIMEOUT = timedelta(seconds=1)
 LONG_POLL_WAIT = timedelta(seconds=20)
 """How long the store holds a request for changes open; it allows up to 30 s."""
@@ -103,17 +113,25 @@
                 raise StoreError("a page of the table does not continue the one before")
             start_key = read.last_key + "\0"
 
-    async def read_changes(self, table: str, version: int) -> TableRead:
-        """Waits for changes of a table after a version; returns no rows if the wait times out.
-
+    async def read_changes(
+        self, table: str, version: int, wait: timedelta = timedelta(0)
+    ) -> TableRead:
+        """Reads the changes of a table after a version.
+
+        Args:
+          table: Name of the table.
+          version: The version.
+          wait: How long the store waits for a change if there is none.
+        Returns:
+          The changed rows, or none if there was no change.
         Raises:
           StoreError: If the store does not answer.
           HistoryGoneError: If the whole table must be read again.
         """
-        wait_ms = round(LONG_POLL_WAIT.total_seconds() * 1000.0)
+        wait_ms = round(wait.total_seconds() * 1000.0)
         number = get_store_number(version)
         query = {"table": table, "after": str(number), "waitMs": str(wait_ms)}
-        document = await self._get("rows-feed", query, LONG_POLL_WAIT + CALL_TIMEOUT)
+        document = await self._get("rows-feed", query, wait + QUESTION_TIMEOUT)
         if self._era != get_store_era(version):
             # A restored store counts from an earlier number, so changes may be missing.
             raise HistoryGoneError
@@ -126,11 +144,13 @@
             with contextlib.suppress(OSError):
                 await sock.close()
 
-    async def _get(self, call: str, query: dict[str, str], timeout: timedelta) -> dict[str, Any]:
+    async def _get(self, call: str, query: dict[str, str], silence: timedelta) -> dict[str, Any]:
+        """Makes a call that ends after `silence` without a byte, or after a long answer."""
+        limit = silence + MAX_ANSWER_TIME
         try:
-            async with curio.timeout_after(timeout.total_seconds()):
+            async with curio.timeout_after(limit.total_seconds()):
                 encoded = urlencode(query, errors="surrogatepass")
-                status, body = await self._exchange(f"/endivedrift/{call}?{encoded}")
+                status, body = await self._exchange(f"/endivedrift/{call}?{encoded}", silence)
         except curio.TaskTimeout:
             await self.close()
             raise StoreError("no reply in time") from None
@@ -152,7 +172,7 @@
             raise StoreError("the reply is not a JSON object")
         return document
 
-    async def _exchange(self, request_target: str) -> tuple[int, bytes]:
+    async def _exchange(self, request_target: str, silence: timedelta) -> tuple[int, bytes]:
         if self._sock is None:
             await self._connect()
         sock, http = self._sock, self._http
@@ -166,7 +186,7 @@
         while True:
             event = http.next_event()
             if event is h11.NEED_DATA:
-                http.receive_data(await sock.recv(READ_BYTES))
+                http.receive_data(await _receive(sock, silence))
             elif isinstance(event, h11.Response):
                 status = event.status_code
                 self._read_era(event)
@@ -208,6 +228,20 @@
         self._sock, self._http = sock, h11.Connection(h11.CLIENT)
 
 
+async def _receive(sock: socket.socket, silence: timedelta) -> bytes:
+    """Receives bytes.
+
+    Raises:
+      OSError: If none arrive for the given time, or the connection fails.
+    """
+    try:
+        async with curio.timeout_after(silence.total_seconds()):
+            return bytes(await sock.recv(READ_BYTES))
+    except curio.TaskTimeout:
+        # The timeout of the whole call encloses this one and must not see its exception.
+        raise ConnectionError(f"silent for {silence.total_seconds():.1f} s") from None
+
+
 def _read_value(row: dict[str, Any]) -> str:
     """Returns a row's value, or an empty text, which is no valid value, if it has another type."""
     value = row.get("value")
--- a/endivedrift/platform/store_test.py
+++ b/endivedrift/platform/store_test.py
@@ -47,7 +47,7 @@
         client = StoreClient(Address("127.0.0.1:1"))
         replies = iter(pages)
 
-        async def exchange(target: str) -> tuple[int, bytes]:
+        async def exchange(target: str, silence: timedelta) -> tuple[int, bytes]:
             target.encode("ascii")
             return 200, json.dumps({"ver": 4, **next(replies)}).encode()
 
@@ -89,8 +89,8 @@
             await serving.cancel()
 
         with (
-            mock.patch.object(_store, "LONG_POLL_WAIT", timedelta(milliseconds=200)),
             mock.patch.object(_store, "CALL_TIMEOUT", UNREACHED_LIMIT),
+            mock.patch.object(_store, "QUESTION_TIMEOUT", UNREACHED_LIMIT),
             mock.patch.object(_store, "CONNECT_TIMEOUT", UNREACHED_LIMIT),
         ):
             curio.run(run)
--- a/endivedrift/reducer/_discovery.py
+++ b/endivedrift/reducer/_discovery.py
@@ -26,8 +26,6 @@
 from endivedrift.core.effects import Effect, FetchTargets, RecordAudit
 from endivedrift.core.events import (
     PeerTargetsReceived,
-    StoreRecovered,
-    StoreUnavailable,
     TargetsObserved,
 )
 from endivedrift.fleet import sample_alive
@@ -47,14 +45,6 @@
 over half of the two seconds after which a vanished target must get no more requests."""
 
 
-def record_store_outage(state: HostState, event: StoreUnavailable) -> list[Effect]:
-    """Notes an outage of the store, during which registrations of live targets may lapse."""
-    if state.store_unavailable:
-        return []
-    state.store_unavailable = True
-    return [_audit_store(event.at, f"lost: {event.cause}")]
-
-
 def ask_for_targets(state: HostState, at: Instant) -> list[Effect]:
     """Asks other hosts for targets if the store has not listed any since the start."""
     if state.has_read_targets or not state.store_unavailable or at < state.next_ask_at:
@@ -85,15 +75,6 @@
     return tuple(known), state.targets_version
 
 
-def record_store_recovery(state: HostState, event: StoreRecovered) -> list[Effect]:
-    """Notes the end of an outage, after which lapsed registrations have time to be renewed."""
-    if not state.store_unavailable:
-        return []
-    state.store_unavailable = False
-    state.store_recovered_at = event.at
-    return [_audit_store(event.at, "answers again")]
-
-
 def apply_observed_targets(state: HostState, event: TargetsObserved) -> list[Effect]:
     """Applies changes of the registered targets, unless they are older than what is known.
 
@@ -238,10 +219,6 @@
     return until
 
 
-def _audit_store(at: Instant, cause: str) -> Effect:
-    return RecordAudit(AuditEntry(at, AuditKind.STORE_CHANGED, "store", cause))
-
-
 def place_registered_target(state: HostState, entry: TargetEntry, at: Instant) -> list[AuditEntry]:
     """Adds a registered target to its service, if the object set in force has that service."""
     service = state.services.get(entry.service)
--- a/endivedrift/reducer/_reduce.py
+++ b/endivedrift/reducer/_reduce.py
@@ -26,7 +26,7 @@
     RequestArrived,
     SeedsRead,
     StopRequested,
-    StoreRecovered,
+    StoreAnswered,
     StoreUnavailable,
     TargetsObserved,
     Ticked,
@@ -37,8 +37,6 @@
 from endivedrift.reducer._discovery import (
     apply_observed_targets,
     apply_peer_targets,
-    record_store_outage,
-    record_store_recovery,
 )
 from endivedrift.reducer._hedging import start_hedge
 from endivedrift.reducer._keyed import apply_claim_result, finish_forward
@@ -53,6 +51,11 @@
 from endivedrift.reducer._relaying import announce_changes, apply_store_update
 from endivedrift.reducer._requests import expire_queued, handle_disconnect, start_request
 from endivedrift.reducer._state import HostState
+from endivedrift.reducer._store_contact import (
+    end_store_outage,
+    record_store_answer,
+    record_store_outage,
+)
 from endivedrift.reducer._targets import apply_evidence, apply_machine_list, share_changes
 
 
@@ -144,7 +147,8 @@
 
 @_reduce.register
 def _(event: TargetsObserved, state: HostState) -> list[Effect]:
-    return apply_observed_targets(state, event) + announce_changes(state, event)
+    effects = end_store_outage(state, event.at)
+    return effects + apply_observed_targets(state, event) + announce_changes(state, event)
 
 
 @_reduce.register
@@ -164,8 +168,8 @@
 
 
 @_reduce.register
-def _(event: StoreRecovered, state: HostState) -> list[Effect]:
-    return record_store_recovery(state, event)
+def _(event: StoreAnswered, state: HostState) -> list[Effect]:
+    return record_store_answer(state, event)
 
 
 @_reduce.register
--- a/endivedrift/reducer/_state.py
+++ b/endivedrift/reducer/_state.py
@@ -225,6 +225,25 @@
     last_epoch: int = 0
 
 
+@dataclass(slots=True)
+class StoreContact:
+    """What a host knows of its contact with the store.
+
+    Attributes:
+      as_of: All that the store had accepted by then is known here, or None if nothing was read.
+      targets_read_to: Version of the store up to which the table of targets was read, or 0.
+      config_read_to: The same of the table with the configuration.
+      asked_at: When the question in progress was asked, or None if there is none.
+      next_ask_at: When the store may next be asked.
+    """
+
+    as_of: Instant | None = None
+    targets_read_to: int = 0
+    config_read_to: int = 0
+    asked_at: Instant | None = None
+    next_ask_at: Instant = Instant(0)
+
+
 @dataclass(slots=True)
 class HostState:
     """The complete state of the reducer.
@@ -247,7 +266,8 @@
       discovered: Targets that registered themselves, by name.
       removal_times: When targets are removed whose registrations lapsed, by name.
       departures: Targets whose registrations were removed, the latest last.
-      store_unavailable: Whether the store in which targets register does not answer.
+      store: What is known of the contact with the store in which targets register.
+      store_unavailable: Whether the store does not answer.
       has_read_targets: Whether the store has listed all targets at least once.
       next_ask_at: When other hosts may next be asked for targets.
       store_is_relayed: Whether a few hosts read the store and relay it to the others.
@@ -303,6 +323,7 @@
     discovered: dict[TargetName, TargetEntry] = field(default_factory=dict)
     removal_times: dict[TargetName, Instant] = field(default_factory=dict)
     departures: dict[TargetName, Departure] = field(default_factory=dict)
+    store: StoreContact = field(default_factory=StoreContact)
     store_unavailable: bool = False
     has_read_targets: bool = False
     next_ask_at: Instant = Instant(0)
--- a/endivedrift/shell/_runtime.py
+++ b/endivedrift/shell/_runtime.py
@@ -23,6 +23,7 @@
 from endivedrift.core.effects import (
     AbandonRequest,
     AbortAttempt,
+    AskStore,
     ClaimKey,
     DeliverAnswer,
     Effect,
@@ -94,6 +95,7 @@
         self.send_datagram: Callable[[Address, PeerMessage], None] = _ignore_datagram
         self.fetch_config: Callable[[FetchConfig], Awaitable[None]] = _ignore_fetch
         self.fetch_targets: Callable[[FetchTargets], Awaitable[None]] = _ignore_fetch
+        self.ask_store: Callable[[AskStore], Awaitable[None]] = _ignore_fetch
         self.set_store_reading: Callable[[bool], Awaitable[None]] = _ignore_store_reading
         self._request_count = 0
 
@@ -159,6 +161,11 @@
     await curio.spawn(runtime.fetch_targets(effect), daemon=True)
 
 
+@_perform.register
+async def _(effect: AskStore, runtime: Runtime) -> None:
+    await curio.spawn(runtime.ask_store(effect), daemon=True)
+
+
 @_perform.register
 async def _(effect: SetStoreReading, runtime: Runtime) -> None:
     await runtime.set_store_reading(effect.enabled)
@@ -187,5 +194,5 @@
     """Does nothing; used where every host reads the store itself."""
 
 
-async def _ignore_fetch(effect: FetchConfig | FetchTargets) -> None:
-    """Fetches nothing; used until the peer sockets are open."""
+async def _ignore_fetch(effect: FetchConfig | FetchTargets | AskStore) -> None:
+    """Fetches nothing; used until the peer sockets are open, and where there is no store."""
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -17,6 +17,7 @@
 
 PAGE_ROWS = 500
 POLL_S = 0.02
+LOST_CALL_S = 60.0
 
 
 @dataclass(slots=True)
@@ -25,7 +26,8 @@
 
     Attributes:
       status: HTTP status of every answer, or 0 for normal answers.
-      silent: Whether calls get no answer.
+      silent: Whether calls get no answer, not even afterwards; this includes calls that wait for
+        changes when it begins.
       forget: Whether the change history is lost: the next feed call is answered with status 410,
         which clears this fault.
     """
@@ -103,8 +105,7 @@
             self.faults = StoreFaults(**json.loads(request.body))
             return StandinReply(200)
         self.calls += 1
-        while self.faults.silent:
-            await curio.sleep(POLL_S)
+        await self._lose_call_if_silent()
         if self.faults.status:
             return StandinReply(self.faults.status)
         query = {name: values[0] for name, values in parse_qs(request.query).items()}
@@ -116,6 +117,10 @@
             return self._apply_transaction(json.loads(request.body))
         return StandinReply(404)
 
+    async def _lose_call_if_silent(self) -> None:
+        if self.faults.silent:
+            await curio.sleep(LOST_CALL_S)
+
     def _read_rows(self, query: dict[str, str]) -> StandinReply:
         start = query.get("from", "")
         rows = sorted(
@@ -136,15 +141,16 @@
             return StandinReply(410, {"store-era": str(self.era)})
         era = self.era
         remaining_s = int(query["waitMs"]) / 1000.0
-        while remaining_s > 0.0 and not self.faults.status:
+        while not self.faults.status:
+            await self._lose_call_if_silent()
             if era != self.era:
                 return StandinReply(503, {"store-era": str(self.era)})
             rows = [r for r in self.rows.values() if r.table == query["table"] and r.ver > after]
-            if rows:
+            if rows or remaining_s <= 0.0:
                 return self._build_reply(sorted(rows, key=lambda row: row.ver))
             await curio.sleep(POLL_S)
             remaining_s -= POLL_S
-        return StandinReply(self.faults.status) if self.faults.status else self._build_reply([])
+        return StandinReply(self.faults.status)
 
     def _apply_transaction(self, body: dict[str, Any]) -> StandinReply:
         for expected in body.get("expected", ()):
--- a/tests/patterns_test.py
+++ b/tests/patterns_test.py
@@ -37,7 +37,7 @@
     AttemptLate,
     PeerMessageReceived,
     StopRequested,
-    StoreRecovered,
+    StoreAnswered,
     StoreUnavailable,
     TargetsObserved,
 )
@@ -474,7 +474,8 @@
         now = self.harness.clock.monotonic()
         self.harness.apply(StoreUnavailable(now, "silent"))
         self.harness.advance(5.0)
-        self.harness.apply(StoreRecovered(self.harness.clock.monotonic()))
+        recovered_at = self.harness.clock.monotonic()
+        self.harness.apply(StoreAnswered(recovered_at, recovered_at))
         self.observe(range(5), complete=True)
         self.harness.advance(1.5)
         self.assertEqual(len(self.list_targets()), 9)
--- a/tests/platform_path_test.py
+++ b/tests/platform_path_test.py
@@ -119,6 +119,28 @@
 
         self.run_scenario(scenario)
 
+    # Guards against CONFIG and DRAIN: hosts that waited for changes on connections that had gone
+    # silent for good, and put none in force until their calls ended.
+    def test_changes_are_in_force_in_time_after_the_waits_for_them_were_lost(self) -> None:
+        async def scenario(platform_fleet: PlatformFleet) -> None:
+            host = f"{platform_fleet.subnet}.2"
+            store = platform_fleet.store
+            await curio.sleep(2.0)
+            store.faults = StoreFaults(silent=True)
+            await curio.sleep(1.5)
+            store.faults = StoreFaults()
+            await curio.sleep(3.0)
+            address = f"{platform_fleet.subnet}.1:20000"
+            store.write("servers", "i-1", build_entry(address, state="draining"))
+            store.write("op", "config", build_configuration(version=9))
+            async with curio.timeout_after(2.0):
+                while (await platform_fleet.read_state(host))["config_version"] != 9:
+                    await curio.sleep(0.05)
+                while await find_targets(platform_fleet, host) != {"i-2"}:
+                    await curio.sleep(0.05)
+
+        self.run_scenario(scenario)
+
     def book_during_stop(self, second_signal_after_s: float | None, sent_after_s: float) -> bytes:
         """Sends a booking of 2.4 s on a kept connection of a stopping host.
 
--- a/tests/relaying_test.py
+++ b/tests/relaying_test.py
@@ -16,8 +16,8 @@
     get_store_era,
     get_store_number,
 )
-from endivedrift.core.effects import Effect, SetStoreReading
-from endivedrift.core.events import StoreRecovered, StoreUnavailable, TargetsObserved
+from endivedrift.core.effects import AskStore, Effect, SetStoreReading
+from endivedrift.core.events import StoreAnswered, StoreUnavailable, TargetsObserved
 from endivedrift.reducer import _relaying, list_readers
 from endivedrift.shell._peer_calls import PEER_CONNECT_TIMEOUT
 from tests.builders import build_config_fetched, build_discovered_set, build_target_entry
@@ -37,9 +37,9 @@
       changed_versions: The version of the store at the last change of each target.
       version: The current version of the store.
       reaches_store: Tells whether a host's calls to the store are answered.
-      answered_calls: Number of calls that the store answered.
-      read_versions: The version that each host reading the store has seen, or 0 for none.
-      cut_off: Hosts that have been told that the store is unavailable.
+      answered_calls: Number of waits for changes that the store answered.
+      questions: Number of questions that each host asked.
+      read_versions: The version that each host waiting for changes has seen, or 0 for none.
       era: Number of times that the store was restored, plus one.
     """
 
@@ -53,7 +53,7 @@
         self.reaches_store: Callable[[str], bool] = lambda host: True
         self.answered_calls = 0
         self.read_versions: dict[str, int] = {}
-        self.cut_off: set[str] = set()
+        self.questions: dict[str, int] = {}
         self.era = 1
         super().__init__(count, DOMAINS, build_discovered_set())
 
@@ -80,41 +80,51 @@
         self.changed_versions = dict.fromkeys(entries, version)
 
     def run(self, seconds: float) -> None:
-        """Advances the clock; hosts that read the store poll it every half second."""
+        """Advances the clock; hosts that read the store hear of its changes twice a second."""
         for _ in range(round(seconds / 0.5)):
             for name in sorted(self.read_versions):
                 if name not in self.stopped:
-                    self.poll_store(name)
+                    self.report_changes(name)
             super().run(0.5)
 
-    def poll_store(self, name: str) -> None:
-        """Answers a host's poll if there are changes or the store has become unavailable to it."""
+    def report_changes(self, name: str) -> None:
+        """Ends a host's wait for changes if there are any and the host reaches the store."""
         seen_version = self.read_versions[name]
         if not self.reaches_store(name):
-            unavailable = StoreUnavailable(self.clock.monotonic(), "silent")
-            if name not in self.cut_off:
-                self.handle_effects(name, self.hosts[name].apply(unavailable))
-            self.cut_off.add(name)
-            self.read_versions[name] = 0
             return
-        current_version = build_store_version(self.era, self.version)
-        if seen_version == current_version:
+        if seen_version == build_store_version(self.era, self.version):
             return
         self.answered_calls += 1
-        now = self.clock.monotonic()
-        if name in self.cut_off:
-            self.cut_off.discard(name)
-            self.handle_effects(name, self.hosts[name].apply(StoreRecovered(now)))
-        is_same_era = get_store_era(seen_version) == self.era
-        since = get_store_number(seen_version) if is_same_era else 0
+        self.send_changes(name, seen_version)
+
+    def send_changes(self, name: str, after: int) -> None:
+        """Sends a host the changes after a version, or all entries if that is of another era."""
+        current_version = build_store_version(self.era, self.version)
+        is_same_era = get_store_era(after) == self.era
+        since = get_store_number(after) if is_same_era else 0
         changes = [n for n, version in self.changed_versions.items() if version > since]
         entries = tuple(self.entries[n] for n in changes if n in self.entries)
         removed = tuple(n for n in changes if n not in self.entries)
+        now = self.clock.monotonic()
         event = TargetsObserved(
-            now, entries, removed, not since, current_version, seen_version if since else 0
+            now, entries, removed, not since, current_version, after if since else 0
         )
-        self.read_versions[name] = current_version
-        self.handle_effects(name, self.hosts[name].apply(event))
+        if name in self.read_versions:
+            self.read_versions[name] = current_version
+        if entries or removed or not since:
+            self.handle_effects(name, self.hosts[name].apply(event))
+
+    def answer_question(self, name: str, effect: AskStore) -> None:
+        """Answers a host's question for changes at once if the host reaches the store."""
+        now = self.clock.monotonic()
+        self.questions[name] = self.questions.get(name, 0) + 1
+        if not self.reaches_store(name):
+            self.handle_effects(name, self.hosts[name].apply(StoreUnavailable(now, "silent")))
+            return
+        self.send_changes(name, effect.targets_after)
+        version = build_store_version(self.era, self.version)
+        answered = StoreAnswered(now, now, version, version)
+        self.handle_effects(name, self.hosts[name].apply(answered))
 
     def handle_effects(self, sender: str, effects: list[Effect]) -> None:
         """Carries out the effects that a host returned."""
@@ -122,7 +132,9 @@
             if isinstance(effect, SetStoreReading):
                 self.read_versions.pop(sender, None)
                 if effect.enabled:
-                    self.read_versions[sender] = 0
+                    self.read_versions[sender] = self.hosts[sender].state.targets_version
+            elif isinstance(effect, AskStore):
+                self.answer_question(sender, effect)
         super().handle_effects(sender, effects)
 
     def list_outdated(self) -> set[str]:
