Answer each request, whatever is raised while it is served

Cause: the number is too great for a timedelta. The OverflowError left TargetPool.attempt and ended the task of the request: its exchange never got an answer, and the reducer kept the request and its slot. OddNumberTest shows the trace on: _exchange, read, _classify, _apply_keep_alive. A number of over 4,300 digits in the load header raised a ValueError on the same path.

Change, at the boundary: numbers in headers are read by one function that returns a count within bounds or nothing. Elsewhere: the deadline in an operator's query (any number of digits), the status and the time limit in messages between hosts (a status of 0 could not be written to the caller), and rates of 1e300. Change, in the frames: an exception in an attempt ends it as MALFORMED, one in serving a request ends it with 502, the verdict that it may have run, and the reducer is told, as of a cancelled one; one in building an answer is answered with 502; one in fetching an object set is reported, since nothing was fetched again otherwise. All are logged with their trace.

Ruled out as further causes by tests: odd values of Content-Length, Retry-After and the rate limit headers, which were within bounds before.

--- a/endivedrift/core/_states.py
+++ b/endivedrift/core/_states.py
@@ -142,6 +142,7 @@
     SLOW_CALLER = "slow-caller"
     NO_MEMORY = "no-memory"
     TOO_MANY_CONNECTIONS = "too-many-connections"
+    HOST_FAILED = "host-failed"
 
 
 class MessageKind(Enum):
--- a/endivedrift/shell/_answers.py
+++ b/endivedrift/shell/_answers.py
@@ -39,6 +39,7 @@
     RefusalReason.HEADERS_TOO_LARGE: 431,
     RefusalReason.UNSUPPORTED: 501,
     RefusalReason.SLOW_CALLER: 408,
+    RefusalReason.HOST_FAILED: 502,
 }
 _PROXY_ERRORS = {
     RefusalReason.TARGET_CUT: "connection_terminated",
@@ -51,6 +52,7 @@
     RefusalReason.UNKNOWN_CALLER: "http_request_denied",
     RefusalReason.UNKNOWN_KEY: "http_request_denied",
     RefusalReason.BAD_REQUEST: "http_request_error",
+    RefusalReason.HOST_FAILED: "proxy_internal_error",
 }
 DEFAULT_STATUS = 503
 DEFAULT_PROXY_ERROR = "destination_unavailable"
--- a/endivedrift/shell/_callers.py
+++ b/endivedrift/shell/_callers.py
@@ -46,6 +46,7 @@
     measure_head,
     parse_endpoint,
 )
+from endivedrift.shell._log import make_logger
 from endivedrift.shell._memory import ClosingReason, Sending
 from endivedrift.shell._request_log import log_request
 from endivedrift.shell._requests import (
@@ -55,7 +56,7 @@
     read_head,
     read_host,
 )
-from endivedrift.shell._serving import ServingContext, serve_request
+from endivedrift.shell._serving import ServingContext, build_failure, serve_request
 
 MAX_UNPARSED_BYTES = 131_072
 MAX_PIPELINED_REQUESTS = 16
@@ -74,6 +75,8 @@
 """Bytes beyond the head limit that the parser accepts, so that a head over the limit is parsed and
 can be refused with an answer."""
 
+_log = make_logger("callers")
+
 _SUPPORTED_METHODS = frozenset({"GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"})
 
 
@@ -478,6 +481,10 @@
             await curio.check_cancellation()
         except curio.CancelledError:
             pass
+        except Exception:
+            _log.exception("Answering a request failed.", request=exchange.request_id)
+            conventions = self._context.conventions
+            exchange.answer = conventions.describe_refusal(build_failure(), exchange.request_id)
         finally:
             exchange.is_done = True
             self._memory.release(exchange.holding, body_bytes)
@@ -576,6 +583,9 @@
                 self._memory.close(exchange.holding)
         except (OSError, curio.TaskTimeout, h11.LocalProtocolError):
             connection.is_ended = True
+        except Exception:
+            _log.exception("Sending an answer failed; the connection is closed.")
+            connection.is_ended = True
         finally:
             connection.is_writing = False
             if connection.is_ended:
--- a/endivedrift/shell/_codec.py
+++ b/endivedrift/shell/_codec.py
@@ -19,6 +19,7 @@
 from endivedrift.core import (
     ANY_VERSION,
     MAX_SLOTS,
+    NO_RATE_LIMIT,
     Address,
     Answer,
     CallerName,
@@ -65,6 +66,8 @@
 MAX_COUNT = 2**53
 """Greatest count that is accepted: all smaller ones are exact as floating-point numbers."""
 MICROSECOND = timedelta(microseconds=1)
+MIN_STATUS, MAX_STATUS = 200, 999
+"""Statuses of final answers that HTTP can express."""
 MAX_DIGEST_BYTES = 64
 MAX_CONFIG_BYTES = 64 * 1024 * 1024
 NO_TIME_MICROS = -1
@@ -227,7 +230,7 @@
                 body=bytes(forward.body),
                 caller=CallerName(forward.caller) if forward.caller else None,
                 key=None if forward.forPeer else IdempotencyKey(forward.key),
-                timeout=forward.patienceMicros * MICROSECOND,
+                timeout=_get_duration(forward.patienceMicros),
                 for_peer=forward.forPeer,
                 earlier_attempts=forward.earlierAttempts,
                 config_version=Version(forward.configVersion),
@@ -273,7 +276,8 @@
             match reply.which():
                 case "answer":
                     answer = reply.answer
-                    return Answer(answer.status, _get_headers(answer), bytes(answer.body))
+                    status = _get_status(answer.status)
+                    return Answer(status, _get_headers(answer), bytes(answer.body))
                 case "refusal":
                     return _decode_refusal(reply.refusal)
                 case "config":
@@ -436,7 +440,7 @@
 
 def _get_rate_limit(struct: Any) -> RateLimitReport:
     rate, demand = struct.requestsPerS, struct.demandPerS
-    if not rate >= 0.0 or not 0.0 <= demand < math.inf:
+    if not (0.0 <= rate <= MAX_COUNT or rate == NO_RATE_LIMIT) or not 0.0 <= demand <= MAX_COUNT:
         raise ValueError("a rate is out of bounds")
     return RateLimitReport(
         service=ServiceName(struct.service),
@@ -547,6 +551,13 @@
     return Version(number)
 
 
+def _get_status(status: int) -> int:
+    """Checks the status of an answer, which must be a final one."""
+    if not MIN_STATUS <= status <= MAX_STATUS:
+        raise ValueError("the status is out of bounds")
+    return status
+
+
 def _get_duration(micros: int) -> timedelta:
     if not 0 <= micros <= MAX_DURATION // MICROSECOND:
         raise ValueError("the duration is out of bounds")
--- a/endivedrift/shell/_http.py
+++ b/endivedrift/shell/_http.py
@@ -15,6 +15,9 @@
 EVENTS_PER_TURN = 128
 """Events of the parser after which other tasks run; tiny chunks take no wait between two events."""
 MAX_HEAD_BYTES = 16_384
+MAX_COUNT = 10**9
+"""Greatest number that is accepted in a header; as a duration in seconds it is 31 years."""
+MAX_COUNT_DIGITS = 20
 
 _HOP_HEADERS = frozenset(
     {
@@ -50,6 +53,15 @@
     return Endpoint(ip, int(port))
 
 
+def parse_count(text: bytes) -> int | None:
+    """Reads a whole number from a header; None if it is none, or greater than `MAX_COUNT`."""
+    digits = text.strip()
+    if not digits.isdigit() or len(digits) > MAX_COUNT_DIGITS:
+        return None
+    count = int(digits)
+    return count if count <= MAX_COUNT else None
+
+
 async def send_message(sock: socket.socket, head: bytes, body: bytes) -> None:
     """Sends a head and a body without a copy of a large body.
 
--- a/endivedrift/shell/_peers.py
+++ b/endivedrift/shell/_peers.py
@@ -131,7 +131,18 @@
             await curio.spawn(self._serve_connection(sock), daemon=True)
 
     async def fetch_config(self, effect: FetchConfig) -> None:
-        """Fetches an object set from peers or, if none of them has it, from the object store."""
+        """Fetches an object set from peers or, if none of them has it, from the object store.
+
+        A failure of any kind is reported, since the set is not fetched again before.
+        """
+        try:
+            await self._fetch_and_install(effect)
+        except Exception:
+            _log.exception("Fetching an object set failed.", version=effect.config.version)
+            now = self._runtime.clock.monotonic()
+            await self._runtime.dispatch(ConfigFetchFailed(now, effect.config))
+
+    async def _fetch_and_install(self, effect: FetchConfig) -> None:
         config = effect.config
         canonical = None
         for address in effect.peers:
--- a/endivedrift/shell/_route_report.py
+++ b/endivedrift/shell/_route_report.py
@@ -14,6 +14,7 @@
 from endivedrift.fleet import RouteTable
 from endivedrift.policy import TargetCost
 from endivedrift.reducer import Explanation, explain_request
+from endivedrift.shell._http import parse_count
 from endivedrift.shell._requests import MAX_CALLER_TIMEOUT_MS
 from endivedrift.shell._runtime import Runtime
 
@@ -33,9 +34,8 @@
     if not path.startswith("/"):
         raise ValueError("path must begin with a slash")
     deadline = fields.get("deadline_ms")
-    if deadline is not None and not (
-        deadline.isdigit() and 0 < int(deadline[:9]) <= MAX_CALLER_TIMEOUT_MS
-    ):
+    milliseconds = parse_count(deadline.encode()) if deadline is not None else 1
+    if milliseconds is None or not 0 < milliseconds <= MAX_CALLER_TIMEOUT_MS:
         raise ValueError(f"deadline_ms must be from 1 to {MAX_CALLER_TIMEOUT_MS}")
     account = fields.get("account")
     caller = CallerName(account) if account is not None else None
@@ -49,7 +49,7 @@
         host=fields.get("host", "").lower(),
         caller=caller,
         account_key=account_key,
-        caller_timeout=timedelta(milliseconds=int(deadline)) if deadline is not None else None,
+        caller_timeout=timedelta(milliseconds=milliseconds) if deadline is not None else None,
     )
 
 
--- a/endivedrift/shell/_serving.py
+++ b/endivedrift/shell/_serving.py
@@ -43,6 +43,7 @@
 from endivedrift.reducer import may_still_send
 from endivedrift.shell._codec import ForwardedRequest, Reply
 from endivedrift.shell._conventions import DEFAULT_CONVENTIONS, HttpConventions
+from endivedrift.shell._log import make_logger
 from endivedrift.shell._peer_calls import PEER_CONNECT_TIMEOUT, PeerCallError, call_peer
 from endivedrift.shell._runtime import Mailbox, Runtime
 from endivedrift.shell._targets import (
@@ -53,6 +54,8 @@
 )
 from endivedrift.store import Claim, ClaimResult, ClaimTable
 
+_log = make_logger("requests")
+
 
 @dataclass(frozen=True, slots=True)
 class ServingContext:
@@ -113,6 +116,9 @@
         if not mailbox.must_answer:
             raise
         return _find_result(context, mailbox)
+    except Exception:
+        _log.exception("Serving a request failed.", request=request_id)
+        return await _end_failed_request(runtime, mailbox, request_id)
     finally:
         del runtime.mailboxes[request_id]
 
@@ -126,6 +132,31 @@
             await mailbox.task.cancel(blocking=False)
 
 
+async def _end_failed_request(
+    runtime: Runtime, mailbox: Mailbox, request_id: RequestId
+) -> ServedRequest:
+    """Ends a request after an unforeseen failure, so that its caller is answered.
+
+    The reducer is told as of a cancelled request, and releases what the request holds.
+    """
+    try:
+        async with curio.disable_cancellation():
+            await _report_cancellation(runtime, request_id)
+        # The reducer may have cancelled this task, which has ended the request already.
+        await curio.check_cancellation()
+    except curio.CancelledError:
+        pass
+    except Exception:
+        _log.exception("A failed request could not be released.", request=request_id)
+    return ServedRequest(build_failure(), tuple(mailbox.attempts), tuple(mailbox.peers))
+
+
+def build_failure() -> Refusal:
+    """Builds the refusal of a request that this host failed to serve; it may have run."""
+    verdict = Verdict.MAY_HAVE_RUN
+    return Refusal(RefusalReason.HOST_FAILED, verdict, verdict, None, "this host failed")
+
+
 def _read_result(
     context: ServingContext, mailbox: Mailbox, effect: RequestEffect
 ) -> ServedRequest | None:
--- a/endivedrift/shell/_targets.py
+++ b/endivedrift/shell/_targets.py
@@ -43,10 +43,12 @@
     copy_headers,
     find_header,
     is_framed,
+    parse_count,
     parse_endpoint,
     send_message,
     strip_hop_headers,
 )
+from endivedrift.shell._log import make_logger
 from endivedrift.shell._memory import BodyMemory
 
 MAX_IDLE_TIME = timedelta(seconds=10)
@@ -78,6 +80,8 @@
 
 _DECIMAL = re.compile(rb"\d{1,15}(\.\d{1,15})?")
 
+_log = make_logger("targets")
+
 
 @dataclass(frozen=True, slots=True)
 class TargetRequest:
@@ -134,6 +138,8 @@
     ) -> AttemptFinished:
         """Sends a request to a target and reads its answer.
 
+        An unforeseen failure of this host ends the attempt like an answer that cannot be read.
+
         Args:
           effect: Target, deadline and limits.
           request: The request.
@@ -146,9 +152,13 @@
           curio.CancelledError: If the attempt was cancelled; its connection is closed.
         """
         started = self._clock.monotonic()
-        attempt_result = await self._connect_and_exchange(
-            effect, request, started, is_aborted, may_send
-        )
+        try:
+            attempt_result = await self._connect_and_exchange(
+                effect, request, started, is_aborted, may_send
+            )
+        except Exception:
+            _log.exception("An attempt failed.", request=effect.request, target=effect.target)
+            attempt_result = _AttemptResult(AttemptOutcome.MALFORMED)
         # The wait for memory says nothing about the target.
         latency = self._clock.monotonic() - started - attempt_result.memory_wait
         target_ended = False
@@ -539,8 +549,9 @@
         stated = find_header(self.headers, b"keep-alive") or b""
         for part in stated.split(b","):
             name, _, value = part.partition(b"=")
-            if name.strip().lower() == b"timeout" and value.strip().isdigit():
-                limit = timedelta(seconds=int(value) * KEEP_ALIVE_FRACTION)
+            seconds = parse_count(value)
+            if name.strip().lower() == b"timeout" and seconds is not None:
+                limit = timedelta(seconds=seconds * KEEP_ALIVE_FRACTION)
                 self.connection.max_idle_time = min(MAX_IDLE_TIME, limit)
 
 
@@ -555,9 +566,10 @@
 def _read_load(headers: Headers, name: bytes | None) -> TargetLoad | None:
     """Reads the running and waiting requests and the slots; an invalid value is ignored."""
     parts = (find_header(headers, name) or b"").split(b",") if name is not None else []
-    if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
+    counts = [count for part in parts if (count := parse_count(part)) is not None]
+    if len(counts) != 3 or len(parts) != 3:
         return None
-    running, waiting, slots = (int(part) for part in parts)
+    running, waiting, slots = counts
     return TargetLoad(running, waiting, slots)
 
 
--- a/endivedrift/shell/callers_test.py
+++ b/endivedrift/shell/callers_test.py
@@ -9,8 +9,10 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import replace
 from datetime import timedelta
+from itertools import product
 from random import Random
 from typing import Any
+from unittest import mock
 
 import curio
 from curio import socket
@@ -19,6 +21,7 @@
 from endivedrift.core.events import StopRequested
 from endivedrift.reducer import build_host
 from endivedrift.settings import LimitsSection
+from endivedrift.shell import _callers, _serving, _targets
 from endivedrift.shell._callers import MAX_PIPELINED_REQUESTS, CallerServer
 from endivedrift.shell._metrics import Metrics
 from endivedrift.shell._runtime import Runtime
@@ -99,7 +102,7 @@
         return bytes(received)
 
 
-class StoppingTest(unittest.TestCase):
+class ServedTest(unittest.TestCase):
     def run_scenario(self, scenario: Callable[[Served], Awaitable[bytes]]) -> tuple[Served, bytes]:
         served = Served()
 
@@ -109,6 +112,48 @@
 
         return served, curio.run(run)
 
+
+class FailingStepTest(ServedTest):
+    """Each step of serving a request raises an exception that nobody foresaw."""
+
+    steps = (
+        (_targets.TargetPool, "attempt"),
+        (_targets._AnswerReader, "_classify"),
+        (_serving, "_read_result"),
+        (_serving, "_perform_effect"),
+        (_serving, "_exchange"),
+        (_serving, "_record_attempt"),
+        (_serving, "_strip_attempt_id"),
+        (_callers, "serve_request"),
+        (_callers, "build_target_request"),
+        (_callers, "read_head"),
+        (_callers, "log_request"),
+    )
+
+    # Guards against CONFIG: a request without an answer, whose slot stays held for good.
+    def test_the_request_is_answered_and_leaves_nothing_behind(self) -> None:
+        for (owner, name), request in product(self.steps, (WRITE + b"body", write_read("r"))):
+
+            async def scenario(served: Served, request: bytes = request) -> bytes:
+                await served.caller.sendall(request)
+                received = await curio.timeout_after(SILENCE_LIMIT_S, served.caller.recv, 65_536)
+                await curio.sleep(0.05)
+                return bytes(received)
+
+            with (
+                self.subTest(step=name, request=request[:4]),
+                mock.patch.object(owner, name, side_effect=OverflowError("unforeseen")),
+            ):
+                served, received = self.run_scenario(scenario)
+                self.assertTrue(received.startswith(b"HTTP/1.1 502 "), received[:60])
+                state = served.runtime.state
+                self.assertEqual((state.requests, served.runtime.mailboxes), ({}, {}))
+                service = state.services[ServiceName("rooms")]
+                held = [r.name for r in service.targets.values() if r.attempts]
+                self.assertEqual((held, service.queued_count), ([], 0))
+
+
+class StoppingTest(ServedTest):
     def receive_large(self, disturb: Callable[[Served], Awaitable[None]] | None) -> bytes:
         """Reads a large answer slowly; `disturb` is called while the host is writing it."""
 
--- a/endivedrift/shell/codec_test.py
+++ b/endivedrift/shell/codec_test.py
@@ -240,6 +240,19 @@
             bad = replace(message, members=(replace(message.sender, **changes),))
             self.assertIsNone(decode_datagram(SECRET, encode_datagram(SECRET, bad)))
 
+    # Guards against a caller without an answer: what another host said cannot be written as one.
+    def test_a_status_that_no_answer_can_have_is_rejected(self) -> None:
+        for status in (0, 100, 199, 1000, 65_535):
+            self.assertIsNone(decode_reply(encode_reply(Answer(status, (), b""))))
+
+    # Guards against a host that ends at a rate too great to count with.
+    def test_a_rate_beyond_all_counts_is_rejected(self) -> None:
+        message = build_message()
+        for rate in (1e300, -1.0, float("nan")):
+            report = replace(message.rate_limits[0], requests_per_s=rate)
+            bad = replace(message, rate_limits=(report,))
+            self.assertIsNone(decode_datagram(SECRET, encode_datagram(SECRET, bad)))
+
 
 class ForgeryTest(unittest.TestCase):
     def test_a_datagram_without_the_key_of_the_fleet_is_rejected(self) -> None:
--- a/endivedrift/shell/targets_test.py
+++ b/endivedrift/shell/targets_test.py
@@ -12,6 +12,7 @@
 from dataclasses import dataclass, replace
 from datetime import timedelta
 from itertools import product
+from unittest import mock
 
 import curio
 from curio import socket
@@ -273,6 +274,74 @@
             self.assertIs(finished.outcome, AttemptOutcome.MALFORMED)
 
 
+class OddNumberTest(unittest.TestCase):
+    """Answers whose headers hold numbers that fit no duration or no counter."""
+
+    numbers = ("9223372036854775807", "1" * 5000, "-1", "1e9", "\xb2", "", "0" * 30)
+
+    # Guards against CONFIG: requests that were never answered, since a number in a header of their
+    # answers was too great for a duration.
+    def test_an_answer_with_an_odd_number_is_passed_on(self) -> None:
+        for name, number in product(("keep-alive: timeout=", "x-load: 1,2,"), self.numbers):
+            with self.subTest(name, number=number[:20]):
+                conventions = replace(DEFAULT_CONVENTIONS, load_header=b"x-load")
+                answer = write_answer(extra=f"{ECHO}{name}{number}\r\n")
+                finished, _ = run_attempts(answer, 2, conventions=conventions)
+                outcomes = {attempt.outcome for attempt in finished}
+                self.assertEqual(outcomes, {AttemptOutcome.ANSWERED})
+
+    def test_an_answer_with_an_odd_length_is_broken(self) -> None:
+        for number in self.numbers:
+            with self.subTest(number=number[:20]):
+                head = f"HTTP/1.1 200 X\r\ncontent-length: {number}\r\n{ECHO}\r\n"
+                finished, _ = run_attempts(head.encode("latin-1"), close=True)
+                self.assertNotEqual(finished[0].outcome, AttemptOutcome.TIMED_OUT)
+
+    def test_retry_after_with_an_odd_number_is_ignored_or_bounded(self) -> None:
+        for number in self.numbers:
+            with self.subTest(number=number[:20]):
+                extra = f"{ECHO}x-not-run: 1\r\nretry-after: {number}\r\nx-rate-limit: {number}\r\n"
+                finished, _ = run_attempts(write_answer(status=503, extra=extra))
+                self.assertEqual(finished[0].outcome, AttemptOutcome.SHED)
+
+
+class FailingStepTest(unittest.TestCase):
+    """Each step of an attempt raises an exception that nobody foresaw."""
+
+    steps = (
+        (TargetPool, "_take_idle"),
+        (TargetPool, "_open"),
+        (TargetPool, "_exchange"),
+        (TargetPool, "_send"),
+        (TargetPool, "_release"),
+        (_targets, "send_message"),
+        (_targets, "_read_load"),
+        (_targets, "_read_rate_limit"),
+        (_targets, "_read_retry_after"),
+        (_targets, "strip_hop_headers"),
+        (_targets, "copy_headers"),
+        (_targets, "is_framed"),
+        (_targets._AnswerReader, "read"),
+        (_targets._AnswerReader, "_reserve"),
+        (_targets._AnswerReader, "_process_event"),
+        (_targets._AnswerReader, "_is_trustworthy"),
+        (_targets._AnswerReader, "_apply_keep_alive"),
+        (_targets._AnswerReader, "states_leaving"),
+    )
+
+    # Guards against CONFIG: a request without an answer, whose slot stays held for good.
+    def test_the_attempt_ends_as_one_that_may_have_run(self) -> None:
+        for owner, name in self.steps:
+            for failure in (OverflowError("unforeseen"), KeyError("unforeseen")):
+                with (
+                    self.subTest(step=name, failure=type(failure).__name__),
+                    mock.patch.object(owner, name, side_effect=failure),
+                ):
+                    finished, _ = run_attempts(write_answer())
+                    self.assertEqual(finished[0].outcome, AttemptOutcome.MALFORMED)
+                    self.assertIs(judge_outcome(finished[0].outcome), Verdict.MAY_HAVE_RUN)
+
+
 class ReuseTest(unittest.TestCase):
     def test_a_connection_is_reused_after_an_answer_that_echoes_the_request_id(self) -> None:
         finished, accepted = run_attempts(write_answer(), count=3)
