Relay each answer of the store with its age, and let any host ask when it is too old

Cause: a host took each update of a reader as proof that it was up to date. An update carried no time at which the store last answered its sender, so readers that had lost the store, or waited on connections that delivered nothing, kept all others from reading it.

Change: an update carries the latest answer of the store that its sender knows of: its age, the host that was answered, its number, and the versions that it covers. A host adopts it if it knows all that its sender knew. An answer that comes back over other hosts never counts as later than before. Hosts ask in the order of their ranks when the latest answer known to them is too old: one of the fleet in normal operation, twice as many in each further 0.1 s after a loss. Those whose questions fail ask ever more rarely, unless they are readers. A host that knows no recent answer also asks three other hosts for a later one. The fallback to reading by hosts without an update is gone. Only answers to this host are sent to other domains, where their readers pass them on.

Tests that saw a host read the store by its waits now see its questions; the fallback that a test switches off is the one of questions. That an outage is polled by readers only became: the others ask at most 4 times in 8 s, since any of them may be the only one that reaches the store.

--- a/endivedrift/core/_records.py
+++ b/endivedrift/core/_records.py
@@ -198,6 +198,26 @@
     started_ms: int
 
 
+@dataclass(frozen=True, slots=True)
+class StoreAnswer:
+    """An answer of the store to a question of some host, which asked for all changes.
+
+    Attributes:
+      age: Time since the question was asked. All that the store had accepted by then is known to
+        the sender.
+      source: The host that was answered.
+      number: Number of the answer among those to that host.
+      targets_version: Version of the store up to which the answer covers the targets.
+      config_version: The same for the configuration.
+    """
+
+    age: timedelta
+    source: HostId
+    number: int
+    targets_version: int
+    config_version: int
+
+
 @dataclass(frozen=True, slots=True)
 class StoreUpdate:
     """A report on the store, sent to other hosts by a host that reads it.
@@ -210,6 +230,8 @@
         outage, or None if there was no outage.
       entries: Targets that were added or changed.
       gone: Targets whose entries were removed.
+      answer: The latest answer of the store that the sender knows of, or None.
+      is_question: Whether the sender wants to be told of a later answer.
     """
 
     version: int
@@ -217,6 +239,8 @@
     time_since_recovery: timedelta | None = None
     entries: tuple[TargetEntry, ...] = ()
     gone: tuple[TargetName, ...] = ()
+    answer: StoreAnswer | None = None
+    is_question: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/endivedrift/fleet/__init__.py
+++ b/endivedrift/fleet/__init__.py
@@ -27,6 +27,7 @@
 from endivedrift.fleet._ranking import (
     Ranking,
     list_first_of_domains,
+    order_across_domains,
     rank_hosts,
     select_near_hosts,
     select_spread_hosts,
@@ -48,6 +49,7 @@
     "find_member",
     "find_route",
     "list_first_of_domains",
+    "order_across_domains",
     "list_reachable",
     "list_usable",
     "mark_serving",
--- a/endivedrift/fleet/_ranking.py
+++ b/endivedrift/fleet/_ranking.py
@@ -50,6 +50,11 @@
     return tuple(member for chosen in first.values() for member in chosen)
 
 
+def order_across_domains(group: str, members: Iterable[Member]) -> list[Member]:
+    """Orders hosts as `list_first_of_domains` prefers them, those of the domains in turn."""
+    return _interleave_domains(_order_members(group, members))
+
+
 def select_spread_hosts(group: str, members: Iterable[Member], count: int) -> tuple[Member, ...]:
     """Selects hosts of different failure domains, the same ones whoever asks.
 
--- a/endivedrift/reducer/_periodic.py
+++ b/endivedrift/reducer/_periodic.py
@@ -26,7 +26,6 @@
 from endivedrift.reducer._rate_limits import advance_rate_limits
 from endivedrift.reducer._relaying import advance_relaying
 from endivedrift.reducer._state import HostState, list_watched_hosts, update_required_power
-from endivedrift.reducer._store_contact import ask_store
 from endivedrift.reducer._targets import share_evidence
 
 EVIDENCE_INTERVAL = timedelta(milliseconds=500)
@@ -45,7 +44,6 @@
     effects += remove_lapsed_targets(state, event.at)
     effects += ask_for_targets(state, event.at)
     effects += advance_relaying(state, event.at)
-    effects += ask_store(state, event.at)
     effects += share_suspects(state, event.at)
     effects += advance_rate_limits(state, event.at)
     effects += advance_quotas(state, event.at)
--- a/endivedrift/reducer/_reduce.py
+++ b/endivedrift/reducer/_reduce.py
@@ -4,6 +4,7 @@
 give the same effects.
 """
 
+from dataclasses import replace
 from functools import singledispatch
 
 from endivedrift.core import NO_CONFIG, AuditEntry, AuditKind, HostPhase
@@ -48,7 +49,7 @@
     report_urgent_quotas,
 )
 from endivedrift.reducer._rate_limits import apply_rate_limit_reports
-from endivedrift.reducer._relaying import announce_changes, apply_store_update
+from endivedrift.reducer._relaying import announce_answer, announce_changes, apply_store_update
 from endivedrift.reducer._requests import expire_queued, handle_disconnect, start_request
 from endivedrift.reducer._state import HostState
 from endivedrift.reducer._store_contact import (
@@ -148,6 +149,8 @@
 @_reduce.register
 def _(event: TargetsObserved, state: HostState) -> list[Effect]:
     effects = end_store_outage(state, event.at)
+    # There was no change between the latest known one and the version that was asked for.
+    event = replace(event, since=min(event.since, state.targets_version))
     return effects + apply_observed_targets(state, event) + announce_changes(state, event)
 
 
@@ -169,7 +172,7 @@
 
 @_reduce.register
 def _(event: StoreAnswered, state: HostState) -> list[Effect]:
-    return record_store_answer(state, event)
+    return record_store_answer(state, event) + announce_answer(state, event.at)
 
 
 @_reduce.register
--- a/endivedrift/reducer/_relaying.py
+++ b/endivedrift/reducer/_relaying.py
@@ -1,12 +1,14 @@
-"""Relays the targets in the store from the few hosts that read it to all others.
+"""Relays what the store holds from the few hosts that read it to all others.
 
 Calls to the store are expensive and limited, and their number must not grow with the fleet. A few
-hosts of each failure domain are therefore chosen from the membership as readers. A reader sends
-each change of the targets to the hosts of its domain and to the readers of the other domains. At
-short intervals it also sends the version of the store that it has read; the message names the
-object set in force. A host that misses a change requests it from the reader that announced it. A
-host that receives no update, or cannot get the announced changes, reads the store itself. So does
-one that knows of a newer object set than its readers have: these may have lost the store.
+hosts of each failure domain are therefore chosen from the membership as readers, which wait for
+changes. A host that has read a change sends it to the hosts of its domain and to the readers of the
+other domains, which pass it on in theirs. A host that misses a change requests it from the host
+that announced it.
+
+Each update also tells of the latest answer of the store to some host that asked whether anything is
+new, and of its age; see `_store_contact`. A host that knows of no recent answer asks the store, and
+asks a few other hosts whether they know of a later one.
 """
 
 from dataclasses import replace
@@ -24,52 +26,67 @@
 )
 from endivedrift.core.effects import Effect, FetchTargets, RecordAudit, SetStoreReading
 from endivedrift.core.events import TargetsObserved
-from endivedrift.fleet import send_store_update
+from endivedrift.fleet import sample_alive, send_store_update
 from endivedrift.reducer._discovery import apply_observed_targets
-from endivedrift.reducer._state import HostState, list_readers
+from endivedrift.reducer._state import HostState, is_reader, list_readers
+from endivedrift.reducer._store_contact import adopt_answer, ask_store, describe_answer
 
 UPDATE_INTERVAL = timedelta(milliseconds=500)
 """Time between two updates that a reader sends."""
-UPDATE_TIMEOUT = timedelta(milliseconds=1_200)
-"""Time without an update after which a host reads the store itself. Two updates may be lost, and
-the rest of the two seconds within which a change must be in force is enough for a read."""
-ASK_INTERVAL = timedelta(milliseconds=300)
+FETCH_INTERVAL = timedelta(milliseconds=300)
 """Time between two requests for missed changes: several times the response time of a host."""
 MAX_CHANGES_PER_UPDATE = 30
 """Limit that keeps an update in one datagram, at about 100 bytes a change. If there are more, the
 update contains none and its receivers request them."""
+INQUIRY_AGE = timedelta(milliseconds=1_300)
+"""Age of the latest answer of the store from which other hosts are asked for a later one."""
+INQUIRY_INTERVAL = timedelta(milliseconds=500)
+INQUIRY_FANOUT = 3
+MIN_AGE_DIFFERENCE = timedelta(milliseconds=300)
+"""Time by which an answer must be later than that of an inquiry to be told."""
 RECOVERY_TIME_TOLERANCE = timedelta(milliseconds=250)
 """Difference between two reports of the time of a recovery that is ignored."""
 
 
 def advance_relaying(state: HostState, at: Instant) -> list[Effect]:
-    """Decides whether this host reads the store, and sends its periodic update as a reader."""
+    """Sends this host's periodic update if it is a reader, and asks the store what is due."""
     if not state.store_is_relayed:
         return []
-    effects = _switch_store_reading(state, at)
-    if at >= state.next_update_at and _is_reader(state) and state.targets_version:
-        effects += _send_update(state, at, _build_update(state, at, None), to_other_domains=True)
-    return effects
+    effects = _switch_store_reading(state, at) + ask_store(state, at)
+    if at >= state.next_update_at and is_reader(state) and state.targets_version:
+        # Only an answer to this host is news to other domains.
+        is_source = state.store.source == state.identity.host
+        effects += _send_update(state, at, _build_update(state, at, None), is_source)
+    return effects + _inquire(state, at)
 
 
 def announce_changes(state: HostState, event: TargetsObserved) -> list[Effect]:
-    """Sends the changes that this host has just read, if it is a reader."""
-    if not state.store_is_relayed or not _is_reader(state) or not event.version:
+    """Sends the changes that this host has just read."""
+    if not state.store_is_relayed or not event.version:
+        return []
+    if event.complete and not is_reader(state):
         return []
     return _send_update(
         state, event.at, _build_update(state, event.at, event), to_other_domains=True
     )
 
 
+def announce_answer(state: HostState, at: Instant) -> list[Effect]:
+    """Tells other hosts that the store has answered this one."""
+    if not state.store_is_relayed or not state.targets_version:
+        return []
+    return _send_update(state, at, _build_update(state, at, None), to_other_domains=True)
+
+
 def apply_store_update(
     state: HostState, at: Instant, sender: Member, message: PeerMessage
 ) -> list[Effect]:
-    """Applies an update from a reader.
+    """Applies an update from another host.
 
     Args:
       state: The host.
       at: Current time.
-      sender: The reader.
+      sender: The other host.
       message: Its message, which contains an update on the store.
     Returns:
       The effects of the changes, or a request for changes that were missed.
@@ -79,48 +96,70 @@
         return []
     _learn_store_recovery(state, at, update)
     effects: list[Effect] = []
+    observed = None
     if update.since <= state.targets_version < update.version and update.since < update.version:
         observed = TargetsObserved(
             at, update.entries, update.gone, version=update.version, since=update.since
         )
         effects += apply_observed_targets(state, observed)
-        if _is_reader(state) and sender.failure_domain != state.identity.failure_domain:
-            effects += _send_update(
-                state, at, _build_update(state, at, observed), to_other_domains=False
-            )
     elif update.version > state.targets_version and at >= state.next_ask_at:
-        state.next_ask_at = at + ASK_INTERVAL
+        state.next_ask_at = at + FETCH_INTERVAL
         effects.append(FetchTargets((sender.peer_address,)))
-    if update.version <= state.targets_version and not state.misses_config:
-        state.last_update_at = at
+    latest = state.store.as_of
+    if update.answer is not None and update.version <= state.targets_version:
+        # The answer covers what its sender knows, which must be known here too.
+        effects += adopt_answer(state, at, update.answer) if not state.misses_config else []
+    is_news = observed is not None or state.store.as_of != latest
+    if is_news and is_reader(state) and sender.failure_domain != state.identity.failure_domain:
+        effects += _send_update(
+            state, at, _build_update(state, at, observed), to_other_domains=False
+        )
+    if update.is_question:
+        effects += _answer_inquiry(state, at, sender, update)
     return effects
 
 
-def _is_reader(state: HostState) -> bool:
-    me = state.identity.host
-    return any(member.host == me for member in list_readers(state))
-
-
 def _switch_store_reading(state: HostState, at: Instant) -> list[Effect]:
-    is_updated = state.last_update_at is not None and at - state.last_update_at < UPDATE_TIMEOUT
-    reading = not is_updated or _is_reader(state)
+    reading = is_reader(state)
     if reading == state.reads_store:
         return []
     state.reads_store = reading
-    if not reading:
-        cause = "read by other hosts from now on"
-    elif is_updated:
-        cause = "read here for other hosts from now on"
-    else:
-        cause = f"read here: no update from a reader for {UPDATE_TIMEOUT.total_seconds():.1f} s"
+    cause = f"changes are waited for {'here' if reading else 'by other hosts'} from now on"
     entry = AuditEntry(at, AuditKind.STORE_CHANGED, "store", cause)
     return [SetStoreReading(reading), RecordAudit(entry)]
 
 
+def _inquire(state: HostState, at: Instant) -> list[Effect]:
+    """Asks a few hosts for a later answer of the store if the latest one known is old."""
+    contact = state.store
+    if contact.as_of is None or at - contact.as_of < INQUIRY_AGE or at < contact.next_inquiry_at:
+        return []
+    contact.next_inquiry_at = at + INQUIRY_INTERVAL
+    receivers = sample_alive(state.membership, INQUIRY_FANOUT, state.identity.host)
+    question = replace(_build_update(state, at, None), is_question=True)
+    return send_store_update(state.membership, receivers, question)
+
+
+def _answer_inquiry(
+    state: HostState, at: Instant, sender: Member, question: StoreUpdate
+) -> list[Effect]:
+    update = _build_update(state, at, None)
+    if update.answer is None or question.answer is None:
+        return []
+    if update.answer.age + MIN_AGE_DIFFERENCE > question.answer.age:
+        return []
+    return send_store_update(state.membership, [sender], update)
+
+
 def _build_update(state: HostState, at: Instant, event: TargetsObserved | None) -> StoreUpdate:
     recovered_at = state.store_recovered_at
     version = state.targets_version
-    update = StoreUpdate(version, version, at - recovered_at if recovered_at is not None else None)
+    update = StoreUpdate(
+        version,
+        version,
+        at - recovered_at if recovered_at is not None else None,
+        answer=describe_answer(state.store, at),
+    )
     if (
         event is None
         or event.complete
--- a/endivedrift/reducer/_state.py
+++ b/endivedrift/reducer/_state.py
@@ -39,6 +39,7 @@
     list_first_of_domains,
     list_reachable,
     list_usable,
+    order_across_domains,
     rank_hosts,
     sample_alive,
 )
@@ -231,17 +232,42 @@
 
     Attributes:
       as_of: All that the store had accepted by then is known here, or None if nothing was read.
+      source: Host whose question the answer was to that showed this.
+      number: Number of that answer among those to its host.
       targets_read_to: Version of the store up to which the table of targets was read, or 0.
       config_read_to: The same of the table with the configuration.
-      asked_at: When the question in progress was asked, or None if there is none.
+      asked_at: When this host's question in progress was asked, or None if there is none.
       next_ask_at: When the store may next be asked.
+      failure_count: Questions of this host in a row that were not answered.
+      answer_count: Number of this host's latest answer.
+      next_inquiry_at: When other hosts may next be asked for a later answer.
     """
 
     as_of: Instant | None = None
+    source: HostId = HostId("")
+    number: int = 0
     targets_read_to: int = 0
     config_read_to: int = 0
     asked_at: Instant | None = None
     next_ask_at: Instant = Instant(0)
+    failure_count: int = 0
+    answer_count: int = 0
+    next_inquiry_at: Instant = Instant(0)
+
+
+@dataclass(frozen=True, slots=True)
+class StoreReaders:
+    """Who reads the store, for one version of the membership.
+
+    Attributes:
+      version: The version.
+      members: Hosts that wait for the store's changes, a few of each failure domain.
+      rank: Number of hosts that are to ask the store before this one.
+    """
+
+    version: int = -1
+    members: tuple[Member, ...] = ()
+    rank: int = 0
 
 
 @dataclass(slots=True)
@@ -274,9 +300,8 @@
       reads_store: Whether this host reads the store's changes itself.
       targets_version: Version of the store up to which targets are known, or 0. It contains the
         era, so that it grows although a restored store counts from an earlier number.
-      last_update_at: When an update of a reader last showed this host to be up to date, or None.
       next_update_at: When this host next sends updates, if it is a reader.
-      readers_cache: Hosts that read the store, and the version of the membership they are for.
+      readers_cache: Cache of the hosts that read the store.
       store_recovered_at: When the store last answered again after an outage, or None.
       changed_targets: Targets whose requests in progress are reported at once, by service.
       split_positions: Position of the latest request in the interval that the services of a split
@@ -331,9 +356,8 @@
     store_is_relayed: bool = False
     reads_store: bool = True
     targets_version: int = 0
-    last_update_at: Instant | None = None
     next_update_at: Instant = Instant(0)
-    readers_cache: tuple[int, tuple[Member, ...]] = (-1, ())
+    readers_cache: StoreReaders = StoreReaders()
     changed_targets: dict[ServiceName, set[TargetName]] = field(default_factory=dict)
     split_positions: dict[RouteName, float] = field(default_factory=dict)
     next_evidence_at: Instant = Instant(0)
@@ -433,13 +457,33 @@
 
 
 def list_readers(state: HostState) -> tuple[Member, ...]:
-    """Returns the hosts that read the store for the others, a few of each failure domain."""
-    version, readers = state.readers_cache
-    if version != state.membership.version:
+    """Returns the hosts that wait for the store's changes, a few of each failure domain."""
+    return _get_readers(state).members
+
+
+def is_reader(state: HostState) -> bool:
+    """Tells whether this host waits for the store's changes for the others."""
+    me = state.identity.host
+    return any(member.host == me for member in list_readers(state))
+
+
+def get_asking_rank(state: HostState) -> int:
+    """Returns the number of hosts that are to ask the store before this one.
+
+    Hosts of the failure domains take turns, so that each domain has some of the first ones.
+    """
+    return _get_readers(state).rank
+
+
+def _get_readers(state: HostState) -> StoreReaders:
+    if state.readers_cache.version != state.membership.version:
         usable = list_usable(state.membership)
-        readers = list_first_of_domains(READERS_GROUP_NAME, usable, READERS_PER_DOMAIN)
-        state.readers_cache = (state.membership.version, readers)
-    return readers
+        members = list_first_of_domains(READERS_GROUP_NAME, usable, READERS_PER_DOMAIN)
+        hosts = [m.host for m in order_across_domains(READERS_GROUP_NAME, usable)]
+        me = state.identity.host
+        rank = hosts.index(me) if me in hosts else len(hosts)
+        state.readers_cache = StoreReaders(state.membership.version, members, rank)
+    return state.readers_cache
 
 
 def draw_repeat_receivers(state: HostState) -> list[Member]:
--- a/endivedrift/reducer/_store_contact.py
+++ b/endivedrift/reducer/_store_contact.py
@@ -1,47 +1,121 @@
-"""Asks the store whether anything is new, and keeps as of when this host knows what it holds.
+"""Keeps as of when this host knows what the store holds, and asks the store when that is too old.
 
 A host that waits for changes cannot tell a store that has none from a connection that delivers
-nothing. Beside the wait, it therefore asks questions that the store answers at once. An answer
-shows that all is known that the store had accepted when the question was asked.
+nothing, nor can the hosts that rely on it. Beside the waits, questions are therefore asked that the
+store answers at once. An answer shows that all is known that the store had accepted when the
+question was asked. It is relayed with its age, so that one question at a time is enough for the
+whole fleet, and each host sees for itself when those that read the store for it have lost it.
+
+Hosts ask in the order of their ranks: each waits somewhat longer for an answer to somebody else
+than the hosts before it. After a loss of the first hosts, twice as many ask in each further step.
 """
 
 from datetime import timedelta
 
-from endivedrift.core import AuditEntry, AuditKind, Instant
+from endivedrift.core import AuditEntry, AuditKind, Instant, StoreAnswer
 from endivedrift.core.effects import AskStore, Effect, RecordAudit
 from endivedrift.core.events import StoreAnswered, StoreUnavailable
-from endivedrift.reducer._state import HostState
+from endivedrift.reducer._state import HostState, StoreContact, get_asking_rank, is_reader
 
-ASK_INTERVAL = timedelta(milliseconds=600)
-"""Time from one answered question to the next: short against the two seconds within which a change
-must be in force, since the change may come just after an answer."""
-ASK_RETRY_DELAY = timedelta(milliseconds=500)
+ASK_INTERVAL = timedelta(milliseconds=900)
+"""Age of the latest answer at which the next question is asked, by the host that asked before. It
+is under half of the two seconds within which a change must be in force, since the change may come
+just after an answer, and the question may be lost."""
+STAND_IN_DELAY = timedelta(milliseconds=100)
+"""Time for an answer to another host to arrive before this host asks in its place."""
+RANK_DELAY = timedelta(milliseconds=100)
+"""Further delay each time that the number of hosts that ask doubles: some times as long as a
+question takes."""
+FIRST_PAUSE = timedelta(milliseconds=1_200)
+"""Time after the first answer in which a host hears of others that ask."""
+RETRY_DELAY = timedelta(milliseconds=500)
 """Time from a question that failed to the next one."""
+MAX_RETRY_DELAY = timedelta(seconds=4)
+"""Greatest such time, for hosts that do not read the store otherwise: they need not be the first to
+see it recover."""
+RETRY_JITTER = 0.25
 ASK_LIMIT = timedelta(seconds=30)
 """Time after which a question without an outcome counts as failed; a call ends far earlier."""
+ANSWER_NUMBERS = 2**32
 
 
 def ask_store(state: HostState, at: Instant) -> list[Effect]:
-    """Asks the store for changes if that is due and this host reads it."""
+    """Asks the store for changes if the latest answer that is known here is too old."""
     contact = state.store
-    if not state.store_is_relayed or not state.reads_store or at < contact.next_ask_at:
+    if not state.store_is_relayed or at < contact.next_ask_at:
         return []
     if contact.asked_at is not None and at - contact.asked_at < ASK_LIMIT:
         return []
+    if contact.as_of is not None and at - contact.as_of < _compute_delay(state):
+        return []
     contact.asked_at = at
     targets_after = max(contact.targets_read_to, state.targets_version)
     return [AskStore(targets_after, contact.config_read_to)]
 
 
+def _compute_delay(state: HostState) -> timedelta:
+    """Computes the age of the latest answer at which this host asks."""
+    rank = get_asking_rank(state)
+    if rank == 0 or state.store.source == state.identity.host:
+        return ASK_INTERVAL
+    doublings = (rank + 1).bit_length() - 1
+    return ASK_INTERVAL + STAND_IN_DELAY + RANK_DELAY * doublings
+
+
 def record_store_answer(state: HostState, event: StoreAnswered) -> list[Effect]:
-    """Notes what an answer shows: what is known, and that an outage has ended."""
+    """Notes what an answer to this host shows: what is known, and that an outage has ended."""
     contact = state.store
-    contact.as_of = max(event.asked_at, contact.as_of or event.asked_at)
-    contact.targets_read_to = max(contact.targets_read_to, event.targets_version)
-    contact.config_read_to = max(contact.config_read_to, event.config_version)
+    is_first = contact.as_of is None
     contact.asked_at = None
-    contact.next_ask_at = event.asked_at + ASK_INTERVAL
-    return end_store_outage(state, event.at)
+    contact.failure_count = 0
+    contact.next_ask_at = event.asked_at + (FIRST_PAUSE if is_first else timedelta(0))
+    contact.answer_count = (contact.answer_count + 1) % ANSWER_NUMBERS
+    answer = StoreAnswer(
+        event.at - event.asked_at,
+        state.identity.host,
+        contact.answer_count,
+        event.targets_version,
+        event.config_version,
+    )
+    return adopt_answer(state, event.at, answer) + end_store_outage(state, event.at)
+
+
+def adopt_answer(state: HostState, at: Instant, answer: StoreAnswer) -> list[Effect]:
+    """Notes an answer of the store to some host, if it is later than the latest one known.
+
+    All that it covers must be known here. An answer that was relayed on several ways counts from
+    the earliest time, so that hosts that tell one another of it do not make it seem later.
+    """
+    contact, as_of = state.store, at - answer.age
+    if contact.as_of is not None:
+        if (contact.source, contact.number) == (answer.source, answer.number):
+            contact.as_of = min(contact.as_of, as_of)
+            return []
+        if as_of <= contact.as_of:
+            return []
+    me = state.identity.host
+    previous, previous_as_of = contact.source, contact.as_of
+    contact.as_of, contact.source, contact.number = as_of, answer.source, answer.number
+    contact.targets_read_to = max(contact.targets_read_to, answer.targets_version)
+    contact.config_read_to = max(contact.config_read_to, answer.config_version)
+    if previous_as_of is None or previous == answer.source or me not in (previous, answer.source):
+        return []
+    age = (at - previous_as_of).total_seconds()
+    cause = f"asked by {answer.source} from now on; the answer to {previous} is {age:.1f} s old"
+    return [_audit_store(at, cause)]
+
+
+def describe_answer(contact: StoreContact, at: Instant) -> StoreAnswer | None:
+    """Describes the latest answer known, for other hosts."""
+    if contact.as_of is None:
+        return None
+    return StoreAnswer(
+        at - contact.as_of,
+        contact.source,
+        contact.number,
+        contact.targets_read_to,
+        contact.config_read_to,
+    )
 
 
 def end_store_outage(state: HostState, at: Instant) -> list[Effect]:
@@ -55,8 +129,15 @@
 
 def record_store_outage(state: HostState, event: StoreUnavailable) -> list[Effect]:
     """Notes that the store did not answer; registrations of live targets may lapse meanwhile."""
-    state.store.asked_at = None
-    state.store.next_ask_at = event.at + ASK_RETRY_DELAY
+    contact = state.store
+    contact.asked_at = None
+    contact.failure_count += 1
+    delay = RETRY_DELAY
+    if contact.as_of is not None and not is_reader(state):
+        delay = min(MAX_RETRY_DELAY, RETRY_DELAY * 2 ** min(contact.failure_count, 8))
+    contact.next_ask_at = event.at + delay * state.random.uniform(
+        1.0 - RETRY_JITTER, 1.0 + RETRY_JITTER
+    )
     if state.store_unavailable:
         return []
     state.store_unavailable = True
--- a/endivedrift/shell/_codec.py
+++ b/endivedrift/shell/_codec.py
@@ -42,6 +42,7 @@
     RefusalReason,
     RequestDigest,
     ServiceName,
+    StoreAnswer,
     StoreUpdate,
     SuspectReport,
     TargetEnd,
@@ -390,6 +391,14 @@
     for target, entry in zip(entries, update.entries, strict=True):
         _set_target(target, entry)
     struct.gone = list(update.gone)
+    struct.isQuestion = update.is_question
+    if update.answer is not None:
+        answer = struct.init("answer")
+        answer.ageMicros = update.answer.age // MICROSECOND
+        answer.source = update.answer.source
+        answer.number = update.answer.number
+        answer.targetsVersion = update.answer.targets_version
+        answer.configVersion = update.answer.config_version
 
 
 def _get_store_update(struct: Any) -> StoreUpdate:
@@ -400,6 +409,18 @@
         time_since_recovery=None if regained == NO_TIME_MICROS else _get_duration(regained),
         entries=tuple(_get_target(target) for target in _get_bounded(struct.entries)),
         gone=tuple(TargetName(name) for name in _get_bounded(struct.gone)),
+        answer=_get_store_answer(struct.answer) if struct._has("answer") else None,
+        is_question=struct.isQuestion,
+    )
+
+
+def _get_store_answer(struct: Any) -> StoreAnswer:
+    return StoreAnswer(
+        age=_get_duration(struct.ageMicros),
+        source=HostId(struct.source),
+        number=struct.number,
+        targets_version=_get_version(struct.targetsVersion),
+        config_version=_get_version(struct.configVersion),
     )
 
 
--- a/endivedrift/shell/peer.capnp
+++ b/endivedrift/shell/peer.capnp
@@ -42,6 +42,15 @@
   born @7 :Int64;  # Start of the target's process, in Unix milliseconds.
 }
 
+# The latest answer of the store to a question for all changes that the sender knows of.
+struct StoreAnswer {
+  ageMicros @0 :Int64;  # Time since the question was asked.
+  source @1 :Text;  # The host that was answered.
+  number @2 :UInt32;
+  targetsVersion @3 :UInt64;
+  configVersion @4 :UInt64;
+}
+
 # A report on the store, sent to other hosts by a host that reads it.
 struct StoreUpdate {
   version @0 :UInt64;
@@ -49,6 +58,8 @@
   regainedMicros @2 :Int64;  # Time since the store recovered; -1 if there was no outage.
   entries @3 :List(Target);
   gone @4 :List(Text);
+  answer @5 :StoreAnswer;
+  isQuestion @6 :Bool;  # The sender wants to be told of a later answer.
 }
 
 # The end of a target process while it worked on a request.
--- a/tests/relaying_test.py
+++ b/tests/relaying_test.py
@@ -18,7 +18,7 @@
 )
 from endivedrift.core.effects import AskStore, Effect, SetStoreReading
 from endivedrift.core.events import StoreAnswered, StoreUnavailable, TargetsObserved
-from endivedrift.reducer import _relaying, list_readers
+from endivedrift.reducer import _store_contact, list_readers
 from endivedrift.shell._peer_calls import PEER_CONNECT_TIMEOUT
 from tests.builders import build_config_fetched, build_discovered_set, build_target_entry
 from tests.fuzzing import inject_fault
@@ -39,6 +39,7 @@
       reaches_store: Tells whether a host's calls to the store are answered.
       answered_calls: Number of waits for changes that the store answered.
       questions: Number of questions that each host asked.
+      delivers_waits: Whether waits for changes are answered.
       read_versions: The version that each host waiting for changes has seen, or 0 for none.
       era: Number of times that the store was restored, plus one.
     """
@@ -54,6 +55,7 @@
         self.answered_calls = 0
         self.read_versions: dict[str, int] = {}
         self.questions: dict[str, int] = {}
+        self.delivers_waits = True
         self.era = 1
         super().__init__(count, DOMAINS, build_discovered_set())
 
@@ -90,7 +92,7 @@
     def report_changes(self, name: str) -> None:
         """Ends a host's wait for changes if there are any and the host reaches the store."""
         seen_version = self.read_versions[name]
-        if not self.reaches_store(name):
+        if not self.delivers_waits or not self.reaches_store(name):
             return
         if seen_version == build_store_version(self.era, self.version):
             return
@@ -208,8 +210,9 @@
         self.assertEqual(network.list_outdated(), set())
 
     def test_without_the_fallback_stopped_readers_are_noticed(self) -> None:
-        with inject_fault(_relaying, "UPDATE_TIMEOUT", timedelta(hours=1)):
+        with inject_fault(_store_contact, "ASK_INTERVAL", timedelta(hours=1)):
             network = self.start_network()
+            network.delivers_waits = False
             network.stopped |= network.find_readers()
             network.change_entry(build_target_entry(40))
             network.run(IN_FORCE_LIMIT_S)
@@ -231,11 +234,79 @@
         network.run(IN_FORCE_LIMIT_S)
         self.assertEqual(network.list_outdated(), set())
 
+    # Guards against CONFIG and DRAIN: hosts that relied on readers that had lost the store.
+    def test_a_change_is_everywhere_in_time_when_all_readers_lose_the_store(self) -> None:
+        for lag_s in (0.0, 0.5, 3.0):
+            with self.subTest(lag_s=lag_s):
+                network = self.start_network()
+                cut = network.find_readers()
+                network.reaches_store = lambda host, cut=cut: host not in cut
+                network.run(lag_s)
+                network.change_entry(build_target_entry(40))
+                network.run(IN_FORCE_LIMIT_S)
+                self.assertEqual(network.list_outdated(), set())
+
+    # Guards against CONFIG and DRAIN: a host that waits on a connection that delivers nothing.
+    def test_a_change_is_everywhere_in_time_when_no_wait_for_it_ends(self) -> None:
+        network = self.start_network()
+        network.delivers_waits = False
+        network.change_entry(build_target_entry(40))
+        network.run(IN_FORCE_LIMIT_S)
+        self.assertEqual(network.list_outdated(), set())
+
+    # Guards against CONFIG and DRAIN: a host that keeps others from asking though it knows nothing.
+    def test_a_change_is_everywhere_in_time_whatever_links_fail(self) -> None:
+        for seed in range(40):
+            with self.subTest(seed=seed):
+                self.check_random_cuts(seed)
+
+    def check_random_cuts(self, seed: int) -> None:
+        """Cuts links at random, and checks the hosts that reach the store or hosts that do."""
+        rng = random.Random(seed)
+        network = self.start_network(24, 8.0 + rng.random())
+        names = list(network.hosts)
+        # The readers are the ones that matter most.
+        weights = {name: 0.8 if name in network.find_readers() else 0.4 for name in names}
+        cut = {name for name in names if rng.random() < weights[name] * rng.random() * 1.5}
+        frozen = set(rng.sample(names, rng.randrange(4)))
+        loss = rng.choice((0.0, 0.1, 0.4))
+        lost = {(a, b) for a in names for b in names if rng.random() < loss}
+        network.delivers_waits = rng.random() < 0.5
+        network.reaches_store = lambda host: host not in cut
+        network.is_delivered = lambda sender, receiver: (sender, receiver) not in lost
+        network.stopped |= frozen
+        network.run(rng.choice((0.0, 0.5, 1.0, 2.0)))
+        network.stopped -= frozen
+        network.change_entry(build_target_entry(40))
+        network.change_entry(None, build_target_entry(1).name)
+        network.run(IN_FORCE_LIMIT_S)
+        reaching = {name for name in names if name not in cut and name not in frozen}
+
+        def is_bound(name: str) -> bool:
+            linked = {o for o in reaching if not {(name, o), (o, name)} & lost}
+            return name in reaching or 2 * len(linked) > len(names)
+
+        bound = {name for name in names if name not in frozen and is_bound(name)}
+        self.assertEqual(network.list_outdated() & bound, set())
+
+    def test_the_store_is_asked_by_one_host_at_a_time(self) -> None:
+        for count in (45, 300):
+            network = self.start_network(count, 25.0)
+            network.questions.clear()
+            network.run(20.0)
+            with self.subTest(hosts=count):
+                limit = 1.5 * timedelta(seconds=20) / _store_contact.ASK_INTERVAL
+                self.assertLessEqual(sum(network.questions.values()), limit)
+
     def test_an_unavailable_store_is_polled_by_its_readers_only(self) -> None:
         network = self.start_network()
         network.reaches_store = lambda host: False
+        network.questions.clear()
         network.run(8.0)
-        self.assertEqual(set(network.read_versions), network.find_readers())
+        readers = network.find_readers()
+        self.assertEqual(set(network.read_versions), readers)
+        # Any of the others may be the only one that reaches the store, but asks ever more rarely.
+        self.assertLessEqual(max(n for h, n in network.questions.items() if h not in readers), 4)
 
     def test_entries_that_lapsed_in_an_outage_are_kept_for_two_seconds_everywhere(self) -> None:
         network = self.start_network()
@@ -290,8 +361,9 @@
         network.is_delivered = lambda sender, receiver: receiver != follower or sender in behind
         newest = build_config_fetched(network.clock, network.objects, version=9).config
         network.hosts[follower].state.newest_config = newest
+        network.questions.clear()
         network.run(IN_FORCE_LIMIT_S)
-        self.assertIn(follower, network.read_versions)
+        self.assertIn(follower, network.questions)
 
     # Guards against a fleet that reads the store for ever for a set that this build cannot read.
     def test_a_set_that_was_rejected_makes_no_host_read_the_store(self) -> None:
@@ -306,9 +378,11 @@
         for name in readers:
             # The readers run a build that can read it.
             network.hosts[name].state.membership.config = event.config
+        network.questions.clear()
         network.run(5.0)
         self.assertNotIn(9, network.list_versions())
         self.assertEqual(set(network.read_versions), readers)
+        self.assertLessEqual(set(network.questions), readers)
 
     def test_changes_spread_in_time_again_after_all_hosts_were_killed_at_once(self) -> None:
         network = self.start_network()
