Take the pauses in the store's answers to all hosts for its outages, not one host's lost connection

Cause: a host noted its own lost connection as an outage of the store and, 0.5 s later, its end. It reported that time to all hosts. Each kept entries that vanished for two seconds after the reported end, since registrations lapse in an outage.

Change: updates carry the span in which the store has answered some host or other, in place of a time of recovery. Hosts unite overlapping spans; an outage is a pause of over two seconds before a later span. The first answer after a pause that a single host has seen, since it was cut off, is united with the span of the others. Removed targets are kept for two seconds after the begin of the span. Reports of earlier builds, which may be of one host alone, are ignored; their field keeps its place and nearly its meaning.

That entries which lapse in an outage are kept everywhere is tested as before.

--- a/endivedrift/core/_records.py
+++ b/endivedrift/core/_records.py
@@ -226,8 +226,9 @@
       version: Version of the store up to which the sender knows the targets.
       since: `entries` and `gone` hold all changes after this version. Equal to `version` if there
         are no changes, or too many for one message.
-      time_since_recovery: Time since the store became available to the sender again after an
-        outage, or None if there was no outage.
+      answering_for: Time since the store began to answer some host or other without a longer
+        pause, or None if the sender knows of no answer.
+      answered_age: Time since the latest answer to any host that the sender knows of, or None.
       entries: Targets that were added or changed.
       gone: Targets whose entries were removed.
       answer: The latest answer of the store that the sender knows of, or None.
@@ -236,7 +237,8 @@
 
     version: int
     since: int
-    time_since_recovery: timedelta | None = None
+    answering_for: timedelta | None = None
+    answered_age: timedelta | None = None
     entries: tuple[TargetEntry, ...] = ()
     gone: tuple[TargetName, ...] = ()
     answer: StoreAnswer | None = None
--- a/endivedrift/reducer/_discovery.py
+++ b/endivedrift/reducer/_discovery.py
@@ -94,7 +94,7 @@
     if event.complete:
         observed = tuple(e for e in observed if not _departed_before(state, e, era))
     if is_restored:
-        state.store_recovered_at = event.at
+        state.store.answered_at = state.store.answering_since = event.at
         ignored = len(event.entries) - len(observed)
         cause = f"was restored from an older copy; era {era}, {ignored} departed targets ignored"
         entries.append(AuditEntry(event.at, AuditKind.STORE_CHANGED, "store", cause))
@@ -211,8 +211,8 @@
     state: HostState, gone: set[TargetName], name: TargetName, at: Instant
 ) -> Instant:
     until = at
-    if state.store_recovered_at is not None:
-        until = max(until, state.store_recovered_at + REREGISTRATION_GRACE)
+    if state.store.answered_at is not None:
+        until = max(until, state.store.answering_since + REREGISTRATION_GRACE)
     service = state.services.get(state.discovered[name].service)
     if service is not None and len(set(service.targets) - gone) < service.floor:
         until = max(until, at + MASS_LOSS_GRACE)
--- a/endivedrift/reducer/_relaying.py
+++ b/endivedrift/reducer/_relaying.py
@@ -29,7 +29,12 @@
 from endivedrift.fleet import sample_alive, send_store_update
 from endivedrift.reducer._discovery import apply_observed_targets
 from endivedrift.reducer._state import HostState, is_reader, list_readers
-from endivedrift.reducer._store_contact import adopt_answer, ask_store, describe_answer
+from endivedrift.reducer._store_contact import (
+    adopt_answer,
+    ask_store,
+    describe_answer,
+    note_answers,
+)
 
 UPDATE_INTERVAL = timedelta(milliseconds=500)
 """Time between two updates that a reader sends."""
@@ -44,8 +49,6 @@
 INQUIRY_FANOUT = 3
 MIN_AGE_DIFFERENCE = timedelta(milliseconds=300)
 """Time by which an answer must be later than that of an inquiry to be told."""
-RECOVERY_TIME_TOLERANCE = timedelta(milliseconds=250)
-"""Difference between two reports of the time of a recovery that is ignored."""
 
 
 def advance_relaying(state: HostState, at: Instant) -> list[Effect]:
@@ -94,8 +97,9 @@
     update = message.store_update
     if not state.store_is_relayed or update is None:
         return []
-    _learn_store_recovery(state, at, update)
     effects: list[Effect] = []
+    if update.answering_for is not None and update.answered_age is not None:
+        effects += note_answers(state, at - update.answering_for, at - update.answered_age)
     observed = None
     if update.since <= state.targets_version < update.version and update.since < update.version:
         observed = TargetsObserved(
@@ -152,13 +156,13 @@
 
 
 def _build_update(state: HostState, at: Instant, event: TargetsObserved | None) -> StoreUpdate:
-    recovered_at = state.store_recovered_at
-    version = state.targets_version
+    contact, version = state.store, state.targets_version
     update = StoreUpdate(
         version,
         version,
-        at - recovered_at if recovered_at is not None else None,
-        answer=describe_answer(state.store, at),
+        at - contact.answering_since if contact.answered_at is not None else None,
+        at - contact.answered_at if contact.answered_at is not None else None,
+        answer=describe_answer(contact, at),
     )
     if (
         event is None
@@ -169,18 +173,6 @@
     return replace(update, since=event.since, entries=event.entries, gone=event.gone)
 
 
-def _learn_store_recovery(state: HostState, at: Instant, update: StoreUpdate) -> None:
-    """Notes the latest recovery of the store that a reader has reported."""
-    if update.time_since_recovery is None:
-        return
-    recovered_at = at - update.time_since_recovery
-    if (
-        state.store_recovered_at is None
-        or recovered_at > state.store_recovered_at + RECOVERY_TIME_TOLERANCE
-    ):
-        state.store_recovered_at = recovered_at
-
-
 def _send_update(
     state: HostState, at: Instant, update: StoreUpdate, to_other_domains: bool
 ) -> list[Effect]:
--- a/endivedrift/reducer/_state.py
+++ b/endivedrift/reducer/_state.py
@@ -241,6 +241,8 @@
       failure_count: Questions of this host in a row that were not answered.
       answer_count: Number of this host's latest answer.
       next_inquiry_at: When other hosts may next be asked for a later answer.
+      answered_at: When the store last answered any host, as far as known, or None.
+      answering_since: Since when it has answered some host or other without a longer pause.
     """
 
     as_of: Instant | None = None
@@ -253,6 +255,8 @@
     failure_count: int = 0
     answer_count: int = 0
     next_inquiry_at: Instant = Instant(0)
+    answered_at: Instant | None = None
+    answering_since: Instant = Instant(0)
 
 
 @dataclass(frozen=True, slots=True)
@@ -302,7 +306,6 @@
         era, so that it grows although a restored store counts from an earlier number.
       next_update_at: When this host next sends updates, if it is a reader.
       readers_cache: Cache of the hosts that read the store.
-      store_recovered_at: When the store last answered again after an outage, or None.
       changed_targets: Targets whose requests in progress are reported at once, by service.
       split_positions: Position of the latest request in the interval that the services of a split
         route divide by weight, by route.
@@ -352,7 +355,6 @@
     store_unavailable: bool = False
     has_read_targets: bool = False
     next_ask_at: Instant = Instant(0)
-    store_recovered_at: Instant | None = None
     store_is_relayed: bool = False
     reads_store: bool = True
     targets_version: int = 0
--- a/endivedrift/reducer/_store_contact.py
+++ b/endivedrift/reducer/_store_contact.py
@@ -37,6 +37,9 @@
 ASK_LIMIT = timedelta(seconds=30)
 """Time after which a question without an outcome counts as failed; a call ends far earlier."""
 ANSWER_NUMBERS = 2**32
+OUTAGE_PAUSE = timedelta(seconds=2)
+"""Time without an answer to any host that counts as an outage of the store: twice that between two
+questions. Registrations lapse after a longer one."""
 
 
 def ask_store(state: HostState, at: Instant) -> list[Effect]:
@@ -63,7 +66,7 @@
 
 
 def record_store_answer(state: HostState, event: StoreAnswered) -> list[Effect]:
-    """Notes what an answer to this host shows: what is known, and that an outage has ended."""
+    """Notes what an answer to this host shows."""
     contact = state.store
     is_first = contact.as_of is None
     contact.asked_at = None
@@ -77,7 +80,9 @@
         event.targets_version,
         event.config_version,
     )
-    return adopt_answer(state, event.at, answer) + end_store_outage(state, event.at)
+    effects = note_answers(state, event.asked_at, event.asked_at)
+    effects += end_store_outage(state, event.at)
+    return effects + adopt_answer(state, event.at, answer)
 
 
 def adopt_answer(state: HostState, at: Instant, answer: StoreAnswer) -> list[Effect]:
@@ -118,17 +123,36 @@
     )
 
 
+def note_answers(state: HostState, since: Instant, until: Instant) -> list[Effect]:
+    """Notes that the store answered some host or other from one time to another.
+
+    Spans of answers that overlap, or are only a short pause apart, are one. A longer pause before a
+    later span was an outage: the answers to any host count, so that the lost connection of one host
+    is none.
+    """
+    contact = state.store
+    if contact.answered_at is None or since > contact.answered_at + OUTAGE_PAUSE:
+        pause = since - contact.answered_at if contact.answered_at is not None else None
+        contact.answering_since, contact.answered_at = since, until
+        if pause is None:
+            return []
+        return [_audit_store(until, f"answers again after {pause.total_seconds():.1f} s")]
+    if until + OUTAGE_PAUSE >= contact.answering_since:
+        contact.answering_since = min(contact.answering_since, since)
+        contact.answered_at = max(contact.answered_at, until)
+    return []
+
+
 def end_store_outage(state: HostState, at: Instant) -> list[Effect]:
-    """Notes that the store answers this host, after which registrations have time to be renewed."""
+    """Notes that the store answers this host again."""
     if not state.store_unavailable:
         return []
     state.store_unavailable = False
-    state.store_recovered_at = at
-    return [_audit_store(at, "answers again")]
+    return [*note_answers(state, at, at), _audit_store(at, "answers this host again")]
 
 
 def record_store_outage(state: HostState, event: StoreUnavailable) -> list[Effect]:
-    """Notes that the store did not answer; registrations of live targets may lapse meanwhile."""
+    """Notes that the store did not answer this host; it may answer others."""
     contact = state.store
     contact.asked_at = None
     contact.failure_count += 1
@@ -141,7 +165,7 @@
     if state.store_unavailable:
         return []
     state.store_unavailable = True
-    return [_audit_store(event.at, f"lost: {event.cause}")]
+    return [_audit_store(event.at, f"does not answer this host: {event.cause}")]
 
 
 def _audit_store(at: Instant, cause: str) -> Effect:
--- a/endivedrift/shell/_codec.py
+++ b/endivedrift/shell/_codec.py
@@ -254,8 +254,7 @@
         refusal.reason = reply.reason.value
         refusal.mayHaveRun = reply.verdict is Verdict.MAY_HAVE_RUN
         refusal.attemptMayHaveRun = reply.attempt_verdict is Verdict.MAY_HAVE_RUN
-        after = reply.retry_after
-        refusal.retryAfterMicros = NO_TIME_MICROS if after is None else after // MICROSECOND
+        refusal.retryAfterMicros = _count_micros(reply.retry_after)
         refusal.detail = reply.detail
     elif isinstance(reply, ConfigBytes):
         message.config = _compress(reply.canonical)
@@ -382,11 +381,8 @@
 def _set_store_update(struct: Any, update: StoreUpdate) -> None:
     struct.version = update.version
     struct.since = update.since
-    struct.regainedMicros = (
-        NO_TIME_MICROS
-        if update.time_since_recovery is None
-        else update.time_since_recovery // MICROSECOND
-    )
+    struct.regainedMicros = _count_micros(update.answering_for)
+    struct.answeredMicros = _count_micros(update.answered_age)
     entries = struct.init("entries", len(update.entries))
     for target, entry in zip(entries, update.entries, strict=True):
         _set_target(target, entry)
@@ -402,11 +398,11 @@
 
 
 def _get_store_update(struct: Any) -> StoreUpdate:
-    regained = struct.regainedMicros
     return StoreUpdate(
         version=_get_version(struct.version),
         since=_get_version(struct.since),
-        time_since_recovery=None if regained == NO_TIME_MICROS else _get_duration(regained),
+        answering_for=_get_optional_duration(struct.regainedMicros),
+        answered_age=_get_optional_duration(struct.answeredMicros),
         entries=tuple(_get_target(target) for target in _get_bounded(struct.entries)),
         gone=tuple(TargetName(name) for name in _get_bounded(struct.gone)),
         answer=_get_store_answer(struct.answer) if struct._has("answer") else None,
@@ -431,22 +427,20 @@
         target.target = end.target
         target.born = end.started_ms
         target.ageMicros = end.age // MICROSECOND
-    age = report.answer_age
-    struct.answerAgeMicros = NO_TIME_MICROS if age is None else age // MICROSECOND
+    struct.answerAgeMicros = _count_micros(report.answer_age)
 
 
 def _get_suspect(struct: Any) -> SuspectReport:
     digest = bytes(struct.digest)
     if not 0 < len(digest) <= MAX_DIGEST_BYTES:
         raise ValueError("the digest of a request is empty or too long")
-    age = struct.answerAgeMicros
     return SuspectReport(
         digest=RequestDigest(digest),
         ends=tuple(
             TargetEnd(TargetName(end.target), end.born, _get_duration(end.ageMicros))
             for end in _get_bounded(struct.ends)
         ),
-        answer_age=None if age == NO_TIME_MICROS else _get_duration(age),
+        answer_age=_get_optional_duration(struct.answerAgeMicros),
     )
 
 
@@ -585,6 +579,14 @@
     return micros * MICROSECOND
 
 
+def _get_optional_duration(micros: int) -> timedelta | None:
+    return None if micros == NO_TIME_MICROS else _get_duration(micros)
+
+
+def _count_micros(duration: timedelta | None) -> int:
+    return NO_TIME_MICROS if duration is None else duration // MICROSECOND
+
+
 @lru_cache(maxsize=8_192)
 def _get_address(text: str) -> Address:
     """Checks an address, which is empty in messages to hosts that know it."""
@@ -630,11 +632,10 @@
 
 def _decode_refusal(struct: Any) -> Refusal:
     verdicts = (Verdict.NOT_RUN, Verdict.MAY_HAVE_RUN)
-    after = struct.retryAfterMicros
     return Refusal(
         reason=RefusalReason(struct.reason),
         verdict=verdicts[struct.mayHaveRun],
         attempt_verdict=verdicts[struct.attemptMayHaveRun],
-        retry_after=None if after == NO_TIME_MICROS else _get_duration(after),
+        retry_after=_get_optional_duration(struct.retryAfterMicros),
         detail=struct.detail,
     )
--- a/endivedrift/shell/codec_test.py
+++ b/endivedrift/shell/codec_test.py
@@ -31,6 +31,7 @@
     RefusalReason,
     RequestDigest,
     ServiceName,
+    StoreAnswer,
     StoreUpdate,
     SuspectReport,
     TargetEnd,
@@ -86,7 +87,9 @@
     me = build_membership(build_identity_at("h1", 1, "a"), random.Random(1)).me
     delta = EvidenceDelta(ServiceName(SERVICE), name_target(1), 1, 2, True, 1, True)
     entries = (build_target_entry(1), build_target_entry(2))
-    update = StoreUpdate(9, 7, timedelta(seconds=1), entries, (TargetName("t3"),))
+    second = timedelta(seconds=1)
+    answer = StoreAnswer(second, HostId("h3"), 2**32 - 1, 9, 8)
+    update = StoreUpdate(9, 7, second, second, entries, (TargetName("t3"),), answer, True)
     members = (me, sender)
     ends = (TargetEnd(TargetName("t4"), 1_700_000_000_000, timedelta(milliseconds=20)),)
     suspects = (
--- a/endivedrift/shell/peer.capnp
+++ b/endivedrift/shell/peer.capnp
@@ -55,11 +55,12 @@
 struct StoreUpdate {
   version @0 :UInt64;
   since @1 :UInt64;
-  regainedMicros @2 :Int64;  # Time since the store recovered; -1 if there was no outage.
+  regainedMicros @2 :Int64;  # Time since the store began to answer; -1 if no answer is known.
   entries @3 :List(Target);
   gone @4 :List(Text);
   answer @5 :StoreAnswer;
   isQuestion @6 :Bool;  # The sender wants to be told of a later answer.
+  answeredMicros @7 :Int64 = -1;  # Time since the latest answer to any host; -1 if none is known.
 }
 
 # The end of a target process while it worked on a request.
--- a/tests/relaying_test.py
+++ b/tests/relaying_test.py
@@ -321,6 +321,37 @@
         network.run(2.5)
         self.assertEqual(network.list_outdated(), set())
 
+    # Guards against DRAIN: all hosts kept removed targets since one host had lost its connection.
+    def test_a_removal_is_in_force_in_time_though_one_host_lost_the_store_meanwhile(self) -> None:
+        for lost_s in (0.5, 3.0):
+            for cut in sorted(self.start_network().find_readers()):
+                with self.subTest(lost_s=lost_s, cut=cut):
+                    network = self.start_network()
+                    network.reaches_store = lambda host, cut=cut: host != cut
+                    ask_at_once(network, cut)
+                    network.run(lost_s - 0.5)
+                    network.delivers_waits = False
+                    network.change_entry(None, build_target_entry(3).name)
+                    network.run(0.5)
+                    network.reaches_store = lambda host: True
+                    ask_at_once(network, cut)
+                    network.run(IN_FORCE_LIMIT_S - 0.5)
+                    self.assertEqual(network.list_outdated(), set())
+
+    # Guards against DRAIN: a host that was cut off from all others takes that for an outage.
+    def test_a_host_that_was_cut_off_makes_no_other_keep_a_removed_target(self) -> None:
+        network = self.start_network()
+        cut = min(network.find_readers())
+        network.reaches_store = lambda host: host != cut
+        network.is_delivered = lambda sender, receiver: cut not in (sender, receiver)
+        network.run(5.0)
+        network.reaches_store = lambda host: True
+        network.is_delivered = lambda sender, receiver: True
+        ask_at_once(network, cut)
+        network.change_entry(None, build_target_entry(3).name)
+        network.run(0.5)
+        self.assertLessEqual(network.list_outdated(), {cut})
+
     def test_a_new_object_set_is_in_force_everywhere_in_time(self) -> None:
         network = self.start_network()
         fetched = build_config_fetched(network.clock, network.objects, version=9)
@@ -478,5 +509,12 @@
         self.assertNotEqual(network.list_outdated(), set())
 
 
+def ask_at_once(network: StoreNetwork, host: str) -> None:
+    """Has a host ask the store now, as its own schedule might."""
+    network.hosts[host].state.store.as_of = None
+    network.hosts[host].state.store.next_ask_at = network.clock.monotonic()
+    network.handle_effects(host, network.hosts[host].advance(0.0001, step=0.0001))
+
+
 if __name__ == "__main__":
     unittest.main()
