Ask the store by the limit for changes, and let one host of each failure domain wait

Change: the interval of questions is a share of the time in which a change must be in force, as the settings file states it (drain or configApply, whichever is shorter), in place of 0.9 s everywhere. One host of each domain waits for changes, two in a fleet of one domain: the second one covered the loss of the first at the moment of a change, which questions now cover. Both still pass updates on.

What must be in force in time is unchanged.

--- a/endivedrift/platform/_environment.py
+++ b/endivedrift/platform/_environment.py
@@ -78,6 +78,7 @@
         self.claims: ClaimTable = self
         self.serves_entry_to_callers = False
         self.store_is_relayed = True
+        self.change_limit = node_file.change_limit
         self._node_file = node_file
 
     async def claim(self, claim: Claim) -> ClaimResult:
--- a/endivedrift/platform/_node_file.py
+++ b/endivedrift/platform/_node_file.py
@@ -8,6 +8,7 @@
 import re
 import tomllib
 from dataclasses import dataclass
+from datetime import timedelta
 from pathlib import Path
 from typing import Any
 
@@ -23,6 +24,7 @@
     read_name,
     read_number,
 )
+from endivedrift.reducer import CHANGE_LIMIT
 from endivedrift.settings import (
     FleetSection,
     HostSection,
@@ -42,6 +44,8 @@
 callers cache entry answers, and the rest is longer than the usual deadline of a request."""
 EXIT_MARGIN_S = 0.3
 """A stopping host exits at least this long before the end of its grace period."""
+MIN_CHANGE_LIMIT = timedelta(seconds=1)
+MAX_CHANGE_LIMIT = timedelta(seconds=6)
 MAX_PORT = 65_535
 MBPS_PER_CORE = 10.0
 """Link bandwidth of the requests that one core serves: 700 per second of the usual 1.5 KB."""
@@ -64,6 +68,7 @@
       readiness_address: Where this host answers the platform's readiness checks.
       entry_address: Where this host answers entry requests of callers.
       internal_address: Reserved by the platform for messages between hosts, which do not use it.
+      change_limit: Time in which a change of the store must be in force.
     """
 
     settings: Settings
@@ -72,6 +77,7 @@
     readiness_address: Address
     entry_address: Address
     internal_address: Address
+    change_limit: timedelta
 
 
 def read_node_file(path: Path) -> NodeFile:
@@ -99,9 +105,20 @@
         readiness_address=read_address(document, "listen.ready"),
         entry_address=read_address(document, "listen.directory"),
         internal_address=read_address(document, "listen.control"),
+        change_limit=_read_change_limit(document),
     )
 
 
+def _read_change_limit(document: dict[str, Any]) -> timedelta:
+    """Returns the shorter of the limits for configurations and for targets that leave.
+
+    It is kept within what hosts can meet and what operators rely on.
+    """
+    bounds = read_field(document, "bounds", dict)
+    stated = [read_duration(bounds, n) for n in ("configApply", "drain") if n in bounds]
+    return min(MAX_CHANGE_LIMIT, max(MIN_CHANGE_LIMIT, min(stated, default=CHANGE_LIMIT)))
+
+
 def _read_hedge_share() -> float:
     """Returns the share of requests that may be hedged.
 
--- a/endivedrift/reducer/__init__.py
+++ b/endivedrift/reducer/__init__.py
@@ -6,6 +6,7 @@
 from endivedrift.reducer._quotas import describe_quotas, list_quota_counts
 from endivedrift.reducer._reduce import reduce
 from endivedrift.reducer._state import (
+    CHANGE_LIMIT,
     HostState,
     QuotaCount,
     RequestState,
@@ -19,6 +20,7 @@
 )
 
 __all__ = [
+    "CHANGE_LIMIT",
     "Explanation",
     "HostState",
     "QuotaCount",
--- a/endivedrift/reducer/_relaying.py
+++ b/endivedrift/reducer/_relaying.py
@@ -1,10 +1,10 @@
 """Relays what the store holds from the few hosts that read it to all others.
 
 Calls to the store are expensive and limited, and their number must not grow with the fleet. A few
-hosts of each failure domain are therefore chosen from the membership as readers, which wait for
-changes. A host that has read a change sends it to the hosts of its domain and to the readers of the
-other domains, which pass it on in theirs. A host that misses a change requests it from the host
-that announced it.
+hosts of each failure domain are therefore chosen from the membership as readers, and one of them
+waits for changes. A host that has read a change sends it to the hosts of its domain and to the
+readers of the other domains, which pass it on in theirs. A host that misses a change requests it
+from the host that announced it.
 
 Each update also tells of the latest answer of the store to some host that asked whether anything is
 new, and of its age; see `_store_contact`. A host that knows of no recent answer asks the store, and
@@ -28,10 +28,11 @@
 from endivedrift.core.events import TargetsObserved
 from endivedrift.fleet import sample_alive, send_store_update
 from endivedrift.reducer._discovery import apply_observed_targets
-from endivedrift.reducer._state import HostState, is_reader, list_readers
+from endivedrift.reducer._state import HostState, is_reader, list_readers, list_waiting_hosts
 from endivedrift.reducer._store_contact import (
     adopt_answer,
     ask_store,
+    compute_ask_interval,
     describe_answer,
     note_answers,
 )
@@ -43,8 +44,8 @@
 MAX_CHANGES_PER_UPDATE = 30
 """Limit that keeps an update in one datagram, at about 100 bytes a change. If there are more, the
 update contains none and its receivers request them."""
-INQUIRY_AGE = timedelta(milliseconds=1_300)
-"""Age of the latest answer of the store from which other hosts are asked for a later one."""
+INQUIRY_DELAY = timedelta(milliseconds=400)
+"""Time after which other hosts are asked for an answer of the store, from when the next is due."""
 INQUIRY_INTERVAL = timedelta(milliseconds=500)
 INQUIRY_FANOUT = 3
 MIN_AGE_DIFFERENCE = timedelta(milliseconds=300)
@@ -124,7 +125,8 @@
 
 
 def _switch_store_reading(state: HostState, at: Instant) -> list[Effect]:
-    reading = is_reader(state)
+    me = state.identity.host
+    reading = any(member.host == me for member in list_waiting_hosts(state))
     if reading == state.reads_store:
         return []
     state.reads_store = reading
@@ -136,7 +138,9 @@
 def _inquire(state: HostState, at: Instant) -> list[Effect]:
     """Asks a few hosts for a later answer of the store if the latest one known is old."""
     contact = state.store
-    if contact.as_of is None or at - contact.as_of < INQUIRY_AGE or at < contact.next_inquiry_at:
+    if contact.as_of is None or at < contact.next_inquiry_at:
+        return []
+    if at - contact.as_of < compute_ask_interval(contact) + INQUIRY_DELAY:
         return []
     contact.next_inquiry_at = at + INQUIRY_INTERVAL
     receivers = sample_alive(state.membership, INQUIRY_FANOUT, state.identity.host)
--- a/endivedrift/reducer/_state.py
+++ b/endivedrift/reducer/_state.py
@@ -5,6 +5,7 @@
 
 import math
 from dataclasses import dataclass, field
+from datetime import timedelta
 from random import Random
 
 from endivedrift.core import (
@@ -55,10 +56,14 @@
     ServiceState,
 )
 
+CHANGE_LIMIT = timedelta(seconds=2)
+"""Default of the time in which a change of the store must be in force."""
 READERS_GROUP_NAME = "store readers"
 READERS_PER_DOMAIN = 2
-"""Hosts of each failure domain that read the store: two, so that the failure of one at the moment
-of a change causes no delay."""
+"""Hosts of each failure domain that pass updates on in it: two, so that the failure of one at the
+moment of a change causes no delay."""
+MIN_WAITING_HOSTS = 2
+"""Hosts of the whole fleet, at least, that wait for the store's changes."""
 POWER_STEP_CORES = 0.25
 """Step to which the required power of a group of services is rounded up, so that a few targets that
 join or leave do not change the ranking of hosts."""
@@ -231,6 +236,7 @@
     """What a host knows of its contact with the store.
 
     Attributes:
+      change_limit: Time in which a change of the store must be in force.
       as_of: All that the store had accepted by then is known here, or None if nothing was read.
       source: Host whose question the answer was to that showed this.
       number: Number of that answer among those to its host.
@@ -245,6 +251,7 @@
       answering_since: Since when it has answered some host or other without a longer pause.
     """
 
+    change_limit: timedelta = CHANGE_LIMIT
     as_of: Instant | None = None
     source: HostId = HostId("")
     number: int = 0
@@ -265,12 +272,14 @@
 
     Attributes:
       version: The version.
-      members: Hosts that wait for the store's changes, a few of each failure domain.
+      members: Hosts that read the store for the others, a few of each failure domain.
+      waiting: Those of them that wait for its changes.
       rank: Number of hosts that are to ask the store before this one.
     """
 
     version: int = -1
     members: tuple[Member, ...] = ()
+    waiting: tuple[Member, ...] = ()
     rank: int = 0
 
 
@@ -386,7 +395,11 @@
 
 
 def build_host(
-    identity: HostIdentity, secret: bytes, seed: int, store_is_relayed: bool = False
+    identity: HostIdentity,
+    secret: bytes,
+    seed: int,
+    store_is_relayed: bool = False,
+    change_limit: timedelta = CHANGE_LIMIT,
 ) -> HostState:
     """Builds the state of a host that has just started.
 
@@ -395,12 +408,20 @@
       secret: Key of the fleet.
       seed: Seed of the source of randomness.
       store_is_relayed: Whether a few hosts read the store and relay it to the others.
+      change_limit: Time in which a change of the store must be in force.
     Returns:
       A state with no object set, in which no other host is known.
     """
     random = Random(seed)
     view = build_membership(identity, random)
-    return HostState(identity, random, KeyTable(secret), view, store_is_relayed=store_is_relayed)
+    return HostState(
+        identity,
+        random,
+        KeyTable(secret),
+        view,
+        store=StoreContact(change_limit=change_limit),
+        store_is_relayed=store_is_relayed,
+    )
 
 
 def find_account(state: HostState, caller: CallerName | None) -> Caller | None:
@@ -459,12 +480,21 @@
 
 
 def list_readers(state: HostState) -> tuple[Member, ...]:
-    """Returns the hosts that wait for the store's changes, a few of each failure domain."""
+    """Returns the hosts that read the store for the others, a few of each failure domain."""
     return _get_readers(state).members
 
 
+def list_waiting_hosts(state: HostState) -> tuple[Member, ...]:
+    """Returns the readers that wait for the store's changes.
+
+    Each change costs a call of each, so there is one in each failure domain, or two in a fleet with
+    a single one. What they miss is found by the next question; see `_store_contact`.
+    """
+    return _get_readers(state).waiting
+
+
 def is_reader(state: HostState) -> bool:
-    """Tells whether this host waits for the store's changes for the others."""
+    """Tells whether this host reads the store for the others."""
     me = state.identity.host
     return any(member.host == me for member in list_readers(state))
 
@@ -484,7 +514,10 @@
         hosts = [m.host for m in order_across_domains(READERS_GROUP_NAME, usable)]
         me = state.identity.host
         rank = hosts.index(me) if me in hosts else len(hosts)
-        state.readers_cache = StoreReaders(state.membership.version, members, rank)
+        waiting = list_first_of_domains(READERS_GROUP_NAME, usable, 1)
+        if len(waiting) < MIN_WAITING_HOSTS:
+            waiting = members[:MIN_WAITING_HOSTS]
+        state.readers_cache = StoreReaders(state.membership.version, members, waiting, rank)
     return state.readers_cache
 
 
--- a/endivedrift/reducer/_store_contact.py
+++ b/endivedrift/reducer/_store_contact.py
@@ -17,10 +17,10 @@
 from endivedrift.core.events import StoreAnswered, StoreUnavailable
 from endivedrift.reducer._state import HostState, StoreContact, get_asking_rank, is_reader
 
-ASK_INTERVAL = timedelta(milliseconds=900)
-"""Age of the latest answer at which the next question is asked, by the host that asked before. It
-is under half of the two seconds within which a change must be in force, since the change may come
-just after an answer, and the question may be lost."""
+ASK_SHARE = 0.45
+"""Age of the latest answer at which the next question is asked, as a share of the time in which a
+change must be in force. It is under half, since the change may come just after an answer, and the
+question may be lost."""
 STAND_IN_DELAY = timedelta(milliseconds=100)
 """Time for an answer to another host to arrive before this host asks in its place."""
 RANK_DELAY = timedelta(milliseconds=100)
@@ -37,9 +37,9 @@
 ASK_LIMIT = timedelta(seconds=30)
 """Time after which a question without an outcome counts as failed; a call ends far earlier."""
 ANSWER_NUMBERS = 2**32
-OUTAGE_PAUSE = timedelta(seconds=2)
-"""Time without an answer to any host that counts as an outage of the store: twice that between two
-questions. Registrations lapse after a longer one."""
+OUTAGE_PAUSE = timedelta(seconds=2.5)
+"""Time without an answer to any host that counts as an outage of the store. Others ask long before
+if a host fails; registrations lapse after a longer one."""
 
 
 def ask_store(state: HostState, at: Instant) -> list[Effect]:
@@ -56,13 +56,18 @@
     return [AskStore(targets_after, contact.config_read_to)]
 
 
+def compute_ask_interval(contact: StoreContact) -> timedelta:
+    """Computes the time from one answered question to the next."""
+    return contact.change_limit * ASK_SHARE
+
+
 def _compute_delay(state: HostState) -> timedelta:
     """Computes the age of the latest answer at which this host asks."""
-    rank = get_asking_rank(state)
+    rank, interval = get_asking_rank(state), compute_ask_interval(state.store)
     if rank == 0 or state.store.source == state.identity.host:
-        return ASK_INTERVAL
+        return interval
     doublings = (rank + 1).bit_length() - 1
-    return ASK_INTERVAL + STAND_IN_DELAY + RANK_DELAY * doublings
+    return interval + STAND_IN_DELAY + RANK_DELAY * doublings
 
 
 def record_store_answer(state: HostState, event: StoreAnswered) -> list[Effect]:
--- a/endivedrift/shell/_daemon.py
+++ b/endivedrift/shell/_daemon.py
@@ -81,7 +81,13 @@
     clock = SystemClock()
     identity = _build_identity(settings, clock)
     secret = settings.fleet.key.encode()
-    state = build_host(identity, secret, secrets.randbits(64), environment.store_is_relayed)
+    state = build_host(
+        identity,
+        secret,
+        secrets.randbits(64),
+        environment.store_is_relayed,
+        environment.change_limit,
+    )
     metrics = Metrics()
     runtime = Runtime(state, clock, metrics)
     conventions = environment.conventions
--- a/endivedrift/shell/_environment.py
+++ b/endivedrift/shell/_environment.py
@@ -12,6 +12,7 @@
 
 from endivedrift.core import Address, Digest
 from endivedrift.core.events import ConfigFetched, ConfigHeadObserved, MachineListRead
+from endivedrift.reducer import CHANGE_LIMIT
 from endivedrift.settings import Settings
 from endivedrift.shell._conventions import DEFAULT_CONVENTIONS, HttpConventions
 from endivedrift.shell._log import make_logger
@@ -44,12 +45,14 @@
       claims: Table in which idempotency keys chosen by callers are claimed.
       serves_entry_to_callers: Whether entry requests are answered on the address for callers.
       store_is_relayed: Whether a few hosts read the store and relay its changes to the others.
+      change_limit: Time in which a change of the store must be in force.
     """
 
     conventions: HttpConventions
     claims: ClaimTable
     serves_entry_to_callers: bool
     store_is_relayed: bool
+    change_limit: timedelta
 
     async def read_object(self, digest: Digest) -> bytes | None:
         """Reads the bytes of an object set from the store.
@@ -85,6 +88,7 @@
         self.claims: ClaimTable = self
         self.serves_entry_to_callers = True
         self.store_is_relayed = False
+        self.change_limit = CHANGE_LIMIT
         self._deployment = settings.fleet.deployment
         self._platform = HttpPlatform(
             Address(settings.platform.table),
