Keep what targets announced while their service is without a route

Cause: an object set holds only services with a route. When the last route of a service moved away, its state was dropped, with what its targets had announced: that they leave, until when they want no request, and how many they take. When the route came back, new records were built from the registrations, which don't hold this if the target cannot reach the store.

Change: announcements of registered targets are kept while their service is not in force, also those of answers that come in that time, and apply to the same process when it is. They end with a registration of another process, and become part of what is known of a target whose registration lapses.

Ruled out: keeping the whole state of the service, whose counts of attempts would go stale.

--- a/endivedrift/reducer/_attempts.py
+++ b/endivedrift/reducer/_attempts.py
@@ -63,6 +63,7 @@
     take_trial,
     update_typical_latency,
 )
+from endivedrift.reducer._announcements import note_late_announcement
 from endivedrift.reducer._paths import (
     PATH_OUTCOMES,
     forward_request,
@@ -275,6 +276,8 @@
     if service is not None:
         effects += _record_attempt(state, service, event)
         reserved = _release_reservation(state, service, pending, event.request)
+    else:
+        note_late_announcement(state, event)
     answer = event.answer if event.outcome is AttemptOutcome.ANSWERED else None
     served = answer is not None and answer.status < SERVER_ERROR
     hedging = service.hedging if service is not None else None
--- a/endivedrift/reducer/_discovery.py
+++ b/endivedrift/reducer/_discovery.py
@@ -31,7 +31,7 @@
 from endivedrift.fleet import sample_alive
 from endivedrift.policy import mark_leaving, register_target, restore_registered_target
 from endivedrift.reducer._attempts import dispatch_queued
-from endivedrift.reducer._state import Departure, HostState
+from endivedrift.reducer._state import Announcement, Departure, HostState
 
 REREGISTRATION_GRACE = timedelta(seconds=2)
 """Time after an outage of the store in which lapsed registrations are renewed, as specified for the
@@ -137,6 +137,9 @@
         entry = _keep_leaving(state, observed_entry, departure)
         state.departures.pop(entry.name, None)
         state.removal_times.pop(entry.name, None)
+        announcement = state.announcements.get(entry.name)
+        if announcement is not None and announcement.started_ms != entry.started_ms:
+            del state.announcements[entry.name]
         known = state.discovered.get(entry.name)
         if known == entry or (known is not None and known.started_ms > entry.started_ms):
             continue
@@ -154,8 +157,10 @@
     return effects
 
 
-def _restore_limits(state: HostState, entry: TargetEntry, departure: Departure) -> None:
-    """Applies again what a target stated on its requests, after its registration came back."""
+def _restore_limits(
+    state: HostState, entry: TargetEntry, departure: Departure | Announcement
+) -> None:
+    """Applies again what a target stated on its requests, after it came back into use."""
     service = state.services.get(entry.service)
     record = service.targets.get(entry.name) if service is not None else None
     if record is not None:
@@ -228,6 +233,13 @@
     if register_target(service, entry, at):
         cause = f"registered at {entry.address}, started {entry.started_ms}"
         entries.append(AuditEntry(at, AuditKind.TARGET_JOINED, entry.name, cause, service.name))
+    announcement = state.announcements.pop(entry.name, None)
+    if announcement is not None:
+        _restore_limits(state, entry, announcement)
+        if announcement.leaving:
+            cause = "it announced that it is shutting down"
+            entries += mark_leaving(service, entry.name, at, LeavingSource.ANNOUNCED, cause)
+            return entries
     if entry.leaving:
         cause = "it registered that it is shutting down"
         entries += mark_leaving(service, entry.name, at, LeavingSource.LISTED, cause)
@@ -254,9 +266,14 @@
     """Notes that the registration of a target was removed, and the era of the first sign of it."""
     service = state.services.get(entry.service)
     record = service.targets.get(entry.name) if service is not None else None
-    announced = record is not None and record.leaving_source is LeavingSource.ANNOUNCED
-    held_until = record.held_until if record is not None else Instant(0)
-    rate_limit = record.rate_limit if record is not None else None
+    if record is not None:
+        announced = record.leaving_source is LeavingSource.ANNOUNCED
+        held_until, rate_limit = record.held_until, record.rate_limit
+    else:
+        kept = state.announcements.pop(entry.name, None)
+        announced = kept is not None and kept.leaving
+        held_until = kept.held_until if kept is not None else Instant(0)
+        rate_limit = kept.rate_limit if kept is not None else None
     earlier = _find_departure(state, entry)
     era = earlier.era if earlier is not None else get_store_era(state.targets_version)
     state.departures.pop(entry.name, None)
--- a/tests/announcements_test.py
+++ b/tests/announcements_test.py
@@ -163,6 +163,50 @@
         self.harness.apply(build_config_fetched(self.harness.clock, changed, version=2))
         self.assertNotIn(TARGET, self.send(40))
 
+    def drop_service(self, *, entry_written: bool = False, entry_lapses: bool = False) -> None:
+        """Leaves the service without a route for two seconds."""
+        clock = self.harness.clock
+        other = build_discovered_set(service="other")
+        self.harness.apply(build_config_fetched(clock, other, version=2))
+        self.harness.advance(1.0)
+        if entry_lapses:
+            self.observe(TARGET, numbers=())
+            self.harness.advance(1.0)
+        if entry_written or entry_lapses:
+            self.observe()
+        self.harness.advance(1.0)
+        self.harness.apply(build_config_fetched(clock, build_discovered_set(), version=3))
+
+    # Guards against DRAIN: hosts that forgot who leaves while a service was without a route.
+    def test_it_stays_out_when_its_service_was_without_a_route(self) -> None:
+        for changes in ({}, {"entry_written": True}, {"entry_lapses": True}):
+            with self.subTest(changes):
+                self.setUp()
+                self.finish(self.send_to_target(), leaving=True)
+                self.drop_service(**changes)
+                self.assertNotIn(TARGET, self.send(40))
+
+    # Guards against DRAIN: as above, by an answer that came while there was no route.
+    def test_it_stays_out_when_it_said_so_while_its_service_was_without_a_route(self) -> None:
+        sent = self.send_to_target()
+        other = build_discovered_set(service="other")
+        self.harness.apply(build_config_fetched(self.harness.clock, other, version=2))
+        self.finish(sent, leaving=True)
+        self.drop_service()
+        self.assertNotIn(TARGET, self.send(40))
+
+    def test_its_replacement_is_used_when_its_service_was_without_a_route(self) -> None:
+        self.finish(self.send_to_target(), leaving=True)
+        self.harness.apply(
+            build_config_fetched(
+                self.harness.clock, build_discovered_set(service="other"), version=2
+            )
+        )
+        self.observe(born=2)
+        self.drop_service()
+        self.harness.advance(5.0)
+        self.assertIn(TARGET, self.send(40))
+
     def test_an_older_entry_that_says_ready_does_not_bring_it_back(self) -> None:
         self.observe(numbers=(1,), leaving=True)
         self.observe(numbers=(1,))
@@ -223,6 +267,15 @@
         self.assertGreater(sum(sent.values()), 20)
         self.assertIn(TARGET, self.send(20))
 
+    # Guards against requests that a target wanted none of, after a moment without a route.
+    def test_the_time_still_counts_after_its_service_was_without_a_route(self) -> None:
+        self.hold(timedelta(seconds=60))
+        clock = self.harness.clock
+        other = build_discovered_set(service="other")
+        self.harness.apply(build_config_fetched(clock, other, version=2))
+        self.harness.apply(build_config_fetched(clock, build_discovered_set(), version=3))
+        self.assertNotIn(TARGET, self.send(20))
+
     def test_without_the_hold_it_would_get_some(self) -> None:
         original = _choice._list_candidates
 
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -246,12 +246,12 @@
 
 
 def build_discovered_set(
-    floor_share: float = 0.7, max_attempts: int = 2, aim_ms: int = 600
+    floor_share: float = 0.7, max_attempts: int = 2, aim_ms: int = 600, service: str = SERVICE
 ) -> ObjectSet:
     """Builds an object set with one service whose targets register themselves, and two routes."""
     bounds = FleetBounds(retry_ratio=0.2, retry_burst=56, floor_share=floor_share, entry_hosts=2)
     read = Route(
-        service=SERVICE,
+        service=service,
         path=READ_PATH,
         methods=("*",),
         repeatable=True,
@@ -262,8 +262,8 @@
     )
     write = replace(read, path=WRITE_PATH, repeatable=False, deadline_ms=2500, queue_wait_ms=2499)
     return ObjectSet(
-        service={SERVICE: build_discovered_service(SERVICE, bounds)},
-        upstream_group={SERVICE: build_discovered_group(330, "x-not-run")},
+        service={service: build_discovered_service(service, bounds)},
+        upstream_group={service: build_discovered_group(330, "x-not-run")},
         ejection_limit={BOUNDS_RULE_NAME: build_ejection_limit(bounds)},
         drain_rule={BOUNDS_RULE_NAME: build_drain_rule()},
         retry_rule={BOUNDS_RULE_NAME: build_retry_rule(bounds)},
