Tell operators how old the latest answer of the store is, and wait after what was relayed

A host that begins to wait for changes does so after the version that is known from other hosts, not after the one that it read itself, whose history may be gone. Test: feeds_test, a wait begins after what other hosts have relayed.

--- a/endivedrift/platform/_environment.py
+++ b/endivedrift/platform/_environment.py
@@ -268,6 +268,8 @@
             if not self._waiting_enabled.is_set():
                 await table.waits.close()
                 await self._waiting_enabled.wait()
+            # What other hosts have relayed need not be read again.
+            table.version = max(table.version, self._get_known_version(table))
             after = table.version
             try:
                 found = await table.wait_for_changes()
@@ -280,6 +282,13 @@
                 await self._apply(table, found[0], after, found[1])
             await curio.sleep(MIN_FEED_INTERVAL.total_seconds())
 
+    def _get_known_version(self, table: _Table) -> int:
+        """Returns the version of the store up to which this host knows a table, read or relayed."""
+        state = self._runtime.state
+        if table.name == OPERATOR_TABLE:
+            return state.store.config_read_to
+        return max(state.store.targets_read_to, state.targets_version)
+
     async def _apply(self, table: _Table, read: TableRead, after: int, complete: bool) -> None:
         """Applies rows, unless later ones were applied while these were read."""
         if table.version > after and not complete and read.version <= table.version:
--- a/endivedrift/platform/feeds_test.py
+++ b/endivedrift/platform/feeds_test.py
@@ -15,8 +15,10 @@
 from endivedrift.platform._environment import OPERATOR_TABLE, TARGET_TABLE, Feeds
 from endivedrift.platform._node_file import read_node_file
 from endivedrift.platform._store import StoreClient, StoreError, StoreRow, TableRead
+from endivedrift.reducer import build_host
 from endivedrift.shell._metrics import Metrics
 from endivedrift.shell.running import Runtime
+from tests.builders import SECRET, build_identity
 from tests.platform_builders import build_node_file
 
 LIMIT_S = 10.0
@@ -30,6 +32,7 @@
       failures: Exceptions that questions for a table raise.
       delivers_waits: Whether waits for changes are answered.
       wait_count: Number of waits that have begun.
+      waited_after: The version that the latest wait for each table was after.
     """
 
     def __init__(self) -> None:
@@ -38,6 +41,7 @@
         self.failures: dict[str, Exception] = {}
         self.delivers_waits = True
         self.wait_count = 0
+        self.waited_after: dict[str, int] = {}
 
     async def read_table(self, client: StoreClient, table: str) -> TableRead:
         return self.answer(table)
@@ -51,6 +55,7 @@
     ) -> TableRead:
         if wait:
             self.wait_count += 1
+            self.waited_after[table] = version
             while not self.delivers_waits or not self.changes.get(table):
                 await curio.sleep(0.01)
         return self.answer(table)
@@ -82,7 +87,8 @@
         async def read_table(client: StoreClient, table: str) -> TableRead:
             return await self.store.read_table(client, table)
 
-        runtime = mock.Mock(spec=Runtime, clock=ManualClock(), metrics=Metrics())
+        self.state = build_host(build_identity(), SECRET, 1, store_is_relayed=True)
+        runtime = mock.Mock(spec=Runtime, clock=ManualClock(), metrics=Metrics(), state=self.state)
         runtime.dispatch = dispatch
 
         async def run() -> None:
@@ -134,6 +140,17 @@
         self.store.failures = {OPERATOR_TABLE: StoreError("silent")}
         self.assertEqual([type(e) for e in self.ask()], [TargetsObserved, StoreUnavailable])
 
+    def test_a_wait_begins_after_what_other_hosts_have_relayed(self) -> None:
+        async def scenario(feeds: Feeds) -> None:
+            self.state.store.config_read_to, self.state.store.targets_read_to = 40, 30
+            self.state.targets_version = 41
+            await feeds.ask(AskStore())
+            while self.store.wait_count < 2:
+                await curio.sleep(0.01)
+
+        self.run_feeds(scenario)
+        self.assertEqual(self.store.waited_after, {OPERATOR_TABLE: 40, TARGET_TABLE: 41})
+
     # Guards against CONFIG: a host that goes on waiting on a connection that delivers nothing.
     def test_a_wait_that_missed_a_change_is_begun_again(self) -> None:
         async def scenario(feeds: Feeds) -> None:
--- a/endivedrift/reducer/__init__.py
+++ b/endivedrift/reducer/__init__.py
@@ -10,6 +10,7 @@
     HostState,
     QuotaCount,
     RequestState,
+    StoreContact,
     build_host,
     is_primary,
     list_entry_hosts,
@@ -18,6 +19,7 @@
     rank_service_hosts,
     resolve_entry_hosts,
 )
+from endivedrift.reducer._store_contact import describe_answer, is_store_answering
 
 __all__ = [
     "CHANGE_LIMIT",
@@ -25,10 +27,13 @@
     "HostState",
     "QuotaCount",
     "RequestState",
+    "StoreContact",
     "build_host",
+    "describe_answer",
     "describe_quotas",
     "explain_request",
     "is_primary",
+    "is_store_answering",
     "list_entry_hosts",
     "list_primaries",
     "list_quota_counts",
--- a/endivedrift/reducer/_store_contact.py
+++ b/endivedrift/reducer/_store_contact.py
@@ -128,6 +128,14 @@
     )
 
 
+def is_store_answering(state: HostState, at: Instant) -> bool:
+    """Tells whether the store has lately answered any host, as far as is known here."""
+    if not state.store_is_relayed:
+        return not state.store_unavailable
+    answered_at = state.store.answered_at
+    return answered_at is not None and at - answered_at < OUTAGE_PAUSE
+
+
 def note_answers(state: HostState, since: Instant, until: Instant) -> list[Effect]:
     """Notes that the store answered some host or other from one time to another.
 
--- a/endivedrift/shell/_report.py
+++ b/endivedrift/shell/_report.py
@@ -5,7 +5,12 @@
 from endivedrift.core import Instant
 from endivedrift.fleet import HEARD_WINDOW, MemberRecord
 from endivedrift.policy import Quarantine, ServiceState, compute_quarantine_end
-from endivedrift.reducer import describe_quotas, list_primaries
+from endivedrift.reducer import (
+    StoreContact,
+    describe_answer,
+    describe_quotas,
+    list_primaries,
+)
 from endivedrift.shell._runtime import Runtime
 
 
@@ -26,6 +31,7 @@
         "loop_lag_ms": round(state.overload.lasting_lag.total_seconds() * 1000.0, 1),
         "admitted_share": round(state.overload.admitted_share, 3),
         "keys": len(state.keys.records),
+        "store": _describe_store(state.store, now),
         "quotas": describe_quotas(state, now),
         "quarantined": _describe_quarantine(state.quarantine, now),
         "members": [_describe_member(record, now) for record in state.membership.records.values()],
@@ -39,6 +45,21 @@
     }
 
 
+def _describe_store(contact: StoreContact, now: Instant) -> dict[str, Any]:
+    """Describes as of when the store is known, by whose question, and since when it answers."""
+    answer = describe_answer(contact, now)
+    return {
+        "answer_age_s": round(answer.age.total_seconds(), 3) if answer is not None else None,
+        "answered_host": answer.source if answer is not None else None,
+        "answering_for_s": (
+            round((now - contact.answering_since).total_seconds(), 3)
+            if contact.answered_at is not None
+            else None
+        ),
+        "failed_questions": contact.failure_count,
+    }
+
+
 def _describe_quarantine(quarantine: Quarantine, now: Instant) -> dict[str, Any]:
     """Returns the quarantined requests by digest, with the targets that ended under each."""
     described = {}
--- a/endivedrift/shell/_route_report.py
+++ b/endivedrift/shell/_route_report.py
@@ -13,7 +13,7 @@
 from endivedrift.core.effects import ForwardToPeer
 from endivedrift.fleet import RouteTable
 from endivedrift.policy import TargetCost
-from endivedrift.reducer import Explanation, explain_request
+from endivedrift.reducer import Explanation, explain_request, is_store_answering
 from endivedrift.shell._http import parse_count
 from endivedrift.shell._requests import MAX_CALLER_TIMEOUT_MS
 from endivedrift.shell._runtime import Runtime
@@ -62,7 +62,7 @@
         "host": state.identity.host,
         "config_version": state.config.version,
         "config_age_s": _measure_config_age(runtime),
-        "store_available": not state.store_unavailable,
+        "store_available": is_store_answering(state, at),
         "route": found.route.name if found.route is not None else None,
         "service": found.service,
         "other_routes": [{"route": r.name, "cause": r.cause} for r in found.other_routes],
