--- a/endivedrift/platform/_environment.py
+++ b/endivedrift/platform/_environment.py
@@ -162,20 +162,25 @@
           StoreError: If the store does not answer.
         """
         self.waiting_after = self.version
-        self.waiting = await curio.spawn(
-            _read_updates, self.waits, self.name, self.version, LONG_POLL_WAIT, daemon=True
-        )
+        self.waiting = await curio.spawn(self._wait, daemon=True)
         try:
-            read, complete = await self.waiting.join()
+            found = await self.waiting.join()
         except curio.TaskError as error:
-            if isinstance(error.__cause__, StoreError):
-                raise error.__cause__ from None
             if isinstance(error.__cause__, curio.CancelledError):
                 return None
             raise
         finally:
             self.waiting = None
-        return read, complete
+        if isinstance(found, StoreError):
+            raise found
+        return found
+
+    async def _wait(self) -> tuple[TableRead, bool] | StoreError:
+        """Waits in a task of its own; a failure is a result, since curio logs those of tasks."""
+        try:
+            return await _read_updates(self.waits, self.name, self.version, LONG_POLL_WAIT)
+        except StoreError as error:
+            return error
 
     def must_have_seen(self, after: int) -> bool:
         """Tells whether a wait is in progress that a change after a version should have ended."""
