Count a withdrawn attempt as not run in the fuzz test of keys

An attempt ends as withdrawn before anything is sent (TargetPool._connect_and_exchange). The check stays: no key runs twice, and each refusal says truthfully whether its request may have run. Histories are drawn from the constants of all modules, so new ones brought this one up.

--- a/tests/keys_test.py
+++ b/tests/keys_test.py
@@ -279,6 +279,7 @@
         AttemptOutcome.SHED,
         AttemptOutcome.DRAINING,
         AttemptOutcome.NOT_CONNECTED,
+        AttemptOutcome.WITHDRAWN,
         # Another target answered at the address; by the interface, it does not run such a request.
         AttemptOutcome.MISDIRECTED,
     )
