--- a/endivedrift/platform/_environment.py
+++ b/endivedrift/platform/_environment.py
@@ -54,9 +54,8 @@
 """Shortest time between two reads of a feed, so that changes in quick succession cost one call. It
 is a quarter of the time within which a change must be in force."""
 FIRST_FEED_DELAY = timedelta(milliseconds=1_200)
-"""Time after the first read of a table until its changes are followed. Hosts that hear in this time
-from those that read the store need not follow it, which saves each start a call for each table. It
-is the time without such an update after which a host reads the store itself."""
+"""Time after the first read of a table until its changes are waited for. Hosts that learn in this
+time that others wait need not, which saves each start a call for each table."""
 RETRY_PERIOD = timedelta(milliseconds=500)
 """Delay before waiting for changes again after a call that failed."""
 SETTINGS_CHECK_PERIOD = timedelta(seconds=2)
--- a/endivedrift/reducer/_relaying.py
+++ b/endivedrift/reducer/_relaying.py
@@ -111,9 +111,10 @@
         state.next_ask_at = at + FETCH_INTERVAL
         effects.append(FetchTargets((sender.peer_address,)))
     latest = state.store.as_of
-    if update.answer is not None and update.version <= state.targets_version:
-        # The answer covers what its sender knows, which must be known here too.
-        effects += adopt_answer(state, at, update.answer) if not state.misses_config else []
+    # The answer covers what its sender knows, which must be known here too.
+    knows_all = update.version <= state.targets_version and not state.misses_config
+    if update.answer is not None and knows_all:
+        effects += adopt_answer(state, at, update.answer)
     is_news = observed is not None or state.store.as_of != latest
     if is_news and is_reader(state) and sender.failure_domain != state.identity.failure_domain:
         effects += _send_update(
--- a/endivedrift/reducer/_state.py
+++ b/endivedrift/reducer/_state.py
@@ -328,7 +328,7 @@
       has_read_targets: Whether the store has listed all targets at least once.
       next_ask_at: When other hosts may next be asked for targets.
       store_is_relayed: Whether a few hosts read the store and relay it to the others.
-      reads_store: Whether this host reads the store's changes itself.
+      reads_store: Whether this host waits for the store's changes.
       targets_version: Version of the store up to which targets are known, or 0. It contains the
         era, so that it grows although a restored store counts from an earlier number.
       next_update_at: When this host next sends updates, if it is a reader.
