End the waits of a host at once when others wait in its place

A host that had learned of others only after its start held calls to the store for up to 20 s more.

Cause: switching the waiting off took effect only after the call in progress. Change: it ends the calls. Test: feeds_test, test_waits_end_at_once_when_other_hosts_wait failed before.

--- a/endivedrift/platform/_environment.py
+++ b/endivedrift/platform/_environment.py
@@ -301,11 +301,13 @@
         table.version = max(table.version, read.version)
 
     async def _set_reading(self, enabled: bool) -> None:
-        """Starts waiting for changes, or stops after the call in progress."""
+        """Starts waiting for changes, or stops and ends the calls in progress."""
         if enabled:
             await self._waiting_enabled.set()
-        else:
-            self._waiting_enabled.clear()
+            return
+        self._waiting_enabled.clear()
+        for table in self._tables.values():
+            await table.end_wait()
 
     async def _apply_configuration(self, read: TableRead, since: int) -> None:
         """Installs the configuration if its row was read and is valid."""
--- a/endivedrift/platform/feeds_test.py
+++ b/endivedrift/platform/feeds_test.py
@@ -32,6 +32,7 @@
       failures: Exceptions that questions for a table raise.
       delivers_waits: Whether waits for changes are answered.
       wait_count: Number of waits that have begun.
+      waiting: Number of waits in progress.
       waited_after: The version that the latest wait for each table was after.
     """
 
@@ -41,6 +42,7 @@
         self.failures: dict[str, Exception] = {}
         self.delivers_waits = True
         self.wait_count = 0
+        self.waiting = 0
         self.waited_after: dict[str, int] = {}
 
     async def read_table(self, client: StoreClient, table: str) -> TableRead:
@@ -56,8 +58,12 @@
         if wait:
             self.wait_count += 1
             self.waited_after[table] = version
-            while not self.delivers_waits or not self.changes.get(table):
-                await curio.sleep(0.01)
+            self.waiting += 1
+            try:
+                while not self.delivers_waits or not self.changes.get(table):
+                    await curio.sleep(0.01)
+            finally:
+                self.waiting -= 1
         return self.answer(table)
 
     def answer(self, table: str) -> TableRead:
@@ -151,6 +157,21 @@
         self.run_feeds(scenario)
         self.assertEqual(self.store.waited_after, {OPERATOR_TABLE: 40, TARGET_TABLE: 41})
 
+    # Guards against a host that holds calls to the store long after others wait in its place.
+    def test_waits_end_at_once_when_other_hosts_wait(self) -> None:
+        async def scenario(feeds: Feeds) -> None:
+            await feeds.ask(AskStore())
+            while self.store.wait_count < 2:
+                await curio.sleep(0.01)
+            await feeds._set_reading(False)
+            await curio.sleep(0.05)
+            self.assertEqual(self.store.waiting, 0)
+            await feeds._set_reading(True)
+            while self.store.wait_count < 4:
+                await curio.sleep(0.01)
+
+        self.run_feeds(scenario)
+
     # Guards against CONFIG: a host that goes on waiting on a connection that delivers nothing.
     def test_a_wait_that_missed_a_change_is_begun_again(self) -> None:
         async def scenario(feeds: Feeds) -> None:
