Order the readers of the store once less, and keep what is known of the targets' version in one place

Reading the whole change again showed work done twice: after each change of the membership, the hosts were ordered three times, once only for the first reader of each domain, which the readers already show. And the version up to which the targets are known was computed alike for a question and for a wait; it is a property of the state now. Behaviour stays as it is.

make check passes; 111 tests of the touched paths pass (relaying_test, feeds_test, platform_path_test and six more modules).

--- a/endivedrift/platform/_environment.py
+++ b/endivedrift/platform/_environment.py
@@ -291,7 +291,7 @@
         state = self._runtime.state
         if table.name == OPERATOR_TABLE:
             return state.store.config_read_to
-        return max(state.store.targets_read_to, state.targets_version)
+        return state.targets_read_to
 
     async def _apply(self, table: _Table, read: TableRead, after: int, complete: bool) -> None:
         """Applies rows, unless later ones were applied while these were read."""
--- a/endivedrift/reducer/_state.py
+++ b/endivedrift/reducer/_state.py
@@ -406,6 +406,11 @@
     unable_peers: dict[HostId, Instant] = field(default_factory=dict)
     forwarding_blocked: dict[ServiceName, Instant] = field(default_factory=dict)
 
+    @property
+    def targets_read_to(self) -> int:
+        """Version of the store up to which the targets are known, read here or relayed, or 0."""
+        return max(self.store.targets_read_to, self.targets_version)
+
     @property
     def misses_config(self) -> bool:
         """Whether a newer object set is known that is not in force, though it could be."""
@@ -533,7 +538,8 @@
         hosts = [m.host for m in order_across_domains(READERS_GROUP_NAME, usable)]
         me = state.identity.host
         rank = hosts.index(me) if me in hosts else len(hosts)
-        waiting = list_first_of_domains(READERS_GROUP_NAME, usable, 1)
+        # The readers of each domain stand together, the first one before the others.
+        waiting = tuple({m.failure_domain: m for m in reversed(members)}.values())
         if len(waiting) < MIN_WAITING_HOSTS:
             waiting = members[:MIN_WAITING_HOSTS]
         state.readers_cache = StoreReaders(state.membership.version, members, waiting, rank)
--- a/endivedrift/reducer/_store_contact.py
+++ b/endivedrift/reducer/_store_contact.py
@@ -52,8 +52,7 @@
     if contact.as_of is not None and at - contact.as_of < _compute_delay(state):
         return []
     contact.asked_at = at
-    targets_after = max(contact.targets_read_to, state.targets_version)
-    return [AskStore(targets_after, contact.config_read_to)]
+    return [AskStore(state.targets_read_to, contact.config_read_to)]
 
 
 def compute_ask_interval(contact: StoreContact) -> timedelta:
