Log since when a configuration was known here, and when a host begins and ends to be behind the store

A set that was fetched late, a host that knew of no recent answer, and a store that answered from the past looked the same.

Change: `Config applied.` says whether the set was read at the store or how long before it was named, and the age of the latest answer then; `Store changed.` tells when that age passes the limit for changes and when it is back; a metric has the age. No decision depends on them.

make check passes; tests.relaying_test, tests.config_test and loop_lag_test pass.

--- a/endivedrift/reducer/_config.py
+++ b/endivedrift/reducer/_config.py
@@ -61,6 +61,7 @@
         cause = f"version {config.version} also names set {config.digest[:12]}, which is ignored"
         return [RecordAudit(AuditEntry(at, AuditKind.CONFIG_REJECTED, "head", cause))]
     state.newest_config = config
+    state.newest_config_at = at
     return _fetch(state, at, source) if _may_fetch(state, at) else []
 
 
@@ -116,6 +117,7 @@
     state.config = event.config
     if event.config.version > state.newest_config.version:
         state.newest_config = event.config
+        state.newest_config_at = None
     state.next_update_at = event.at
     state.objects = objects
     state.routes = build_routes(objects)
@@ -133,7 +135,10 @@
     if state.phase is HostPhase.STARTING:
         state.phase = HostPhase.SERVING
         mark_serving(state.membership)
-    cause = f"version {event.config.version} replaces {before}, digest {event.config.digest[:12]}"
+    cause = (
+        f"version {event.config.version} replaces {before}, digest {event.config.digest[:12]}, "
+        + _describe_delay(state, event.at)
+    )
     entry = AuditEntry(event.at, AuditKind.CONFIG_APPLIED, "objects", cause)
     effects: list[Effect] = [RecordAudit(entry)]
     effects += apply_machine_list(state, event.at)
@@ -147,6 +152,17 @@
     return effects + recheck_callers(state, event.at)
 
 
+def _describe_delay(state: HostState, at: Instant) -> str:
+    """Describes how the set in force became known, and as of when the store is known."""
+    named_at, as_of = state.newest_config_at, state.store.as_of
+    learned = "read at the store"
+    if named_at is not None:
+        learned = f"named {(at - named_at).total_seconds():.2f} s before"
+    if as_of is None:
+        return learned
+    return f"{learned}; latest answer of the store {(at - as_of).total_seconds():.2f} s old"
+
+
 def _refuse_queued_requests(state: HostState, service: ServiceState, at: Instant) -> list[Effect]:
     effects: list[Effect] = []
     while (queued_request := dequeue_request(service)) is not None:
--- a/endivedrift/reducer/_relaying.py
+++ b/endivedrift/reducer/_relaying.py
@@ -35,6 +35,7 @@
     compute_ask_interval,
     describe_answer,
     note_answers,
+    note_delay,
 )
 
 UPDATE_INTERVAL = timedelta(milliseconds=500)
@@ -56,7 +57,7 @@
     """Sends this host's periodic update if it is a reader, and asks the store what is due."""
     if not state.store_is_relayed:
         return []
-    effects = _switch_store_reading(state, at) + ask_store(state, at)
+    effects = _switch_store_reading(state, at) + ask_store(state, at) + note_delay(state, at)
     if at >= state.next_update_at and is_reader(state) and state.targets_version:
         # Only an answer to this host is news to other domains.
         is_source = state.store.source == state.identity.host
--- a/endivedrift/reducer/_state.py
+++ b/endivedrift/reducer/_state.py
@@ -266,6 +266,7 @@
       next_inquiry_at: When other hosts may next be asked for a later answer.
       answered_at: When the store last answered any host, as far as known, or None.
       answering_since: Since when it has answered some host or other without a longer pause.
+      behind_since: As of when the store was known here when this host began to be behind, or None.
     """
 
     change_limit: timedelta = CHANGE_LIMIT
@@ -281,6 +282,7 @@
     next_inquiry_at: Instant = Instant(0)
     answered_at: Instant | None = None
     answering_since: Instant = Instant(0)
+    behind_since: Instant | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -308,6 +310,7 @@
       phase: Phase of the process from its start to its end.
       config: Object set in force.
       newest_config: Newest object set known to be accepted, in force or not.
+      newest_config_at: When it was named here, or None if it was read at the store itself.
       rejected_version: Version of the latest object set that this host cannot read, or 0.
       serves_until: When a stopping host cuts off requests in progress, or None.
       has_read_head: Whether the table service has reported an accepted object set.
@@ -361,6 +364,7 @@
     serves_until: Instant | None = None
     config: ConfigRef = NO_CONFIG
     newest_config: ConfigRef = NO_CONFIG
+    newest_config_at: Instant | None = None
     rejected_version: Version = Version(0)
     has_read_head: bool = False
     started_at: Instant | None = None
--- a/endivedrift/reducer/_store_contact.py
+++ b/endivedrift/reducer/_store_contact.py
@@ -114,6 +114,25 @@
     return [_audit_store(at, cause)]
 
 
+def note_delay(state: HostState, at: Instant) -> list[Effect]:
+    """Notes when this host begins and ends to know of no answer within the limit for changes."""
+    contact = state.store
+    if contact.as_of is None:
+        return []
+    is_behind = at - contact.as_of > contact.change_limit
+    if is_behind and contact.behind_since is None:
+        contact.behind_since = contact.as_of
+        age = (at - contact.as_of).total_seconds()
+        cause = f"may be behind: the latest answer, to {contact.source}, is {age:.1f} s old"
+        return [_audit_store(at, cause)]
+    if not is_behind and contact.behind_since is not None:
+        pause = (contact.as_of - contact.behind_since).total_seconds()
+        contact.behind_since = None
+        cause = f"is no longer behind: {contact.source} was answered {pause:.1f} s after that"
+        return [_audit_store(at, cause)]
+    return []
+
+
 def describe_answer(contact: StoreContact, at: Instant) -> StoreAnswer | None:
     """Describes the latest answer known, for other hosts."""
     if contact.as_of is None:
--- a/endivedrift/shell/_metrics.py
+++ b/endivedrift/shell/_metrics.py
@@ -11,6 +11,7 @@
     Answer,
     AuditEntry,
     HostPhase,
+    Instant,
     MemberStatus,
     Refusal,
     TargetState,
@@ -103,12 +104,12 @@
         if finished.is_hedge:
             self.hedges[service, finished.outcome.value] += 1
 
-    def render(self, state: HostState) -> bytes:
+    def render(self, state: HostState, now: Instant) -> bytes:
         """Returns all metrics, and gauges of the state, in the text format."""
         import prometheus_client
 
         registry = prometheus_client.CollectorRegistry()
-        registry.register(_Snapshot([*self._list_counters(state), *_list_gauges(self, state)]))
+        registry.register(_Snapshot([*self._list_counters(state), *_list_gauges(self, state, now)]))
         return prometheus_client.generate_latest(registry)
 
     def _list_counters(self, state: HostState) -> Iterator[Any]:
@@ -201,7 +202,7 @@
     yield family
 
 
-def _list_gauges(metrics: Metrics, state: HostState) -> Iterator[Any]:
+def _list_gauges(metrics: Metrics, state: HostState, now: Instant) -> Iterator[Any]:
     from prometheus_client.core import GaugeMetricFamily
 
     serving = 1 if state.phase is HostPhase.SERVING else 0
@@ -235,6 +236,10 @@
         ("endivedrift_serving", "1 while the host serves, else 0", serving),
     ):
         yield GaugeMetricFamily(name, text, value=value)
+    if state.store.as_of is not None:
+        text = "Age of the latest answer of the store that is known here"
+        age_s = (now - state.store.as_of).total_seconds()
+        yield GaugeMetricFamily("endivedrift_store_answer_age_seconds", text, value=age_s)
     members = GaugeMetricFamily("endivedrift_members", "Known hosts by status", labels=("status",))
     statuses = Counter(record.member.status for record in state.membership.records.values())
     for status in MemberStatus:
--- a/endivedrift/shell/_operators.py
+++ b/endivedrift/shell/_operators.py
@@ -42,7 +42,9 @@
         path, _, query = request.target.decode("ascii").partition("?")
         fields = parse_qs(query)
         if path == "/metrics":
-            body = self._runtime.metrics.render(self._runtime.state)
+            body = self._runtime.metrics.render(
+                self._runtime.state, self._runtime.clock.monotonic()
+            )
             return HttpAnswer(200, ((b"content-type", b"text/plain; version=0.0.4"),), body)
         if path == "/health":
             phase = self._runtime.state.phase
--- a/endivedrift/shell/loop_lag_test.py
+++ b/endivedrift/shell/loop_lag_test.py
@@ -30,6 +30,6 @@
 
         curio.run(run)
         self.assertGreaterEqual(runtime.metrics.loop_lag.sum_s, BLOCKED_S - 0.1)
-        text = runtime.metrics.render(runtime.state).decode()
+        text = runtime.metrics.render(runtime.state, runtime.clock.monotonic()).decode()
         self.assertIn("endivedrift_loop_lag_seconds_count 1.0", text)
         self.assertIn("endivedrift_request_wait_seconds_count 0.0", text)
--- a/tests/relaying_test.py
+++ b/tests/relaying_test.py
@@ -314,6 +314,17 @@
         # Any of the others may be the only one that reaches the store, but asks ever more rarely.
         self.assertLessEqual(max(n for h, n in network.questions.items() if h not in readers), 4)
 
+    def test_hosts_log_when_they_begin_and_end_to_be_behind(self) -> None:
+        network = self.start_network(12)
+        network.audit.clear()
+        network.reaches_store = lambda host: False
+        network.run(4.0)
+        network.reaches_store = lambda host: True
+        network.run(5.0)
+        for phrase in ("may be behind: the latest answer", "is no longer behind"):
+            hosts = [host for host, record in network.audit if phrase in record.entry.cause]
+            self.assertEqual(sorted(hosts), sorted(network.hosts), phrase)
+
     def test_entries_that_lapsed_in_an_outage_are_kept_for_two_seconds_everywhere(self) -> None:
         network = self.start_network()
         network.reaches_store = lambda host: False
