--- a/standins/proxy.py
+++ b/standins/proxy.py
@@ -20,7 +20,8 @@
 class LinkFault(Enum):
     """Fault of a link.
 
-    SILENT blocks the bytes in both directions, NO_ANSWERS only those from the upstream.
+    SILENT blocks the bytes in both directions, NO_ANSWERS only those from the upstream, and
+    GREETING_ONLY those that the upstream sends after the first ones of a connection.
     """
 
     NONE = "none"
@@ -28,6 +29,7 @@
     RESET = "reset"
     SILENT = "silent"
     NO_ANSWERS = "no-answers"
+    GREETING_ONLY = "greeting-only"
 
 
 @dataclass(slots=True)
@@ -84,8 +86,12 @@
     async def _copy(
         self, source: socket.socket, sink: socket.socket, blocking_fault: LinkFault
     ) -> None:
+        is_first = True
         with contextlib.suppress(OSError):
             while data := await source.recv(READ_BYTES):
+                if blocking_fault is LinkFault.NO_ANSWERS and not is_first:
+                    await self._wait_while(LinkFault.GREETING_ONLY)
+                is_first = False
                 if self.fault is LinkFault.DELAYED:
                     await curio.sleep(self.delay_s)
                 await self._wait_while(LinkFault.SILENT)
