Fetch from the next host while those before it have not replied

Cause: a host that greets and then stands still held the fetch of a new object set, or of missed changes of targets, for two seconds, all the time in which a change must be in force. What callers would see: requests run as an older version allows. Class: a wait that is not short against the limit of what it is for.

--- a/endivedrift/shell/_peers.py
+++ b/endivedrift/shell/_peers.py
@@ -144,11 +144,13 @@
 
     async def _fetch_and_install(self, effect: FetchConfig) -> None:
         config = effect.config
-        canonical = None
-        for address in effect.peers:
-            canonical = await self._request_config(address, ConfigQuery(config.digest))
-            if canonical is not None:
-                break
+        reply = await self._ask_until(
+            effect.peers,
+            ConfigQuery(config.digest),
+            lambda reply: isinstance(reply, ConfigBytes)
+            and digest_bytes(reply.canonical) == config.digest,
+        )
+        canonical = reply.canonical if isinstance(reply, ConfigBytes) else None
         if canonical is None:
             canonical = await self._read_object(config.digest)
         now = self._runtime.clock.monotonic()
@@ -158,17 +160,15 @@
         await self.install(ConfigFetched(now, config, canonical))
 
     async def fetch_targets(self, effect: FetchTargets) -> None:
-        """Asks peers, one after the other, for registered targets, until one of them knows any."""
-        for address in effect.peers:
-            try:
-                reply = await self._ask(address, TargetsQuery())
-            except PeerCallError as error:
-                _log.info("Targets not received.", peer=address, cause=str(error))
-                continue
-            if isinstance(reply, KnownTargets) and reply.entries:
-                now = self._runtime.clock.monotonic()
-                await self._runtime.dispatch(PeerTargetsReceived(now, reply.entries, reply.version))
-                return
+        """Asks peers for registered targets until one of them knows any."""
+        reply = await self._ask_until(
+            effect.peers,
+            TargetsQuery(),
+            lambda reply: isinstance(reply, KnownTargets) and bool(reply.entries),
+        )
+        if isinstance(reply, KnownTargets):
+            now = self._runtime.clock.monotonic()
+            await self._runtime.dispatch(PeerTargetsReceived(now, reply.entries, reply.version))
 
     async def install(self, fetched: ConfigFetched) -> None:
         """Keeps an object set for other hosts to fetch, and gives it to the reducer."""
@@ -180,28 +180,50 @@
         await self._udp.close()
         await self._tcp.close()
 
-    async def _ask(self, address: Address, query: ConfigQuery | TargetsQuery) -> Reply:
-        """Asks another host.
+    async def _ask_until(
+        self,
+        peers: tuple[Address, ...],
+        query: ConfigQuery | TargetsQuery,
+        is_wanted: Callable[[Reply], bool],
+    ) -> Reply | None:
+        """Asks hosts in turn, the next one also while those before it have not replied for a while.
 
-        Raises:
-          PeerCallError: If it does not reply in time.
+        Returns:
+          The first wanted reply, or None if no host gives one.
         """
-        return await call_peer(
-            self._context.secret,
-            address,
-            query,
-            FETCH_TIMEOUT,
-            connect_timeout=PEER_CONNECT_TIMEOUT,
-        )
+        waiting = list(peers)
+        async with curio.TaskGroup() as group:
+            asked = 0
+            while waiting or asked:
+                if waiting:
+                    await group.spawn(self._ask, waiting.pop(0), query)
+                    asked += 1
+                limit = PEER_CONNECT_TIMEOUT if waiting else FETCH_TIMEOUT
+                task = None
+                async with curio.ignore_after(limit.total_seconds()):
+                    task = await group.next_done()
+                if task is None:
+                    continue
+                asked -= 1
+                if task.result is not None and is_wanted(task.result):
+                    await group.cancel_remaining()
+                    reply: Reply = task.result
+                    return reply
+        return None
 
-    async def _request_config(self, address: Address, query: ConfigQuery) -> bytes | None:
+    async def _ask(self, address: Address, query: ConfigQuery | TargetsQuery) -> Reply | None:
+        """Asks another host; returns None if it does not reply in time."""
         try:
-            reply = await self._ask(address, query)
-        except PeerCallError:
+            return await call_peer(
+                self._context.secret,
+                address,
+                query,
+                FETCH_TIMEOUT,
+                connect_timeout=PEER_CONNECT_TIMEOUT,
+            )
+        except PeerCallError as error:
+            _log.info("A host did not reply.", peer=address, cause=str(error))
             return None
-        if isinstance(reply, ConfigBytes) and digest_bytes(reply.canonical) == query.digest:
-            return reply.canonical
-        return None
 
     async def _serve_connection(self, sock: socket.socket) -> None:
         try:
--- a/endivedrift/shell/fetching_test.py
+++ b/endivedrift/shell/fetching_test.py
@@ -18,6 +18,7 @@
 from endivedrift.reducer import build_host
 from endivedrift.shell import _peers
 from endivedrift.shell._metrics import Metrics
+from endivedrift.shell._peer_calls import NONCE_BYTES
 from endivedrift.shell._peers import PeerTransport
 from endivedrift.shell._runtime import Runtime
 from endivedrift.shell._serving import ServingContext
@@ -69,8 +70,25 @@
         ip, port = self.silent.getsockname()
         return asker, knowing, Address(f"{ip}:{port}")
 
+    async def start_greeting_host(self) -> Address:
+        """Starts a host that greets those that call it, and then stands still."""
+        listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        listener.bind(("127.0.0.1", 0))
+        listener.listen(8)
+
+        async def greet() -> None:
+            while True:
+                sock, _ = await listener.accept()
+                self.greeted.append(sock)
+                await sock.sendall(bytes(NONCE_BYTES))
+
+        await curio.spawn(greet, daemon=True)
+        ip, port = listener.getsockname()
+        return Address(f"{ip}:{port}")
+
     def setUp(self) -> None:
         self.clock = SystemClock()
+        self.greeted: list[socket.socket] = []
         self.enterContext(mock.patch.object(_peers, "FETCH_TIMEOUT", LONG))
 
     def test_a_new_object_set_is_fetched_from_the_next_host(self) -> None:
@@ -92,3 +110,31 @@
             self.assertEqual(set(asker.runtime.state.discovered), {"t1"})
 
         curio.run(run)
+
+    # Guards against CONFIG: a host that stood still after its greeting held up the fetch.
+    def test_a_new_object_set_is_fetched_though_a_host_stands_still_after_its_greeting(
+        self,
+    ) -> None:
+        async def run() -> None:
+            asker, knowing, _ = await self.start()
+            greeting = await self.start_greeting_host()
+            config = knowing.runtime.state.config
+            effect = FetchConfig(config, (greeting, knowing.address))
+            async with curio.timeout_after(WAIT_LIMIT_S):
+                await asker.transport.fetch_config(effect)
+            self.assertEqual(asker.runtime.state.config, config)
+            self.assertTrue(self.greeted)
+
+        curio.run(run)
+
+    # Guards against DRAIN: the same for targets whose changes were missed.
+    def test_targets_are_fetched_though_a_host_stands_still_after_its_greeting(self) -> None:
+        async def run() -> None:
+            asker, knowing, _ = await self.start()
+            greeting = await self.start_greeting_host()
+            async with curio.timeout_after(WAIT_LIMIT_S):
+                await asker.transport.fetch_targets(FetchTargets((greeting, knowing.address)))
+            self.assertEqual(set(asker.runtime.state.discovered), {"t1"})
+            self.assertTrue(self.greeted)
+
+        curio.run(run)
