Bound what clients make the addresses besides the callers' one keep, and derive connections from descriptors

Cause (what callers saw: the process ends, its memory is used up): a call between hosts is checked at its end only, so anybody could send 64 MB on each of 256 connections before it was rejected. Limits on connections ignored the descriptors of the machine, and an accept that found none ended the loop that accepts. Clients that connect and send nothing kept the few connections of an address for ten seconds, so that readiness checks and entry questions found none.

Ruled out: the parsers of these addresses are bounded (16 KB and one read), as crowds of all kinds at each of them showed before the change.

Change: bytes of calls are held like those of bodies as they arrive. limits.maxFds (limits.descriptors) divides the connections; while descriptors run out, new connections stay in the backlog. The oldest connection without a request makes room for a new one.

--- a/endivedrift/platform/_environment.py
+++ b/endivedrift/platform/_environment.py
@@ -61,7 +61,6 @@
 SETTINGS_CHECK_PERIOD = timedelta(seconds=2)
 """Time between two checks of the settings file for changes. It may be long, since only the seeds
 are reloaded, and a host that knows other hosts does not need them."""
-MAX_QUERY_CONNECTIONS = 256
 
 _log = make_logger("platform")
 
@@ -117,18 +116,13 @@
         node_file = self._node_file
         feeds = Feeds(node_file, runtime, install)
         handlers = _QueryHandlers(runtime)
+        most = node_file.settings.limits.query_connections
         return [
             self._watch_file(runtime),
             *feeds.build_loops().values(),
-            SimpleHttpServer(
-                node_file.readiness_address, handlers.answer_readiness, MAX_QUERY_CONNECTIONS
-            ).accept(),
-            SimpleHttpServer(
-                node_file.entry_address, handlers.answer_entry, MAX_QUERY_CONNECTIONS
-            ).accept(),
-            SimpleHttpServer(
-                node_file.internal_address, handlers.answer_internal, MAX_QUERY_CONNECTIONS
-            ).accept(),
+            SimpleHttpServer(node_file.readiness_address, handlers.answer_readiness, most).accept(),
+            SimpleHttpServer(node_file.entry_address, handlers.answer_entry, most).accept(),
+            SimpleHttpServer(node_file.internal_address, handlers.answer_internal, most).accept(),
         ]
 
 
--- a/endivedrift/platform/_node_file.py
+++ b/endivedrift/platform/_node_file.py
@@ -26,6 +26,7 @@
 )
 from endivedrift.reducer import CHANGE_LIMIT
 from endivedrift.settings import (
+    MIN_DESCRIPTORS,
     FleetSection,
     HostSection,
     LimitsSection,
@@ -153,6 +154,16 @@
     return memory_mb
 
 
+def _read_descriptors(document: dict[str, Any]) -> int:
+    """Returns the limit on open descriptors; the usual one if the file has none."""
+    if "maxFds" not in read_field(document, "limits", dict):
+        return LimitsSection().descriptors
+    descriptors = read_integer(document, "limits.maxFds")
+    if descriptors < MIN_DESCRIPTORS:
+        raise WireError(f"limits.maxFds: is less than {MIN_DESCRIPTORS}")
+    return descriptors
+
+
 def _read_internal_ports(document: dict[str, Any]) -> range:
     """Returns the ports that are free for traffic between hosts.
 
@@ -213,6 +224,7 @@
         ),
         limits=LimitsSection(
             memory_mb=_read_memory(document),
+            descriptors=_read_descriptors(document),
             entry_max_age_s=ENTRY_MAX_AGE_S,
             leave_wait_s=leave_wait_s,
             drain_s=max(0.1, grace_s - leave_wait_s - EXIT_MARGIN_S),
--- a/endivedrift/settings.py
+++ b/endivedrift/settings.py
@@ -14,6 +14,16 @@
 
 MIN_KEY_LENGTH = 16
 LEAVE_MARGIN_S = 1.0
+RESERVED_DESCRIPTORS = 200
+"""Descriptors for files; sockets share the others."""
+CALLER_SHARE, QUERY_SHARE, PEER_SHARE, OPERATOR_SHARE = 0.52, 0.066, 0.066, 0.01
+"""Shares of the descriptors for sockets, the second for each address that answers short queries.
+The rest is for connections to targets, to other hosts and to the platform."""
+MAX_QUERY_CONNECTIONS = 256
+MAX_PEER_CONNECTIONS = 256
+MAX_OPERATOR_CONNECTIONS = 32
+MIN_CONNECTIONS = 4
+MIN_DESCRIPTORS = 300
 
 
 @dataclass(frozen=True, slots=True)
@@ -101,7 +111,9 @@
     """Limits on callers and on the time that a stopping host takes.
 
     Attributes:
-      connections: Maximum number of open caller connections.
+      connections: Maximum number of open caller connections. There are fewer if `descriptors` does
+        not suffice for them.
+      descriptors: Maximum number of descriptors that the process may have open.
       idle_s: Time after which a connection without a request is closed.
       head_s: Maximum time from the first byte of a request to its last, including the body.
       entry_max_age_s: Time for which callers may cache an entry answer, the list of a service's
@@ -115,6 +127,7 @@
 
     __pydantic_config__: ClassVar[dict[str, Any]] = STRICT
     connections: Annotated[int, Range(ge=1, le=60_000)] = 2_000
+    descriptors: Annotated[int, Range(ge=MIN_DESCRIPTORS, le=10_000_000)] = 4_096
     idle_s: Annotated[float, Range(gt=0, le=600)] = 60.0
     head_s: Annotated[float, Range(gt=0, le=60)] = 10.0
     entry_max_age_s: Annotated[float, Range(gt=0, le=300)] = 5.0
@@ -123,6 +136,29 @@
     leave_wait_s: Annotated[float, Range(ge=0, le=600)] = 0.0
     drain_s: Annotated[float, Range(gt=0, le=600)] = 150.0
 
+    @property
+    def caller_connections(self) -> int:
+        """Maximum number of open caller connections."""
+        return min(self.connections, self._share_sockets(CALLER_SHARE))
+
+    @property
+    def query_connections(self) -> int:
+        """Maximum number of open connections to each address that answers short queries."""
+        return min(MAX_QUERY_CONNECTIONS, self._share_sockets(QUERY_SHARE))
+
+    @property
+    def peer_connections(self) -> int:
+        """Maximum number of open connections of other hosts."""
+        return min(MAX_PEER_CONNECTIONS, self._share_sockets(PEER_SHARE))
+
+    @property
+    def operator_connections(self) -> int:
+        """Maximum number of open connections of operators."""
+        return min(MAX_OPERATOR_CONNECTIONS, self._share_sockets(OPERATOR_SHARE))
+
+    def _share_sockets(self, share: float) -> int:
+        return max(MIN_CONNECTIONS, int((self.descriptors - RESERVED_DESCRIPTORS) * share))
+
     @property
     def leave_wait(self) -> timedelta:
         """Time for which a stopping host still accepts new requests."""
--- a/endivedrift/shell/_daemon.py
+++ b/endivedrift/shell/_daemon.py
@@ -94,8 +94,10 @@
     memory = BodyMemory(clock, metrics, settings.limits.memory_mb * BYTES_PER_MB)
     pool = TargetPool(clock, conventions, memory)
     context = ServingContext(runtime, pool, environment.claims, secret, conventions)
-    operators = OperatorServer(runtime, identity.operator_address)
-    peers = PeerTransport(context, identity.peer_address, environment.read_object)
+    operators = OperatorServer(
+        runtime, identity.operator_address, settings.limits.operator_connections
+    )
+    peers = PeerTransport(context, identity.peer_address, environment.read_object, settings.limits)
     callers = CallerServer(
         context, identity.caller_address, settings.limits, environment.serves_entry_to_callers
     )
--- a/endivedrift/shell/_http.py
+++ b/endivedrift/shell/_http.py
@@ -3,8 +3,12 @@
 They are shared by the connections to callers and those to targets.
 """
 
+import errno
+import struct
 from dataclasses import dataclass
+from datetime import timedelta
 
+import curio
 import h11
 from curio import socket
 
@@ -18,6 +22,12 @@
 MAX_COUNT = 10**9
 """Greatest number that is accepted in a header; as a duration in seconds it is 31 years."""
 MAX_COUNT_DIGITS = 20
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+"""Value of SO_LINGER with which closing a socket resets its connection."""
+ACCEPT_RETRY_DELAY = timedelta(milliseconds=50)
+_LEFT_STATES = frozenset({7, 8, 9})
+"""TCP states of a connection whose other side has closed it: CLOSE, CLOSE_WAIT and LAST_ACK."""
+_SHORTAGES = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM})
 
 _HOP_HEADERS = frozenset(
     {
@@ -62,6 +72,38 @@
     return count if count <= MAX_COUNT else None
 
 
+async def accept_connection(listener: socket.socket) -> socket.socket:
+    """Waits for a connection; while there are no descriptors for it, it stays in the backlog.
+
+    Raises:
+      OSError: If the listening socket cannot be used.
+    """
+    while True:
+        # Connections that are waiting already must not keep other tasks from their turn.
+        await curio.sleep(0)
+        try:
+            sock, _ = await listener.accept()
+        except ConnectionAbortedError:
+            continue
+        except OSError as error:
+            if error.errno not in _SHORTAGES:
+                raise
+            await curio.sleep(ACCEPT_RETRY_DELAY.total_seconds())
+        else:
+            return sock
+
+
+def has_departed(sock: socket.socket) -> bool:
+    """Tells whether the other side has closed a connection, even if there are unread bytes.
+
+    False if the system does not tell.
+    """
+    try:
+        return sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0] in _LEFT_STATES
+    except (OSError, IndexError):
+        return False
+
+
 async def send_message(sock: socket.socket, head: bytes, body: bytes) -> None:
     """Sends a head and a body without a copy of a large body.
 
@@ -120,6 +162,11 @@
     return b"content-length" in names and b"transfer-encoding" in names
 
 
+def is_chunked(headers: Headers) -> bool:
+    """Tells whether the body of a request is chunked."""
+    return find_header(headers, b"transfer-encoding") is not None
+
+
 def is_framed(response: h11.Response, headers: Headers, method: str) -> bool:
     """Tells whether the framing of an answer shows when its body is truncated."""
     bodiless = method == "HEAD" or response.status_code in (204, 304)
--- a/endivedrift/shell/_operators.py
+++ b/endivedrift/shell/_operators.py
@@ -13,20 +13,22 @@
 from endivedrift.shell._runtime import Runtime
 from endivedrift.shell._simple_http_server import SimpleHttpServer
 
-MAX_CONNECTIONS = 32
-
 
 class OperatorServer:
     """HTTP server for operators."""
 
-    def __init__(self, runtime: Runtime, address: Address) -> None:
+    def __init__(self, runtime: Runtime, address: Address, max_connections: int) -> None:
         """Opens the listening socket.
 
+        Args:
+          runtime: What is reported on.
+          address: Address to listen on.
+          max_connections: Maximum number of open connections.
         Raises:
           OSError: If the address cannot be used.
         """
         self._runtime = runtime
-        self._server = SimpleHttpServer(address, self._handle_request, MAX_CONNECTIONS)
+        self._server = SimpleHttpServer(address, self._handle_request, max_connections)
 
     async def accept(self) -> None:
         """Accepts connections until cancelled."""
--- a/endivedrift/shell/_peer_calls.py
+++ b/endivedrift/shell/_peer_calls.py
@@ -108,7 +108,10 @@
 
 
 async def serve_call(
-    secret: bytes, sock: socket.socket, handler: Callable[[Call], Awaitable[Reply]]
+    secret: bytes,
+    sock: socket.socket,
+    handler: Callable[[Call], Awaitable[Reply]],
+    reserve: Callable[[int], Awaitable[bool]],
 ) -> bool:
     """Receives one call on an accepted connection and sends the reply.
 
@@ -116,6 +119,8 @@
       secret: Key of the fleet.
       sock: The connection.
       handler: Handles the call and returns the reply.
+      reserve: Reserves memory for bytes of the call; without room, the call is dropped. Only what
+        has arrived is reserved, since its sender is not known before its end.
     Returns:
       Whether the call was authentic and readable.
     """
@@ -123,7 +128,11 @@
     try:
         async with curio.timeout_after(CALL_READ_TIMEOUT.total_seconds()):
             await sock.sendall(nonce)
-            call = decode_call(await _read_frame(sock, secret, nonce, CALL_LABEL, MAX_CALL_BYTES))
+            call = decode_call(
+                await _read_frame(
+                    sock, secret, nonce, CALL_LABEL, MAX_CALL_BYTES, reserve_piece=reserve
+                )
+            )
     except (curio.TaskTimeout, OSError, EOFError, ValueError):
         return False
     if call is None:
@@ -149,24 +158,30 @@
     label: bytes,
     limit: int,
     reserve: Callable[[int], Awaitable[bool]] | None = None,
+    reserve_piece: Callable[[int], Awaitable[bool]] | None = None,
 ) -> bytes:
+    """Reads a frame; its memory is reserved as a whole, or as its pieces arrive."""
     head = await _read_exactly(sock, LENGTH_BYTES + MAC_BYTES)
     length = int.from_bytes(head[:LENGTH_BYTES], "big")
     if length > limit:
         raise ValueError("the frame is too large")
     if reserve is not None and not await reserve(length):
-        raise ValueError("this host has no memory for the reply")
-    body = await _read_exactly(sock, length)
+        raise ValueError("this host has no memory for the message")
+    body = await _read_exactly(sock, length, reserve_piece)
     if not verify_mac(secret, head[LENGTH_BYTES:], nonce, label, body):
         raise ValueError("the frame is not authentic")
     return body
 
 
-async def _read_exactly(sock: socket.socket, count: int) -> bytes:
+async def _read_exactly(
+    sock: socket.socket, count: int, reserve_piece: Callable[[int], Awaitable[bool]] | None = None
+) -> bytes:
     data = bytearray()
     while len(data) < count:
         chunk = await sock.recv(min(65_536, count - len(data)))
         if not chunk:
             raise EOFError("the connection was closed")
+        if reserve_piece is not None and not await reserve_piece(len(chunk)):
+            raise ValueError("this host has no memory for the message")
         data += chunk
     return bytes(data)
--- a/endivedrift/shell/_peers.py
+++ b/endivedrift/shell/_peers.py
@@ -4,7 +4,6 @@
 import random
 from collections.abc import Awaitable, Callable
 from datetime import timedelta
-from functools import partial
 
 import curio
 from curio import socket
@@ -29,6 +28,7 @@
 from endivedrift.objects import digest_bytes
 from endivedrift.policy import Holding
 from endivedrift.reducer import list_registered_targets
+from endivedrift.settings import LimitsSection
 from endivedrift.shell._codec import (
     MAX_DATAGRAM_BYTES,
     Call,
@@ -42,7 +42,8 @@
     decode_datagram,
     encode_datagram,
 )
-from endivedrift.shell._http import parse_endpoint
+from endivedrift.shell._connection_slots import ConnectionSlots
+from endivedrift.shell._http import accept_connection, parse_endpoint
 from endivedrift.shell._log import make_logger
 from endivedrift.shell._peer_calls import (
     PEER_CONNECT_TIMEOUT,
@@ -51,11 +52,12 @@
     serve_call,
 )
 from endivedrift.shell._requests import digest_request, fingerprint_request, read_host
-from endivedrift.shell._serving import ServingContext, serve_request
+from endivedrift.shell._serving import MAX_MEMORY_WAIT, ServingContext, serve_request
 from endivedrift.shell._targets import TargetRequest
 
 FETCH_TIMEOUT = timedelta(seconds=2)
-MAX_PEER_CONNECTIONS = 256
+RECEIVE_BUFFER_BYTES = 131_072
+"""Bytes of a call that the kernel holds while it is not read."""
 
 _log = make_logger("peers")
 
@@ -68,6 +70,7 @@
         context: ServingContext,
         address: Address,
         read_object: Callable[[Digest], Awaitable[bytes | None]],
+        limits: LimitsSection,
     ) -> None:
         """Opens the sockets, and registers with the runtime for sending and fetching.
 
@@ -75,6 +78,7 @@
           context: What serving a forwarded request needs.
           address: Address to listen on for datagrams and calls.
           read_object: Reads an object set from the store, or returns None if that fails.
+          limits: Limits on connections.
         Raises:
           OSError: If the address cannot be used.
         """
@@ -87,10 +91,10 @@
         self._udp.bind(sockaddr)
         self._tcp = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self._tcp.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._tcp.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
         self._tcp.bind(sockaddr)
-        self._tcp.listen(MAX_PEER_CONNECTIONS)
-        self._open_calls = 0
-        self._holdings: dict[socket.socket, Holding] = {}
+        self._tcp.listen(limits.peer_connections)
+        self._slots = ConnectionSlots(limits.peer_connections)
         # The reducer often sends one message to several hosts; it is encoded only once.
         self._last_encoded: tuple[PeerMessage | None, bytes] = (None, b"")
         self._runtime.send_datagram = self.send_message
@@ -123,12 +127,7 @@
     async def accept(self) -> None:
         """Accepts calls until cancelled."""
         while True:
-            sock, _ = await self._tcp.accept()
-            if self._open_calls >= MAX_PEER_CONNECTIONS:
-                await sock.close()
-                continue
-            self._open_calls += 1
-            await curio.spawn(self._serve_connection(sock), daemon=True)
+            await self._slots.start(await accept_connection(self._tcp), self._serve_connection)
 
     async def fetch_config(self, effect: FetchConfig) -> None:
         """Fetches an object set from peers or, if none of them has it, from the object store.
@@ -226,27 +225,30 @@
             return None
 
     async def _serve_connection(self, sock: socket.socket) -> None:
+        request_id, memory = self._runtime.new_request_id(), self._context.pool.memory
+        holding = memory.open(request_id, id(sock))
+
+        async def reserve(size: int) -> bool:
+            return await memory.reserve(holding, size, MAX_MEMORY_WAIT)
+
+        async def handle(call: Call) -> Reply:
+            self._slots.note_request(sock)
+            return await self._handle_call(sock, holding, call)
+
         try:
-            handler = partial(self._handle_call, sock)
-            if not await serve_call(self._context.secret, sock, handler):
+            if not await serve_call(self._context.secret, sock, handle, reserve):
                 self._runtime.metrics.rejected_peer_messages += 1
         finally:
-            self._open_calls -= 1
-            if sock in self._holdings:
-                self._context.pool.memory.close(self._holdings.pop(sock))
-            with contextlib.suppress(OSError):
-                await sock.close()
+            memory.close(holding)
 
-    async def _handle_call(self, sock: socket.socket, call: Call) -> Reply:
+    async def _handle_call(self, sock: socket.socket, holding: Holding, call: Call) -> Reply:
         if isinstance(call, ConfigQuery):
             canonical = self._canonical.get(call.digest)
             return ConfigBytes(canonical) if canonical is not None else NotFound()
         if isinstance(call, TargetsQuery):
             return KnownTargets(*list_registered_targets(self._runtime.state))
-        request_id = self._runtime.new_request_id()
-        memory = self._context.pool.memory
-        self._holdings[sock] = memory.open(request_id, id(sock), call.caller)
-        memory.add(self._holdings[sock], len(call.body))
+        self._context.pool.memory.assign_account(holding, call.caller)
+        request_id = holding.request
         if not call.for_peer:
             return await self._serve_forwarded(request_id, call)
         watching = await curio.spawn(self._watch_sender(sock, request_id), daemon=True)
--- a/endivedrift/shell/_simple_http_server.py
+++ b/endivedrift/shell/_simple_http_server.py
@@ -10,9 +10,12 @@
 
 from endivedrift.core import Address
 from endivedrift.shell._answers import HttpAnswer
-from endivedrift.shell._http import MAX_HEAD_BYTES, READ_BYTES, parse_endpoint
+from endivedrift.shell._connection_slots import ConnectionSlots
+from endivedrift.shell._http import MAX_HEAD_BYTES, accept_connection, parse_endpoint
 
 REQUEST_TIMEOUT = timedelta(seconds=10)
+PIECE_BYTES = 4_096
+"""Bytes that are read at a time; a head is seldom longer."""
 
 
 class SimpleHttpServer:
@@ -26,27 +29,23 @@
         Args:
           address: Address to listen on.
           answer: Builds the answer to a request.
-          max_connections: Maximum number of open connections; further ones are closed at once.
+          max_connections: Maximum number of open connections; see `ConnectionSlots`.
         Raises:
           OSError: If the address cannot be used.
         """
         self._answer_request = answer
-        self._max_connections = max_connections
-        self._open_connections = 0
+        self._slots = ConnectionSlots(max_connections)
         self._listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        # Accepted connections inherit the size of the buffer.
+        self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, MAX_HEAD_BYTES)
         self._listener.bind(parse_endpoint(address).to_sockaddr())
         self._listener.listen(max_connections)
 
     async def accept(self) -> None:
         """Accepts connections until cancelled."""
         while True:
-            sock, _ = await self._listener.accept()
-            if self._open_connections >= self._max_connections:
-                await sock.close()
-                continue
-            self._open_connections += 1
-            await curio.spawn(self._serve(sock), daemon=True)
+            await self._slots.start(await accept_connection(self._listener), self._serve)
 
     async def close(self) -> None:
         """Closes the listening socket."""
@@ -55,22 +54,18 @@
     async def _serve(self, sock: socket.socket) -> None:
         http = h11.Connection(h11.SERVER, max_incomplete_event_size=MAX_HEAD_BYTES)
         errors = (OSError, h11.RemoteProtocolError, h11.LocalProtocolError, curio.TaskTimeout)
-        try:
-            with contextlib.suppress(*errors):
-                async with curio.timeout_after(REQUEST_TIMEOUT.total_seconds()):
-                    await self._answer(sock, http)
-        finally:
-            self._open_connections -= 1
-            with contextlib.suppress(OSError):
-                await sock.close()
+        with contextlib.suppress(*errors):
+            async with curio.timeout_after(REQUEST_TIMEOUT.total_seconds()):
+                await self._answer(sock, http)
 
     async def _answer(self, sock: socket.socket, http: h11.Connection) -> None:
         event = http.next_event()
         while event is h11.NEED_DATA:
-            http.receive_data(await sock.recv(READ_BYTES))
+            http.receive_data(await sock.recv(PIECE_BYTES))
             event = http.next_event()
         if not isinstance(event, h11.Request):
             return
+        self._slots.note_request(sock)
         answer = self._answer_request(event)
         headers = [
             *answer.headers,
--- a/endivedrift/shell/fetching_test.py
+++ b/endivedrift/shell/fetching_test.py
@@ -16,6 +16,7 @@
 from endivedrift.core.effects import FetchConfig, FetchTargets
 from endivedrift.core.events import TargetsObserved
 from endivedrift.reducer import build_host
+from endivedrift.settings import LimitsSection
 from endivedrift.shell import _peers
 from endivedrift.shell._metrics import Metrics
 from endivedrift.shell._peer_calls import NONCE_BYTES
@@ -48,7 +49,9 @@
         self.runtime = Runtime(build_host(build_identity(name), SECRET, 1), clock, Metrics())
         claims: Any = None
         context = ServingContext(self.runtime, TargetPool(clock), claims, SECRET)
-        self.transport = PeerTransport(context, Address("127.0.0.1:0"), read_nothing)
+        self.transport = PeerTransport(
+            context, Address("127.0.0.1:0"), read_nothing, LimitsSection()
+        )
         ip, port = self.transport._tcp.getsockname()
         self.address = Address(f"{ip}:{port}")
 
--- a/endivedrift/shell/forwarding_test.py
+++ b/endivedrift/shell/forwarding_test.py
@@ -21,6 +21,7 @@
 )
 from endivedrift.objects import MAX_BODY_BYTES
 from endivedrift.reducer import build_host
+from endivedrift.settings import LimitsSection
 from endivedrift.shell import _peer_calls, _peers
 from endivedrift.shell._codec import ForwardedRequest, encode_call, encode_reply
 from endivedrift.shell._metrics import Metrics
@@ -81,7 +82,7 @@
             claims: Any = None
             context = ServingContext(runtime, TargetPool(clock), claims, SECRET)
             address = Address(f"{ip}:9200")
-            transport = PeerTransport(context, address, mock.Mock())
+            transport = PeerTransport(context, address, mock.Mock(), LimitsSection())
             await runtime.dispatch(build_config_fetched(clock, objects))  # type: ignore[arg-type]
             await curio.spawn(transport.accept(), daemon=True)
             timeout = timedelta(seconds=DEADLINE_S)
--- a/tests/platform_path.py
+++ b/tests/platform_path.py
@@ -73,7 +73,7 @@
         await curio.spawn(
             serve_http(f"{self.subnet}.1", STORE_PORT, self.store.handle), daemon=True
         )
-        self.store.write("op", "config", build_configuration())
+        self.write_first_configuration()
         for number, (name, target) in enumerate(self.targets.items()):
             self.store.write("servers", name, build_entry(f"{self.subnet}.1:{20_000 + number}"))
             await curio.spawn(self._run_targets(target, 20_000 + number), daemon=True)
@@ -82,6 +82,10 @@
         for ip in self.hosts:
             await self.poll_until(partial(self.is_ready, ip))
 
+    def write_first_configuration(self) -> None:
+        """Writes the configuration that the hosts start with."""
+        self.store.write("op", "config", build_configuration())
+
     async def _run_targets(self, target: PlatformTargetStandin, port: int) -> None:
         """Runs one target after the other at an address, each until a request ends it."""
         ip, first_name = f"{self.subnet}.1", target.name
@@ -121,11 +125,14 @@
     def start_host(self, ip: str) -> None:
         """Starts or restarts a host."""
         node_file = self.directory / f"{ip}.toml"
-        seeds = [f"{self.subnet}.{2 + number}" for number in range(self.host_count)]
-        text = build_node_file(ip, f"{self.subnet}.1:{STORE_PORT}", seeds, FIRST_PORT)
-        node_file.write_text(text, "utf-8")
+        node_file.write_text(self.write_node_file(ip), "utf-8")
         self.launch(ip, node_file)
 
+    def write_node_file(self, ip: str) -> str:
+        """Returns the text of the node file of a host."""
+        seeds = [f"{self.subnet}.{2 + number}" for number in range(self.host_count)]
+        return build_node_file(ip, f"{self.subnet}.1:{STORE_PORT}", seeds, FIRST_PORT)
+
     def launch(self, ip: str, node_file: Path) -> None:
         """Starts the process of a host with its node file."""
         with (self.directory / f"{ip}.log").open("ab") as log:
--- a/tests/run.py
+++ b/tests/run.py
@@ -1,8 +1,10 @@
 """Runs the tests and tolerates failures of only those that KNOWN-RED.txt lists.
 
 The classes of tests run in processes of their own, a few at a time, since most tests wait for real
-processes. Prints the output of the classes that fail, and each listed test with its result, to show
-which ones pass again. The last line counts the tests that passed, failed and were skipped.
+processes. Classes with a true attribute `runs_alone`, which measure what a process uses, run one at
+a time after all others. Prints the output of the classes that fail, and each listed test with its
+result, to show which ones pass again. The last line counts the tests that passed, failed and were
+skipped.
 """
 
 import json
@@ -47,8 +49,12 @@
         suite = unittest.TestSuite(
             loader.discover(str(ROOT / package), "*_test.py", str(ROOT)) for package in PACKAGES
         )
+    cases = list(iterate_cases(suite))
+    alone = [case for case in cases if getattr(case, "runs_alone", False)]
+    beside = [case for case in cases if not getattr(case, "runs_alone", False)]
     with ThreadPoolExecutor(PROCESSES) as pool:
-        outcomes = list(pool.map(run_class, group_by_class(suite)))
+        outcomes = list(pool.map(run_class, group_by_class(beside)))
+    outcomes += [run_class(test_ids) for test_ids in group_by_class(alone)]
     for outcome in outcomes:
         if outcome.failed:
             print(outcome.output)
@@ -66,15 +72,15 @@
     sys.exit(1 if new or passed <= 0 else 0)
 
 
-def group_by_class(suite: unittest.TestSuite) -> list[list[str]]:
-    """Returns the ids of the tests of a suite, one list for each class.
+def group_by_class(cases: list[unittest.TestCase]) -> list[list[str]]:
+    """Returns the ids of tests, one list for each class.
 
     Classes with a true attribute `is_slow` take minutes. Each of their tests has a list of its own
     before those of other classes, so that no process has minutes of work left at the end.
     """
     slow: list[list[str]] = []
     groups: dict[type, list[str]] = {}
-    for case in iterate_cases(suite):
+    for case in cases:
         if getattr(case, "is_slow", False):
             slow.append([case.id()])
         else:
