Hold what all callers' connections make a host keep within one budget, and drop what is of no use

Cause (what callers saw: the process ended, or answered nobody for over a minute): after a refusal, all that a client sent went into a parser that had given up. Each request kept its parser and so a copy of all that was sent after it, and reading went on after each request whatever was still unparsed, so that memory and copying grew with the square of what was sent ahead. What a client had sent ahead was served after it had left. Bounds were for each connection only. Callers that idle on all connections kept others away.

Ruled out: half heads and half bodies on 400 connections, and bodies sent ahead, stayed below 128 MB before.

The parser gets only what belongs to its request; unparsed bytes, heads and bookkeeping of requests and what the kernel holds of connections that are not read count against one budget, with 16 KB for each connection in any case; bytes after a refusal or a last request are dropped; a departure is seen also while a connection is not read, and ends what it had sent ahead; an unused connection makes room for a new caller.

--- a/endivedrift/shell/_callers.py
+++ b/endivedrift/shell/_callers.py
@@ -8,6 +8,7 @@
 """
 
 import contextlib
+import re
 from collections import deque
 from dataclasses import dataclass, field
 from datetime import timedelta
@@ -30,7 +31,16 @@
 from endivedrift.core.events import CallerDisconnected
 from endivedrift.fleet import NamedRoute, find_route
 from endivedrift.objects import ConnectionLimit
-from endivedrift.policy import MIN_RATE, SMALL_BYTES, Holding
+from endivedrift.policy import (
+    GUARANTEED_BYTES,
+    MIN_RATE,
+    SMALL_BYTES,
+    ConnectionInput,
+    Holding,
+    compute_room,
+    estimate_request_bytes,
+    hold_input,
+)
 from endivedrift.reducer import is_primary
 from endivedrift.settings import LimitsSection
 from endivedrift.shell._answers import HttpAnswer, make_refusal
@@ -38,11 +48,15 @@
 from endivedrift.shell._http import (
     EVENTS_PER_TURN,
     READ_BYTES,
+    RESET_ON_CLOSE,
+    accept_connection,
     build_buffers,
     copy_headers,
     drop_sent_bytes,
     find_header,
     has_both_framings,
+    has_departed,
+    is_chunked,
     measure_head,
     parse_endpoint,
 )
@@ -58,7 +72,19 @@
 )
 from endivedrift.shell._serving import ServingContext, build_failure, serve_request
 
-MAX_UNPARSED_BYTES = 131_072
+MAX_PENDING_BYTES = 65_536
+"""Bytes of one connection that are read and not parsed; further ones are left to the kernel."""
+RECEIVE_BUFFER_BYTES = 65_536
+"""Bytes of a connection that the kernel holds while it is not read."""
+MAX_CHUNKED_PIECE_BYTES = 16_384
+"""Bytes of a chunked body that the parser is given at a time. What follows the body stays in the
+parser until the request was answered."""
+DEPARTURE_CHECK_PERIOD = timedelta(milliseconds=250)
+"""Time between two checks whether the caller of a connection that is not read has left."""
+UNUSED_TIME = timedelta(seconds=1)
+"""Time without a complete request after which a connection may make room for a new one."""
+MAX_REFUSED_CONNECTIONS = 32
+"""Connections over the limit that are answered at a time; further ones are closed at once."""
 MAX_PIPELINED_REQUESTS = 16
 """Maximum number of requests of one connection in progress; further ones are not read."""
 WRITE_TIMEOUT = timedelta(seconds=30)
@@ -77,6 +103,8 @@
 
 _log = make_logger("callers")
 
+_HEAD_END = re.compile(rb"\n\r?\n")
+_HEAD_END_BYTES = 3
 _SUPPORTED_METHODS = frozenset({"GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"})
 
 
@@ -103,6 +131,7 @@
       received_at: When its last bytes were read from the socket.
       body: Body of the request until it is served.
       is_done: Whether serving has ended; if there is no answer then, the request was abandoned.
+      head_bytes: Memory that the request takes besides its body.
     """
 
     http: h11.Connection
@@ -114,6 +143,7 @@
     body: bytes = b""
     answer: HttpAnswer | None = None
     is_done: bool = False
+    head_bytes: int = 0
 
 
 @dataclass(slots=True, eq=False)
@@ -122,11 +152,20 @@
 
     Attributes:
       http: Parser of the request that is being read.
+      input: What the connection holds of the budget for all of them.
       exchanges: Requests whose answers are not yet sent, in the order of arrival.
       wakeup: Set when bytes arrive, an answer was sent, or the connection must end.
-      read_resumed: Set when the parser needs more bytes, so that reading continues.
-      unparsed_bytes: Bytes given to the parser since it last asked for more.
-      received_at: When the first of these were read. They may complete the request.
+      read_resumed: Set when there is room for more bytes, so that reading continues.
+      pending: Bytes that were read and not given to the parser.
+      parsing_bytes: Bytes given to the parser since its last event.
+      head_end: The last bytes given to the parser, which may begin the end of a head.
+      body_left: Bytes of the body that the parser was not given; None if the body is chunked.
+      received_at: When the first of the pending bytes were read. They may complete the request.
+      opened_at: When it was accepted.
+      has_sent_request: Whether a complete request has arrived on it.
+      is_waiting: Whether a request is being read that needs more bytes.
+      is_discarding: Whether all further bytes are dropped.
+      lacks_memory: Whether there is no room for what the request needs that is being read.
       is_reading: Whether a request is being read, from its first byte until it is in `exchanges`.
       is_ended: Whether the caller closed the connection, or it can no longer be used.
       is_closing: Whether the host wants to close the connection.
@@ -141,7 +180,16 @@
     exchanges: deque[_Exchange] = field(default_factory=deque)
     wakeup: curio.Event = field(default_factory=curio.Event)
     read_resumed: curio.Event = field(default_factory=curio.Event)
-    unparsed_bytes: int = 0
+    input: ConnectionInput = field(default_factory=ConnectionInput)
+    pending: bytearray = field(default_factory=bytearray)
+    parsing_bytes: int = 0
+    head_end: bytes = b""
+    body_left: int | None = 0
+    opened_at: Instant = Instant(0)
+    has_sent_request: bool = False
+    is_waiting: bool = False
+    is_discarding: bool = False
+    lacks_memory: bool = False
     received_at: Instant = Instant(0)
     is_reading: bool = False
     is_ended: bool = False
@@ -151,6 +199,11 @@
     is_writing: bool = False
     read_deadline: Instant = Instant(0)
 
+    @property
+    def has_unparsed_bytes(self) -> bool:
+        """Whether bytes of a request were received that has not begun to be served."""
+        return bool(self.pending or self.parsing_bytes)
+
 
 class CallerServer:
     """Listens for callers and serves their requests."""
@@ -175,6 +228,7 @@
         self._context = context
         self._runtime = context.runtime
         self._memory = context.pool.memory
+        self._inputs = context.pool.memory.inputs
         self._limits = limits
         self._default_limits = ConnectionLimit(
             head_ms=round(limits.head_s * 1000.0), idle_ms=round(limits.idle_s * 1000.0)
@@ -184,14 +238,15 @@
         self._is_closing = False
         self._listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        # Accepted connections inherit the size of the buffer.
+        self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
         self._listener.bind(parse_endpoint(address).to_sockaddr())
         self._listener.listen(LISTEN_BACKLOG)
 
     async def accept(self) -> None:
         """Accepts connections until cancelled."""
         while True:
-            sock, _ = await self._listener.accept()
-            await self._start_connection(sock)
+            await self._start_connection(await accept_connection(self._listener))
 
     async def stop_listening(self) -> None:
         """Accepts the connections in the backlog, then closes the listening socket."""
@@ -219,12 +274,34 @@
         return len(self._connections)
 
     async def _start_connection(self, sock: socket.socket) -> None:
-        connection = _Connection(sock, self._new_parser(), is_closing=self._is_closing)
-        is_over_limit = len(self._connections) >= self._limits.connections
+        over_limit = len(self._connections) - self._limits.caller_connections
+        if over_limit >= 0 and await self._end_unused_connection():
+            over_limit = -1
+        if over_limit >= MAX_REFUSED_CONNECTIONS:
+            self._runtime.metrics.closed_connections["too-many"] += 1
+            await sock.close()
+            return
+        now = self._runtime.clock.monotonic()
+        connection = _Connection(
+            sock, self._new_parser(), is_closing=self._is_closing, opened_at=now
+        )
+        is_over_limit = over_limit >= 0
         self._connections[id(connection)] = connection
         self._runtime.metrics.connections = len(self._connections)
         await curio.spawn(self._run_connection(connection, is_over_limit), daemon=True)
 
+    async def _end_unused_connection(self) -> bool:
+        """Ends the oldest connection that has brought no request for a while, if there is any."""
+        latest = self._runtime.clock.monotonic() - UNUSED_TIME
+        for connection in self._connections.values():
+            if connection.opened_at > latest:
+                return False
+            if not connection.has_sent_request and not connection.is_ended:
+                self._runtime.metrics.closed_connections["unused"] += 1
+                await self._end_for_departure(connection)
+                return True
+        return False
+
     def _new_parser(self) -> h11.Connection:
         limit = self._get_limits().head_bytes + HEAD_SLACK_BYTES
         return h11.Connection(h11.SERVER, max_incomplete_event_size=limit)
@@ -255,31 +332,102 @@
             await reader.cancel(blocking=False)
             with contextlib.suppress(OSError):
                 await connection.sock.close()
+            connection.is_ended = True
+            self._drop_pending(connection)
+            hold_input(self._inputs, connection.input, -connection.parsing_bytes)
             self._release_unsent(connection)
             del self._connections[id(connection)]
             self._runtime.metrics.connections = len(self._connections)
 
     async def _read_bytes(self, connection: _Connection) -> None:
-        """Feeds bytes to the parser, and reports to the reducer that the caller disconnected."""
+        """Keeps what arrives for the parser, and reports that the caller disconnected."""
+        is_sending_more = False
         while not connection.is_ended:
-            try:
-                data = await connection.sock.recv(READ_BYTES)
-            except OSError:
-                data = b""
-            connection.is_ended = not data
-            if not connection.unparsed_bytes:
-                connection.received_at = self._runtime.clock.monotonic()
-            connection.unparsed_bytes += len(data)
-            try:
-                connection.http.receive_data(data)
-            except h11.RemoteProtocolError:
-                connection.is_ended = True
+            # The room may shrink while nothing arrives, except for the guaranteed bytes.
+            if is_sending_more:
+                await _receive(connection.sock, 1, socket.MSG_PEEK)
+            room = self._compute_room(connection)
+            if not room:
+                await self._await_room(connection)
+                continue
+            size = room if is_sending_more else min(room, GUARANTEED_BYTES)
+            data = await _receive(connection.sock, size)
+            is_sending_more = len(data) == size
+            if not data:
+                await self._end_for_departure(connection)
+            elif connection.is_discarding:
+                # Others must have their turn however fast the caller sends.
+                await curio.sleep(0)
+            else:
+                if not connection.pending:
+                    connection.received_at = self._runtime.clock.monotonic()
+                connection.pending += data
+                hold_input(self._inputs, connection.input, len(data))
+                await connection.wakeup.set()
+
+    def _compute_room(self, connection: _Connection) -> int:
+        """Returns how many bytes may be read from a connection now."""
+        if connection.is_discarding:
+            return READ_BYTES
+        most = MAX_PENDING_BYTES - len(connection.pending)
+        return min(READ_BYTES, most, compute_room(self._inputs, connection.input))
+
+    async def _await_room(self, connection: _Connection) -> None:
+        """Waits until there is room to read on.
+
+        A request that is read and finds no room is refused. Where the caller has sent far ahead of
+        its answers, the connection is closed if there is no room for what the kernel holds of it.
+        """
+        connection.read_resumed.clear()
+        if connection.is_waiting and not connection.pending:
+            connection.lacks_memory = True
             await connection.wakeup.set()
-            if connection.is_ended:
-                await self._cancel_exchanges(connection)
-            if connection.unparsed_bytes > MAX_UNPARSED_BYTES:
-                connection.read_resumed.clear()
+            await connection.read_resumed.wait()
+            return
+        held = 0 if connection.is_reading else RECEIVE_BUFFER_BYTES
+        if held > compute_room(self._inputs, connection.input):
+            await self._close_for_memory(connection)
+            return
+        hold_input(self._inputs, connection.input, held)
+        try:
+            async with curio.ignore_after(DEPARTURE_CHECK_PERIOD.total_seconds()):
                 await connection.read_resumed.wait()
+        finally:
+            hold_input(self._inputs, connection.input, -held)
+        if has_departed(connection.sock):
+            await self._end_for_departure(connection)
+
+    async def _end_for_departure(self, connection: _Connection) -> None:
+        """Ends the requests of a caller that has left, also those that were not begun."""
+        connection.is_ended = True
+        self._drop_pending(connection)
+        await connection.wakeup.set()
+        await self._cancel_exchanges(connection)
+
+    async def _close_for_memory(self, connection: _Connection) -> None:
+        """Resets a connection for which there is no memory."""
+        self._runtime.metrics.closed_connections["memory-short"] += 1
+        _log.warning(
+            "Connection closed: its caller sent far ahead of its answers.",
+            in_progress=len(connection.exchanges),
+            held_bytes=self._inputs.used,
+            budget_bytes=self._inputs.limit,
+        )
+        with contextlib.suppress(OSError):
+            connection.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+            await connection.sock.shutdown(socket.SHUT_RDWR)
+        await self._end_for_departure(connection)
+
+    def _drop_pending(self, connection: _Connection) -> None:
+        """Drops the bytes that were received and not given to the parser."""
+        hold_input(self._inputs, connection.input, -len(connection.pending))
+        connection.pending.clear()
+
+    async def _discard_input(self, connection: _Connection) -> None:
+        """Drops what was received and not parsed, and all that is received from now on."""
+        connection.is_discarding = True
+        self._drop_pending(connection)
+        await connection.read_resumed.set()
 
     async def _cancel_exchanges(self, connection: _Connection) -> None:
         for exchange in list(connection.exchanges):
@@ -288,16 +436,41 @@
                 await self._runtime.dispatch(CallerDisconnected(now, exchange.request_id))
 
     async def _next_event(self, connection: _Connection, timeout: float) -> object:
-        event = _parse_event(connection)
+        event = self._parse_pending(connection)
         if event is not h11.NEED_DATA:
             return event
-        async with curio.timeout_after(timeout):
-            while event is h11.NEED_DATA:
-                connection.unparsed_bytes = 0
-                if not connection.read_resumed.is_set():
+        if connection.is_ended:
+            raise _ConnectionEndedError
+        connection.is_waiting = True
+        try:
+            async with curio.timeout_after(timeout):
+                while event is h11.NEED_DATA:
                     await connection.read_resumed.set()
-                await connection.wakeup.wait()
-                event = _parse_event(connection)
+                    await connection.wakeup.wait()
+                    if connection.is_ended:
+                        raise _ConnectionEndedError
+                    if connection.lacks_memory:
+                        detail = "this host has no memory for the request"
+                        raise _RequestRefusedError(
+                            make_refusal(RefusalReason.NO_MEMORY, detail, NO_MEMORY_RETRY_AFTER)
+                        )
+                    event = self._parse_pending(connection)
+        finally:
+            connection.is_waiting = False
+        return event
+
+    def _parse_pending(self, connection: _Connection) -> object:
+        """Returns the next event in the bytes received so far, or NEED_DATA."""
+        connection.wakeup.clear()
+        event = _parse_event(connection)
+        while event is h11.NEED_DATA and connection.pending:
+            piece = _take_piece(connection, self._get_limits().head_bytes)
+            connection.parsing_bytes += len(piece)
+            connection.http.receive_data(piece)
+            event = _parse_event(connection)
+        if event is not h11.NEED_DATA:
+            hold_input(self._inputs, connection.input, -connection.parsing_bytes)
+            connection.parsing_bytes = 0
         return event
 
     async def _accept_request(self, connection: _Connection) -> bool:
@@ -311,35 +484,40 @@
         headers = copy_headers(request.headers)
         method = request.method.decode("ascii", "replace")
         self._check_head(request, headers, method)
+        head_bytes = await self._reserve_head(connection, request, headers)
         path = request.target.decode("ascii").partition("?")[0]
         named_route = find_route(self._runtime.state.routes, method, path, read_host(headers))
         http = connection.http
         caller_request_id = find_header(headers, self._context.conventions.request_id_header)
         holding = self._memory.open(request_id, id(connection))
         exchange = _Exchange(http, request_id, caller_request_id, method, holding)
+        exchange.head_bytes = head_bytes
         try:
             exchange.body = await self._read_body(connection, headers, named_route, holding)
         except BaseException:
-            self._memory.close(holding)
+            self._release_exchange(connection, exchange)
             raise
         exchange.received_at = connection.received_at
         if connection.close_announced:
-            self._memory.close(holding)
+            self._release_exchange(connection, exchange)
             return False
         connection.exchanges.append(exchange)
+        connection.has_sent_request = True
         connection.is_reading = False
         is_final = http.their_state is not h11.DONE
-        if not is_final:
-            self._start_next_parser(connection)
+        has_rest = False
+        if is_final:
+            await self._discard_input(connection)
+        else:
+            has_rest = self._start_next_parser(connection)
             # The bytes of this request may have paused the reading, and no parser waits for more.
-            if not connection.read_resumed.is_set():
-                await connection.read_resumed.set()
+            await connection.read_resumed.set()
         await curio.spawn(self._serve_exchange(connection, exchange, request, headers), daemon=True)
         if is_final:
             return False
         max_in_progress = (
             MAX_PIPELINED_REQUESTS
-            if named_route is not None and named_route.route.repeatable
+            if named_route is not None and named_route.route.repeatable and not has_rest
             else 1
         )
         while len(connection.exchanges) >= max_in_progress and not connection.is_ended:
@@ -347,15 +525,40 @@
             await connection.wakeup.wait()
         return not connection.close_announced
 
-    def _start_next_parser(self, connection: _Connection) -> None:
-        """Creates the parser of the next request and gives it the bytes after this one."""
-        rest, closed = connection.http.trailing_data
+    def _start_next_parser(self, connection: _Connection) -> bool:
+        """Creates the parser of the next request; tells whether the last one keeps bytes of it."""
+        rest = connection.http.trailing_data[0]
         connection.http = self._new_parser()
-        connection.unparsed_bytes = len(rest)
-        if rest:
-            connection.http.receive_data(rest)
-        if closed:
-            connection.http.receive_data(b"")
+        connection.head_end = b""
+        connection.body_left = 0
+        connection.pending[:0] = rest
+        hold_input(self._inputs, connection.input, len(rest))
+        return bool(rest)
+
+    async def _reserve_head(
+        self, connection: _Connection, request: h11.Request, headers: Headers
+    ) -> int:
+        """Holds the memory that a request takes besides its body, and returns it.
+
+        It waits for the answers to earlier requests of the connection if that makes room.
+        """
+        needed = estimate_request_bytes(measure_head(request.target, headers), len(headers))
+        while needed > compute_room(self._inputs, connection.input):
+            if not connection.exchanges or connection.is_ended:
+                detail = "this host has no memory for the request"
+                raise _RequestRefusedError(
+                    make_refusal(RefusalReason.NO_MEMORY, detail, NO_MEMORY_RETRY_AFTER)
+                )
+            connection.wakeup.clear()
+            await connection.wakeup.wait()
+        hold_input(self._inputs, connection.input, needed)
+        return needed
+
+    def _release_exchange(self, connection: _Connection, exchange: _Exchange) -> None:
+        """Returns all memory of a request; a second call does nothing."""
+        self._memory.close(exchange.holding)
+        hold_input(self._inputs, connection.input, -exchange.head_bytes)
+        exchange.head_bytes = 0
 
     def _check_head(self, request: h11.Request, headers: Headers, method: str) -> None:
         limit = self._get_limits().head_bytes
@@ -391,7 +594,7 @@
         """
         idle = timedelta(milliseconds=self._get_limits().idle_ms)
         while (
-            not connection.unparsed_bytes
+            not connection.has_unparsed_bytes
             and not connection.is_ended
             and not connection.close_announced
         ):
@@ -419,9 +622,12 @@
         if declared is not None and int(declared) > limit:
             detail = f"the body is limited to {limit} bytes"
             raise _RequestRefusedError(make_refusal(RefusalReason.TOO_LARGE, detail))
+        connection.body_left = None if is_chunked(headers) else int(declared or 0)
         if connection.http.they_are_waiting_for_100_continue and not connection.exchanges:
             interim_response = h11.InformationalResponse(status_code=100, headers=[])
-            await connection.sock.sendall(connection.http.send(interim_response))
+            remaining = connection.read_deadline - self._runtime.clock.monotonic()
+            async with curio.timeout_after(max(0.0, remaining.total_seconds())):
+                await connection.sock.sendall(connection.http.send(interim_response))
         body = bytearray()
         event_count = 0
         while True:
@@ -452,6 +658,9 @@
             )
             self._memory.assign_account(holding, account)
         remaining = connection.read_deadline - self._runtime.clock.monotonic()
+        if compute_room(self._inputs, connection.input) < RECEIVE_BUFFER_BYTES:
+            # While this request waits, the kernel would hold more of it than there is room for.
+            remaining = timedelta(0)
         if not await self._memory.reserve(holding, needed - holding.size, remaining):
             detail = "this host has no memory for the body"
             raise _RequestRefusedError(
@@ -546,6 +755,7 @@
             connection.http, request_id, None, "", holding, answer=answer, is_done=True
         )
         connection.is_closing = True
+        await self._discard_input(connection)
         with contextlib.suppress(OSError, h11.LocalProtocolError, curio.TaskTimeout):
             await self._await_answers(connection)
             if not connection.close_announced:
@@ -560,11 +770,10 @@
         """
         with contextlib.suppress(OSError):
             await connection.sock.shutdown(socket.SHUT_WR)
+        await self._discard_input(connection)
         async with curio.ignore_after(LINGER_TIMEOUT.total_seconds()):
             while not connection.is_ended:
                 connection.wakeup.clear()
-                connection.unparsed_bytes = 0
-                await connection.read_resumed.set()
                 await connection.wakeup.wait()
 
     async def _send_ready_answers(self, connection: _Connection) -> None:
@@ -580,7 +789,7 @@
                     break
                 await self._send_answer(connection, exchange, self._is_last(connection, exchange))
                 connection.exchanges.popleft()
-                self._memory.close(exchange.holding)
+                self._release_exchange(connection, exchange)
         except (OSError, curio.TaskTimeout, h11.LocalProtocolError):
             connection.is_ended = True
         except Exception:
@@ -597,7 +806,7 @@
         for exchange in connection.exchanges:
             if exchange.is_done and not connection.is_writing:
                 exchange.answer = None
-                self._memory.close(exchange.holding)
+                self._release_exchange(connection, exchange)
 
     def _is_last(self, connection: _Connection, exchange: _Exchange) -> bool:
         """Tells whether the connection ends after this answer, which must be the last one due.
@@ -609,7 +818,7 @@
             return False
         if connection.must_finish or exchange.http.their_state is not h11.DONE:
             return True
-        if connection.is_reading or connection.unparsed_bytes:
+        if connection.is_reading or connection.has_unparsed_bytes:
             return False
         return connection.is_closing or self._runtime.state.phase is HostPhase.LEAVING
 
@@ -673,9 +882,48 @@
         return ((name, exchange.caller_request_id),)
 
 
+async def _receive(sock: socket.socket, size: int, flags: int = 0) -> bytes:
+    """Receives bytes; returns none if the connection has ended in any way."""
+    try:
+        return bytes(await sock.recv(size, flags))
+    except OSError:
+        return b""
+
+
+def _take_piece(connection: _Connection, head_limit: int) -> bytes:
+    """Takes the pending bytes that belong to the request being read, as far as that can be told.
+
+    So the parser, which is kept until the request was answered, keeps nothing of later requests,
+    and of a head over the limit no more than it needs to reject it.
+    """
+    pending = connection.pending
+    if connection.http.their_state is h11.IDLE:
+        most = head_limit + HEAD_SLACK_BYTES + 1 - connection.parsing_bytes
+        size = min(_measure_head_piece(connection), most)
+    elif connection.body_left is None:
+        size = min(len(pending), MAX_CHUNKED_PIECE_BYTES)
+    else:
+        size = min(len(pending), connection.body_left)
+        connection.body_left -= size
+    piece = bytes(pending[:size])
+    del pending[:size]
+    return piece
+
+
+def _measure_head_piece(connection: _Connection) -> int:
+    """Returns the number of pending bytes up to the end of the head that is being read."""
+    pending, before = connection.pending, connection.head_end
+    overlap = before + pending[: _HEAD_END_BYTES - 1]
+    found = _HEAD_END.search(overlap) if before else None
+    if found is not None:
+        return found.end() - len(before)
+    found = _HEAD_END.search(pending)
+    connection.head_end = bytes((before + pending)[-_HEAD_END_BYTES + 1 :])
+    return found.end() if found is not None else len(pending)
+
+
 def _parse_event(connection: _Connection) -> object:
-    """Returns the next event in the bytes received so far, or NEED_DATA."""
-    connection.wakeup.clear()
+    """Returns the next event in the bytes that the parser was given, or NEED_DATA."""
     try:
         return connection.http.next_event()
     except h11.RemoteProtocolError as error:
--- a/endivedrift/shell/_memory.py
+++ b/endivedrift/shell/_memory.py
@@ -6,7 +6,6 @@
 
 import contextlib
 import fcntl
-import struct
 import termios
 from dataclasses import dataclass, field
 from datetime import timedelta
@@ -21,8 +20,10 @@
     SHORTAGE_SHARE,
     ByteBudget,
     Holding,
+    InputBudget,
     assign_account,
     compute_budget,
+    compute_input_budget,
     hold_bytes,
     is_short,
     may_ever_hold,
@@ -31,12 +32,12 @@
     record_taken,
     select_slowest,
 )
+from endivedrift.shell._http import RESET_ON_CLOSE
 from endivedrift.shell._log import make_logger
 from endivedrift.shell._metrics import Metrics
 
 DEFAULT_MEMORY_BYTES = 200_000_000
 """Memory of the smallest hosts."""
-_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 _INT_BYTES = 4
 
 _log = make_logger("memory")
@@ -88,7 +89,12 @@
 
 
 class BodyMemory:
-    """The bodies that a host holds, by request."""
+    """The bodies that a host holds, by request.
+
+    Attributes:
+      budget: The bytes of bodies.
+      inputs: What connections of callers hold besides, before it is a body.
+    """
 
     def __init__(
         self,
@@ -107,6 +113,8 @@
         self._metrics = metrics or Metrics()
         self.budget = ByteBudget(compute_budget(int(memory_bytes)))
         self._metrics.held_bytes = self.budget
+        self.inputs = InputBudget(compute_input_budget(int(memory_bytes)))
+        self._metrics.inputs = self.inputs
         self._holdings: dict[RequestId, Holding] = {}
         self._sendings: list[Sending] = []
         self._waiters: list[_Waiter] = []
@@ -199,7 +207,7 @@
         taken = 0
         with contextlib.suppress(OSError):
             taken = sending.count_taken()
-            sending.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+            sending.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
             await sending.sock.shutdown(socket.SHUT_RDWR)
         self._metrics.closed_answers[reason.value] += 1
         _log.warning(
--- a/endivedrift/shell/_metrics.py
+++ b/endivedrift/shell/_metrics.py
@@ -17,7 +17,7 @@
     TargetState,
 )
 from endivedrift.core.events import AttemptFinished
-from endivedrift.policy import ByteBudget
+from endivedrift.policy import ByteBudget, InputBudget
 from endivedrift.reducer import HostState, list_quota_counts
 
 LATENCY_BUCKETS_SECONDS = (0.001, 0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10)
@@ -68,7 +68,9 @@
       rejected_peer_messages: Datagrams and calls of peers that could not be read.
       connections: Open connections of callers.
       closed_answers: Answers whose connection was closed before the caller took them, by reason.
+      closed_connections: Connections of clients that were closed without an answer, by reason.
       held_bytes: Bytes of request bodies and answers, and their limit.
+      inputs: Bytes that connections of callers hold besides, and their limit.
     """
 
     def __init__(self) -> None:
@@ -85,7 +87,9 @@
         self.rejected_peer_messages = 0
         self.connections = 0
         self.closed_answers: Counter[str] = Counter()
+        self.closed_connections: Counter[str] = Counter()
         self.held_bytes = ByteBudget(0)
+        self.inputs = InputBudget(0)
 
     def count_audit(self, entry: AuditEntry) -> None:
         """Counts an audit entry."""
@@ -141,6 +145,12 @@
                 ("reason",),
                 self.closed_answers,
             ),
+            (
+                "endivedrift_closed_connections",
+                "Connections of clients closed without an answer",
+                ("reason",),
+                self.closed_connections,
+            ),
             ("endivedrift_peer_bytes", "Bytes of datagrams", ("direction",), self.peer_bytes),
             (
                 "endivedrift_platform_failures",
@@ -228,6 +238,12 @@
             "Limit on the bytes that are held",
             metrics.held_bytes.limit,
         ),
+        (
+            "endivedrift_input_bytes",
+            "Bytes that connections of callers hold besides bodies",
+            metrics.inputs.used,
+        ),
+        ("endivedrift_input_bytes_limit", "Limit on these bytes", metrics.inputs.limit),
         (
             "endivedrift_admitted_share",
             "Share of the requests for which the host has processor time",
