Close no connection for memory unless it has unread bytes, and begin no request after a departure

Found by reading the change once more: where memory was short, a connection with two requests in progress and nothing sent beyond them would have been reset (its caller would have seen them cut); bytes that arrived while a connection ended could stay counted; a request whose last bytes came together with the end of the connection could still be begun.

Change: the kernel is asked whether there are unread bytes (FIONREAD); nothing is counted or begun once a connection has ended.

Tests: after each crowd, no byte counts as held; five requests with all framings, cut at 16 seeded sets of places, are served whole and in order.

--- a/endivedrift/shell/_callers.py
+++ b/endivedrift/shell/_callers.py
@@ -56,6 +56,7 @@
     find_header,
     has_both_framings,
     has_departed,
+    has_unread_bytes,
     is_chunked,
     measure_head,
     parse_endpoint,
@@ -355,7 +356,7 @@
             is_sending_more = len(data) == size
             if not data:
                 await self._end_for_departure(connection)
-            elif connection.is_discarding:
+            elif connection.is_ended or connection.is_discarding:
                 # Others must have their turn however fast the caller sends.
                 await curio.sleep(0)
             else:
@@ -384,7 +385,9 @@
             await connection.wakeup.set()
             await connection.read_resumed.wait()
             return
-        held = 0 if connection.is_reading else RECEIVE_BUFFER_BYTES
+        held = RECEIVE_BUFFER_BYTES
+        if connection.is_reading or not has_unread_bytes(connection.sock):
+            held = 0
         if held > compute_room(self._inputs, connection.input):
             await self._close_for_memory(connection)
             return
@@ -498,7 +501,7 @@
             self._release_exchange(connection, exchange)
             raise
         exchange.received_at = connection.received_at
-        if connection.close_announced:
+        if connection.close_announced or connection.is_ended:
             self._release_exchange(connection, exchange)
             return False
         connection.exchanges.append(exchange)
--- a/endivedrift/shell/_http.py
+++ b/endivedrift/shell/_http.py
@@ -4,7 +4,9 @@
 """
 
 import errno
+import fcntl
 import struct
+import termios
 from dataclasses import dataclass
 from datetime import timedelta
 
@@ -27,6 +29,7 @@
 ACCEPT_RETRY_DELAY = timedelta(milliseconds=50)
 _LEFT_STATES = frozenset({7, 8, 9})
 """TCP states of a connection whose other side has closed it: CLOSE, CLOSE_WAIT and LAST_ACK."""
+_INT_BYTES = 4
 _SHORTAGES = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM})
 
 _HOP_HEADERS = frozenset(
@@ -104,6 +107,14 @@
         return False
 
 
+def has_unread_bytes(sock: socket.socket) -> bool:
+    """Tells whether bytes have arrived that were not read; True if the system does not tell."""
+    try:
+        return fcntl.ioctl(sock.fileno(), termios.FIONREAD, bytes(_INT_BYTES)) != bytes(_INT_BYTES)
+    except OSError:
+        return True
+
+
 async def send_message(sock: socket.socket, head: bytes, body: bytes) -> None:
     """Sends a head and a body without a copy of a large body.
 
--- a/endivedrift/shell/callers_test.py
+++ b/endivedrift/shell/callers_test.py
@@ -9,6 +9,7 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import replace
 from datetime import timedelta
+from functools import partial
 from itertools import product
 from random import Random
 from typing import Any
@@ -45,6 +46,7 @@
 
     def __init__(self) -> None:
         self.ran: list[str] = []
+        self.bodies: dict[str, bytes] = {}
         self.work_s: dict[str, float] = {}
 
     async def start(self) -> None:
@@ -77,6 +79,7 @@
     async def handle(self, request: StandinRequest) -> StandinReply:
         name = request.path.rpartition("/")[2]
         self.ran.append(name)
+        self.bodies[name] = request.body
         await curio.sleep(self.work_s.get(name, 0.01))
         echo = {"x-request-id": request.headers.get("x-request-id", "")}
         return StandinReply(200, echo, LARGE_BODY if name == "large" else name.encode())
@@ -153,6 +156,49 @@
                 self.assertEqual((held, service.queued_count), ([], 0))
 
 
+class FramingTest(ServedTest):
+    """Requests that arrive behind one another, cut into pieces at any place."""
+
+    requests = (
+        write_read("a"),
+        b"POST /stays/b HTTP/1.1\r\nhost: x\r\ncontent-length: 4\r\n\r\nbody",
+        b"POST /stays/c HTTP/1.1\r\nhost: x\r\ntransfer-encoding: chunked\r\n\r\n"
+        b"2\r\nbo\r\n2\r\ndy\r\n0\r\nx: y\r\n\r\n",
+        b"GET /rooms/d HTTP/1.1\nhost: x\n\n",
+        write_read("e"),
+    )
+    bodies = (("a", b""), ("b", b"body"), ("c", b"body"), ("d", b""), ("e", b""))
+
+    # Guards against bytes of one request that are given to the parser of another.
+    def test_each_request_is_served_whole_and_in_order(self) -> None:
+        sent = b"".join(self.requests)
+
+        async def scenario(served: Served, rng: Random, most: int) -> bytes:
+            received = bytearray()
+            begin = 0
+            while begin < len(sent):
+                end = begin + rng.randint(1, most)
+                await served.caller.sendall(sent[begin:end])
+                await curio.sleep(0.0005 if most < len(sent) else 0.0)
+                begin = end
+            while received.count(b"HTTP/1.1 200") < len(self.requests):
+                data = await curio.timeout_after(SILENCE_LIMIT_S, served.caller.recv, 65_536)
+                self.assertTrue(data, received)
+                received += data
+            return bytes(received)
+
+        for seed, most in product(range(4), (1, 3, 40, len(sent))):
+            with self.subTest(seed=seed, most=most):
+                run = partial(scenario, rng=Random(seed), most=most)
+                served, received = self.run_scenario(run)
+                self.assertEqual(tuple(served.bodies.items()), self.bodies)
+                self.assertEqual(
+                    [part[-1:] for part in received.split(b"HTTP/1.1 200")[1:]],
+                    [b"a", b"b", b"c", b"d", b"e"],
+                )
+                self.assertEqual(served.server._inputs.used, 0)
+
+
 class StoppingTest(ServedTest):
     def receive_large(self, disturb: Callable[[Served], Awaitable[None]] | None) -> bytes:
         """Reads a large answer slowly; `disturb` is called while the host is writing it."""
--- a/tests/client_crowds_test.py
+++ b/tests/client_crowds_test.py
@@ -123,6 +123,7 @@
                     self.assertIsNone(fleet.hosts[ip].poll(), "the host ended")
                     await self.check_ordinary_request(fleet, offset)
                     self.check_usage(usage)
+                    await self.check_nothing_is_held(fleet, ip)
 
         fleet = CrowdedFleet(1)
         try:
@@ -134,6 +135,19 @@
         self.assertLessEqual(usage.memory, MEMORY_MB * 1_000_000)
         self.assertLessEqual(usage.descriptors, MAX_FDS - RESERVED_FDS)
 
+    async def check_nothing_is_held(self, fleet: PlatformFleet, ip: str) -> None:
+        """Waits until no byte counts as held any more."""
+        async with curio.timeout_after(ANSWER_LIMIT_S):
+            while await self.count_held_bytes(fleet, ip):
+                await curio.sleep(0.05)
+
+    async def count_held_bytes(self, fleet: PlatformFleet, ip: str) -> float:
+        text = (await fleet.query(ip, OPERATORS, "/metrics")).body.decode()
+        names = ("endivedrift_input_bytes ", "endivedrift_held_bytes ")
+        lines = [line for line in text.splitlines() if line.startswith(names)]
+        self.assertEqual(len(lines), len(names))
+        return sum(abs(float(line.split()[1])) for line in lines)
+
     async def check_ordinary_request(self, fleet: PlatformFleet, offset: int) -> None:
         """Sends an ordinary request to an address until it is answered as it should be."""
         async with curio.timeout_after(ANSWER_LIMIT_S):
