Plays of late changes: one function for faults of links, one for starting a host

Reading the change again: three plays on calls between hosts were copies, each with a loop that stood a fourth time for the links to the store; the start of a host's process was written again beside that of PlatformFleet; a limit of two seconds stood as a number beside its constant; JSON was put together by hand; and the time limits of every request were computed to look at those of one route. A method that returns the text of a node file was called as if it wrote one.

--- a/tests/client_crowds_test.py
+++ b/tests/client_crowds_test.py
@@ -302,10 +302,10 @@
 class CrowdedFleet(PlatformFleet):
     """A fleet whose machines have little memory and few descriptors."""
 
-    def write_node_file(self, ip: str) -> str:
+    def build_node_text(self, ip: str) -> str:
         """Returns the text of the node file of a host."""
         limits = f"[limits]\nmemoryMb = {MEMORY_MB}\nmaxFds = {MAX_FDS}\n"
-        return super().write_node_file(ip).replace("[limits]\n", limits)
+        return super().build_node_text(ip).replace("[limits]\n", limits)
 
 
 class PatientFleet(CrowdedFleet):
--- a/tests/late_changes.py
+++ b/tests/late_changes.py
@@ -8,10 +8,9 @@
 """
 
 import argparse
-import os
+import json
 import random
 import signal
-import subprocess
 import sys
 import time
 from collections import Counter, deque
@@ -157,6 +156,7 @@
         super().__init__(hosts, 0)
         self.rng = random.Random(seed)
         self.build = build
+        self.sources = {f"{self.subnet}.{2 + number}": build for number in range(hosts)}
         self.store_links: dict[str, Proxy] = {}
         self.peer_links: dict[str, Proxy] = {}
         self.acknowledged: list[float] = []
@@ -174,10 +174,8 @@
 
     def set_links(self, loss: float = 0.0, cut: frozenset[str] = frozenset()) -> None:
         """Sets the share of lost datagrams, and the hosts that none reaches or leaves."""
-        cut_text = ", ".join(f'"{ip}"' for ip in sorted(cut))
-        text = f'{{"loss": {loss}, "cut": [{cut_text}]}}'
         temporary = self._links_file.with_suffix(".new")
-        temporary.write_text(text, "utf-8")
+        temporary.write_text(json.dumps({"loss": loss, "cut": sorted(cut)}), "utf-8")
         temporary.rename(self._links_file)
 
     async def start(self) -> None:
@@ -214,29 +212,24 @@
         entry["info"] |= {"service": service, "zone": DOMAINS[number % len(DOMAINS)], "slots": 8}
         self.store.write("servers", name, entry)
 
-    def start_host(self, ip: str) -> None:
-        """Starts or restarts a host."""
+    def build_node_text(self, ip: str) -> str:
+        """Returns the text of the node file of a host."""
         number = int(ip.rpartition(".")[2]) - 2
-        node_file = self.directory / f"{ip}.toml"
         seeds = [f"{self.subnet}.{2 + n}" for n in range(3)]
         store = f"{self.subnet}.1:{STORE_PROXY_PORT + number}"
         domain = DOMAINS[number % len(DOMAINS)]
         text = build_node_file(ip, store, seeds, FIRST_PORT, domain, DOMAINS)
-        text = text.replace("[bounds]", '[bounds]\nconfigApply = "2000ms"\ndrain = "2000ms"')
-        node_file.write_text(text, "utf-8")
-        with (self.directory / f"{ip}.log").open("ab") as log:
-            self.hosts[ip] = subprocess.Popen(
-                [sys.executable, str(ROOT / "tests" / "linked_host.py")],
-                stdout=log,
-                stderr=log,
-                cwd=self.build,
-                env={
-                    **os.environ,
-                    "PYTHONPATH": str(self.build),
-                    "ENDIVEDRIFT_NODE_FILE": str(node_file),
-                    LINKS_VARIABLE: str(self._links_file),
-                },
-            )
+        return text.replace("[bounds]", '[bounds]\nconfigApply = "2000ms"\ndrain = "2000ms"')
+
+    def launch(self, ip: str, node_file: Path) -> None:
+        """Starts the process of a host of the played build, with links that may fail."""
+        self.run_host(
+            ip,
+            node_file,
+            str(ROOT / "tests" / "linked_host.py"),
+            PYTHONPATH=str(self.build),
+            **{LINKS_VARIABLE: str(self._links_file)},
+        )
 
     async def _answer_store_call(self, ip: str, request: StandinRequest) -> StandinReply:
         store = self._past if ip in self.lagging else self.store
@@ -271,6 +264,10 @@
         self.store.write("op", "config", build_version(3 + 2 * number, number))
         self.acknowledged.append(time.monotonic())
 
+    def list_replacements(self) -> list[float]:
+        """Returns when each configuration was replaced by the next one."""
+        return [*self.acknowledged[1:], float("inf")]
+
     def list_waiting(self) -> list[str]:
         """Returns the hosts that wait at the store for changes."""
         return sorted(ip for ip, count in self.waiting.items() if count > 0)
@@ -344,7 +341,7 @@
     """The connections to the store of the hosts that wait there are reset, some times in a row."""
     began, hosts = time.monotonic(), fleet.list_waiting()
     for _ in range(fleet.rng.randrange(1, 6)):
-        await _fault_links(fleet, fleet.list_waiting(), LinkFault.RESET, 0.1)
+        await _fault_links(fleet.store_links, fleet.list_waiting(), LinkFault.RESET, 0.1)
         await curio.sleep(fleet.rng.uniform(0.1, 1.0))
         hosts += fleet.list_waiting()
     fleet.disrupt(sorted(set(hosts)), began)
@@ -354,7 +351,7 @@
     """The hosts that wait at the store lose it; new connections are refused, or all is silent."""
     began, hosts = time.monotonic(), fleet.list_waiting()
     fault = fleet.rng.choice((LinkFault.RESET, LinkFault.SILENT))
-    await _fault_links(fleet, hosts, fault, fleet.rng.uniform(2.0, 5.5))
+    await _fault_links(fleet.store_links, hosts, fault, fleet.rng.uniform(2.0, 5.5))
     fleet.disrupt(hosts, began)
 
 
@@ -363,18 +360,19 @@
     began, waiting = time.monotonic(), fleet.list_waiting()
     others = sorted(set(fleet.hosts) - set(waiting))
     hosts = waiting + fleet.rng.sample(others, len(others) // 2)
-    await _fault_links(fleet, hosts, LinkFault.SILENT, fleet.rng.uniform(2.0, 5.5))
+    await _fault_links(fleet.store_links, hosts, LinkFault.SILENT, fleet.rng.uniform(2.0, 5.5))
     fleet.disrupt(hosts, began)
 
 
 async def _fault_links(
-    fleet: LateChangesFleet, hosts: list[str], fault: LinkFault, seconds: float
+    links: dict[str, Proxy], hosts: list[str], fault: LinkFault, seconds: float
 ) -> None:
+    """Puts a fault on the links of some hosts for a time."""
     for ip in hosts:
-        fleet.store_links[ip].set_fault(fault)
+        links[ip].set_fault(fault)
     await curio.sleep(seconds)
     for ip in hosts:
-        fleet.store_links[ip].set_fault(LinkFault.NONE)
+        links[ip].set_fault(LinkFault.NONE)
 
 
 async def _freeze_readers(fleet: LateChangesFleet) -> None:
@@ -426,36 +424,25 @@
 
 async def _cut_readers(fleet: LateChangesFleet) -> None:
     """No datagram or call reaches the hosts that wait at the store, or leaves them."""
-    began, hosts = time.monotonic(), fleet.list_waiting()
-    fleet.set_links(cut=frozenset(hosts))
-    for ip in hosts:
-        fleet.peer_links[ip].set_fault(LinkFault.SILENT)
-    await curio.sleep(fleet.rng.uniform(2.0, 5.0))
+    fleet.set_links(cut=frozenset(fleet.list_waiting()))
+    await _fault_calls(fleet, LinkFault.SILENT)
     fleet.set_links()
-    for ip in hosts:
-        fleet.peer_links[ip].set_fault(LinkFault.NONE)
-    fleet.disrupt(hosts, began)
 
 
 async def _silence_calls(fleet: LateChangesFleet) -> None:
     """Calls to the hosts that wait at the store get no reply, though their datagrams arrive."""
-    began, hosts = time.monotonic(), fleet.list_waiting()
-    for ip in hosts:
-        fleet.peer_links[ip].set_fault(LinkFault.NO_ANSWERS)
-    await curio.sleep(fleet.rng.uniform(2.0, 5.0))
-    for ip in hosts:
-        fleet.peer_links[ip].set_fault(LinkFault.NONE)
-    fleet.disrupt(hosts, began)
+    await _fault_calls(fleet, LinkFault.NO_ANSWERS)
 
 
 async def _silence_replies(fleet: LateChangesFleet) -> None:
     """The hosts that wait at the store greet those that call them, and reply nothing."""
+    await _fault_calls(fleet, LinkFault.GREETING_ONLY)
+
+
+async def _fault_calls(fleet: LateChangesFleet, fault: LinkFault) -> None:
+    """Calls to the hosts that wait at the store meet a fault for some seconds."""
     began, hosts = time.monotonic(), fleet.list_waiting()
-    for ip in hosts:
-        fleet.peer_links[ip].set_fault(LinkFault.GREETING_ONLY)
-    await curio.sleep(fleet.rng.uniform(2.0, 5.0))
-    for ip in hosts:
-        fleet.peer_links[ip].set_fault(LinkFault.NONE)
+    await _fault_links(fleet.peer_links, hosts, fault, fleet.rng.uniform(2.0, 5.0))
     fleet.disrupt(hosts, began)
 
 
@@ -465,7 +452,7 @@
     others = sorted(set(fleet.hosts) - set(waiting))
     hosts = waiting + fleet.rng.sample(others, len(others) // 3)
     fleet.lagging = set(hosts)
-    await _fault_links(fleet, hosts, LinkFault.RESET, 0.05)
+    await _fault_links(fleet.store_links, hosts, LinkFault.RESET, 0.05)
     await curio.sleep(fleet.rng.uniform(3.0, 6.0))
     fleet.lagging = set()
     fleet.disrupt(hosts, began)
@@ -534,18 +521,18 @@
 def _find_held(fleet: LateChangesFleet, judged: list[Probe]) -> list[str]:
     """Finds requests without an answer half a second after the time limit of their route."""
     lasting, held = 0, 0
+    replaced_at = fleet.list_replacements()
     for probe in judged:
-        numbers = [
-            n
-            for n, at in enumerate(fleet.acknowledged)
-            if at <= probe.ended_at
-            and (n + 1 == len(fleet.acknowledged) or fleet.acknowledged[n + 1] + 2 > probe.sent_at)
-        ]
-        limit_s = max(find_slow_limit_ms(n) for n in numbers) / 1000.0
-        took_s = probe.ended_at - probe.sent_at
-        if probe.path == "/slow/" and limit_s < SLOW_WORK_S:
+        if probe.path != "/slow/":
+            continue
+        limit_s = max(
+            find_slow_limit_ms(number) / 1000.0
+            for number, at in enumerate(fleet.acknowledged)
+            if at <= probe.ended_at and replaced_at[number] + CONFIG_APPLY_S > probe.sent_at
+        )
+        if limit_s < SLOW_WORK_S:
             lasting += 1
-            held += took_s > limit_s + HELD_SLACK_S
+            held += probe.ended_at - probe.sent_at > limit_s + HELD_SLACK_S
     if held >= MIN_HELD and held > HELD_SHARE * lasting:
         return [f"{held} of {lasting}"]
     return []
@@ -564,8 +551,8 @@
     """Finds differences from the weights, each while one configuration must be in force."""
     served = [probe for probe in judged if probe.path == "/split/" and probe.service]
     counts: dict[int, Counter[str]] = {}
-    for number, at in enumerate(fleet.acknowledged):
-        end = fleet.acknowledged[number + 1] if number + 1 < len(fleet.acknowledged) else 1e18
+    spans = zip(fleet.acknowledged, fleet.list_replacements(), strict=True)
+    for number, (at, end) in enumerate(spans):
         kept = [p.service for p in served if p.sent_at > at + CONFIG_APPLY_S and p.ended_at < end]
         counts.setdefault(number % 2, Counter()).update(kept)
     found = []
--- a/tests/platform_path.py
+++ b/tests/platform_path.py
@@ -125,23 +125,34 @@
     def start_host(self, ip: str) -> None:
         """Starts or restarts a host."""
         node_file = self.directory / f"{ip}.toml"
-        node_file.write_text(self.write_node_file(ip), "utf-8")
+        node_file.write_text(self.build_node_text(ip), "utf-8")
         self.launch(ip, node_file)
 
-    def write_node_file(self, ip: str) -> str:
+    def build_node_text(self, ip: str) -> str:
         """Returns the text of the node file of a host."""
         seeds = [f"{self.subnet}.{2 + number}" for number in range(self.host_count)]
         return build_node_file(ip, f"{self.subnet}.1:{STORE_PORT}", seeds, FIRST_PORT)
 
     def launch(self, ip: str, node_file: Path) -> None:
         """Starts the process of a host with its node file."""
+        self.run_host(ip, node_file, "-m", "endivedrift.platform")
+
+    def run_host(self, ip: str, node_file: Path, *arguments: str, **environment: str) -> None:
+        """Runs Python for a host, in the directory of its program, and keeps its log.
+
+        Args:
+          ip: Address of the host.
+          node_file: Its node file.
+          arguments: What Python runs.
+          environment: Variables besides those of this process.
+        """
         with (self.directory / f"{ip}.log").open("ab") as log:
             self.hosts[ip] = subprocess.Popen(
-                [sys.executable, "-m", "endivedrift.platform"],
+                [sys.executable, *arguments],
                 stdout=log,
                 stderr=log,
                 cwd=self.sources.get(ip, ROOT),
-                env={**os.environ, "ENDIVEDRIFT_NODE_FILE": str(node_file)},
+                env={**os.environ, "ENDIVEDRIFT_NODE_FILE": str(node_file), **environment},
             )
 
     def stop(self) -> None:
