Callers' input: one reset, one query of kernel buffers, one refusal for want of memory; a check for descriptors by the shared reader

Reading the change again: resetting a connection and asking the kernel for buffered bytes stood in _callers and _memory; the same refusal was built in three places; maxFds was checked by hand beside the lower bound that read_integer takes; a field was reset that is set before it is read; a read was limited twice by one number; _end_for_departure also ended connections whose callers had not left, and is _abandon now; the crowds had SO_LINGER's value again.

Behaviour stays as it is, but for the text of the error on a maxFds below 300, and an answer is reset also where the kernel does not tell what was taken of it. A test of limits.maxFds, its default and its check was missing and is added (platform_test).

--- a/endivedrift/platform/_node_file.py
+++ b/endivedrift/platform/_node_file.py
@@ -158,10 +158,7 @@
     """Returns the limit on open descriptors; the usual one if the file has none."""
     if "maxFds" not in read_field(document, "limits", dict):
         return LimitsSection().descriptors
-    descriptors = read_integer(document, "limits.maxFds")
-    if descriptors < MIN_DESCRIPTORS:
-        raise WireError(f"limits.maxFds: is less than {MIN_DESCRIPTORS}")
-    return descriptors
+    return read_integer(document, "limits.maxFds", least=MIN_DESCRIPTORS)
 
 
 def _read_internal_ports(document: dict[str, Any]) -> range:
--- a/endivedrift/platform/platform_test.py
+++ b/endivedrift/platform/platform_test.py
@@ -225,6 +225,28 @@
             with self.assertRaisesRegex(WireError, "memoryMb"):
                 self.read(text.replace("[limits]", f"[limits]\nmemoryMb = {value}"))
 
+    # Guards against more connections than the machine has descriptors for.
+    def test_connections_follow_from_the_descriptors(self) -> None:
+        text = build_node_file("10.1.0.1", "10.200.1.7:8541", ["10.1.0.1"], 8500)
+        shares = (
+            ("", (2_000, 256, 256, 32)),
+            ("maxFds = 4100", (2_000, 256, 256, 32)),
+            ("maxFds = 500", (156, 19, 19, 4)),
+        )
+        for line, expected in shares:
+            self.read(text.replace("[limits]", f"[limits]\n{line}"))
+            limits = self.node_file.settings.limits
+            connections = (
+                limits.caller_connections,
+                limits.query_connections,
+                limits.peer_connections,
+                limits.operator_connections,
+            )
+            self.assertEqual(connections, expected, line)
+        for value in (0, 299, -1, '"4100"'):
+            with self.assertRaisesRegex(WireError, "maxFds"):
+                self.read(text.replace("[limits]", f"[limits]\nmaxFds = {value}"))
+
     def test_a_missing_field_is_named(self) -> None:
         text = build_node_file("127.0.0.1", "127.0.0.2:80", [], 7000)
         with self.assertRaisesRegex(WireError, "grace"):
--- a/endivedrift/policy/__init__.py
+++ b/endivedrift/policy/__init__.py
@@ -152,10 +152,10 @@
 )
 
 __all__ = [
-    "GUARANTEED_BYTES",
     "CLAIMED_KEY_TTL",
     "DEMAND_TIME_S",
     "FAILURE_TTL",
+    "GUARANTEED_BYTES",
     "MAX_KEYS",
     "MAX_KEY_LENGTH",
     "MINTED_KEY_TTL",
--- a/endivedrift/shell/_callers.py
+++ b/endivedrift/shell/_callers.py
@@ -48,7 +48,6 @@
 from endivedrift.shell._http import (
     EVENTS_PER_TURN,
     READ_BYTES,
-    RESET_ON_CLOSE,
     accept_connection,
     build_buffers,
     copy_headers,
@@ -60,6 +59,7 @@
     is_chunked,
     measure_head,
     parse_endpoint,
+    reset_connection,
 )
 from endivedrift.shell._log import make_logger
 from endivedrift.shell._memory import ClosingReason, Sending
@@ -299,7 +299,7 @@
                 return False
             if not connection.has_sent_request and not connection.is_ended:
                 self._runtime.metrics.closed_connections["unused"] += 1
-                await self._end_for_departure(connection)
+                await self._abandon(connection)
                 return True
         return False
 
@@ -355,7 +355,7 @@
             data = await _receive(connection.sock, size)
             is_sending_more = len(data) == size
             if not data:
-                await self._end_for_departure(connection)
+                await self._abandon(connection)
             elif connection.is_ended or connection.is_discarding:
                 # Others must have their turn however fast the caller sends.
                 await curio.sleep(0)
@@ -371,7 +371,7 @@
         if connection.is_discarding:
             return READ_BYTES
         most = MAX_PENDING_BYTES - len(connection.pending)
-        return min(READ_BYTES, most, compute_room(self._inputs, connection.input))
+        return min(most, compute_room(self._inputs, connection.input))
 
     async def _await_room(self, connection: _Connection) -> None:
         """Waits until there is room to read on.
@@ -398,10 +398,10 @@
         finally:
             hold_input(self._inputs, connection.input, -held)
         if has_departed(connection.sock):
-            await self._end_for_departure(connection)
+            await self._abandon(connection)
 
-    async def _end_for_departure(self, connection: _Connection) -> None:
-        """Ends the requests of a caller that has left, also those that were not begun."""
+    async def _abandon(self, connection: _Connection) -> None:
+        """Ends a connection and its requests, also those that were not begun."""
         connection.is_ended = True
         self._drop_pending(connection)
         await connection.wakeup.set()
@@ -416,10 +416,8 @@
             held_bytes=self._inputs.used,
             budget_bytes=self._inputs.limit,
         )
-        with contextlib.suppress(OSError):
-            connection.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
-            await connection.sock.shutdown(socket.SHUT_RDWR)
-        await self._end_for_departure(connection)
+        await reset_connection(connection.sock)
+        await self._abandon(connection)
 
     def _drop_pending(self, connection: _Connection) -> None:
         """Drops the bytes that were received and not given to the parser."""
@@ -453,10 +451,7 @@
                     if connection.is_ended:
                         raise _ConnectionEndedError
                     if connection.lacks_memory:
-                        detail = "this host has no memory for the request"
-                        raise _RequestRefusedError(
-                            make_refusal(RefusalReason.NO_MEMORY, detail, NO_MEMORY_RETRY_AFTER)
-                        )
+                        raise _refuse_for_memory("request")
                     event = self._parse_pending(connection)
         finally:
             connection.is_waiting = False
@@ -533,7 +528,6 @@
         rest = connection.http.trailing_data[0]
         connection.http = self._new_parser()
         connection.head_end = b""
-        connection.body_left = 0
         connection.pending[:0] = rest
         hold_input(self._inputs, connection.input, len(rest))
         return bool(rest)
@@ -548,10 +542,7 @@
         needed = estimate_request_bytes(measure_head(request.target, headers), len(headers))
         while needed > compute_room(self._inputs, connection.input):
             if not connection.exchanges or connection.is_ended:
-                detail = "this host has no memory for the request"
-                raise _RequestRefusedError(
-                    make_refusal(RefusalReason.NO_MEMORY, detail, NO_MEMORY_RETRY_AFTER)
-                )
+                raise _refuse_for_memory("request")
             connection.wakeup.clear()
             await connection.wakeup.wait()
         hold_input(self._inputs, connection.input, needed)
@@ -665,10 +656,7 @@
             # While this request waits, the kernel would hold more of it than there is room for.
             remaining = timedelta(0)
         if not await self._memory.reserve(holding, needed - holding.size, remaining):
-            detail = "this host has no memory for the body"
-            raise _RequestRefusedError(
-                make_refusal(RefusalReason.NO_MEMORY, detail, NO_MEMORY_RETRY_AFTER)
-            )
+            raise _refuse_for_memory("body")
 
     async def _next_event_before_deadline(self, connection: _Connection) -> object:
         """Returns the next event of the request, which is refused if it misses its deadline."""
@@ -885,6 +873,14 @@
         return ((name, exchange.caller_request_id),)
 
 
+def _refuse_for_memory(part: str) -> _RequestRefusedError:
+    """Builds the refusal of a request for which, or for a part of which, there is no memory."""
+    detail = f"this host has no memory for the {part}"
+    return _RequestRefusedError(
+        make_refusal(RefusalReason.NO_MEMORY, detail, NO_MEMORY_RETRY_AFTER)
+    )
+
+
 async def _receive(sock: socket.socket, size: int, flags: int = 0) -> bytes:
     """Receives bytes; returns none if the connection has ended in any way."""
     try:
--- a/endivedrift/shell/_http.py
+++ b/endivedrift/shell/_http.py
@@ -3,6 +3,7 @@
 They are shared by the connections to callers and those to targets.
 """
 
+import contextlib
 import errno
 import fcntl
 import struct
@@ -24,7 +25,7 @@
 MAX_COUNT = 10**9
 """Greatest number that is accepted in a header; as a duration in seconds it is 31 years."""
 MAX_COUNT_DIGITS = 20
-RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 """Value of SO_LINGER with which closing a socket resets its connection."""
 ACCEPT_RETRY_DELAY = timedelta(milliseconds=50)
 _LEFT_STATES = frozenset({7, 8, 9})
@@ -110,11 +111,30 @@
 def has_unread_bytes(sock: socket.socket) -> bool:
     """Tells whether bytes have arrived that were not read; True if the system does not tell."""
     try:
-        return fcntl.ioctl(sock.fileno(), termios.FIONREAD, bytes(_INT_BYTES)) != bytes(_INT_BYTES)
+        return bool(count_buffered_bytes(sock, termios.FIONREAD))
     except OSError:
         return True
 
 
+def count_buffered_bytes(sock: socket.socket, buffer: int) -> int:
+    """Returns the bytes in a buffer of the kernel.
+
+    Args:
+      sock: The connection.
+      buffer: FIONREAD for bytes that were not read, TIOCOUTQ for those not acknowledged.
+    Raises:
+      OSError: If the connection is closed, or the system does not tell.
+    """
+    return int.from_bytes(fcntl.ioctl(sock.fileno(), buffer, bytes(_INT_BYTES)), "little")
+
+
+async def reset_connection(sock: socket.socket) -> None:
+    """Ends a connection, so that closing it resets it and the kernel drops its bytes."""
+    with contextlib.suppress(OSError):
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+        await sock.shutdown(socket.SHUT_RDWR)
+
+
 async def send_message(sock: socket.socket, head: bytes, body: bytes) -> None:
     """Sends a head and a body without a copy of a large body.
 
--- a/endivedrift/shell/_memory.py
+++ b/endivedrift/shell/_memory.py
@@ -5,7 +5,6 @@
 """
 
 import contextlib
-import fcntl
 import termios
 from dataclasses import dataclass, field
 from datetime import timedelta
@@ -32,13 +31,12 @@
     record_taken,
     select_slowest,
 )
-from endivedrift.shell._http import RESET_ON_CLOSE
+from endivedrift.shell._http import count_buffered_bytes, reset_connection
 from endivedrift.shell._log import make_logger
 from endivedrift.shell._metrics import Metrics
 
 DEFAULT_MEMORY_BYTES = 200_000_000
 """Memory of the smallest hosts."""
-_INT_BYTES = 4
 
 _log = make_logger("memory")
 
@@ -76,8 +74,7 @@
         Raises:
           OSError: If the connection is closed.
         """
-        unacknowledged = fcntl.ioctl(self.sock.fileno(), termios.TIOCOUTQ, bytes(_INT_BYTES))
-        return self.written - int.from_bytes(unacknowledged, "little")
+        return self.written - count_buffered_bytes(self.sock, termios.TIOCOUTQ)
 
 
 @dataclass(slots=True, eq=False)
@@ -207,8 +204,7 @@
         taken = 0
         with contextlib.suppress(OSError):
             taken = sending.count_taken()
-            sending.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
-            await sending.sock.shutdown(socket.SHUT_RDWR)
+        await reset_connection(sending.sock)
         self._metrics.closed_answers[reason.value] += 1
         _log.warning(
             "Answer closed.",
--- a/tests/client_crowds.py
+++ b/tests/client_crowds.py
@@ -7,15 +7,16 @@
 import contextlib
 import os
 import socket
-import struct
 import threading
 import time
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass, field
 from itertools import repeat
 from pathlib import Path
 
+from standins.proxy import RESET_ON_CLOSE
+
 SEND_TIMEOUT_S = 1.0
 """Time after which a client that can send no more keeps its connection open and sends nothing."""
 HOLD_S = 0.5
@@ -23,7 +24,6 @@
 SAMPLE_PERIOD_S = 0.02
 PIECE_BYTES = 65_536
 CONNECT_TIMEOUT_S = 10.0
-RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 _PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
 
 
@@ -65,7 +65,7 @@
             sock.settimeout(SEND_TIMEOUT_S)
             left -= max(1, len(crowd.start))
             sock.sendall(crowd.start)
-            for piece in _iterate_pieces(repeated):
+            for piece in repeat(repeated) if repeated else ():
                 if left <= 0:
                     break
                 left -= len(piece)
@@ -90,10 +90,6 @@
     sock.close()
 
 
-def _iterate_pieces(repeated: bytes) -> Iterator[bytes]:
-    return repeat(repeated) if repeated else iter(())
-
-
 @dataclass(slots=True)
 class Usage:
     """The greatest use of a process: bytes in memory and in its sockets, and open descriptors."""
