--- a/review/harness_2.py
+++ b/review/harness_2.py
@@ -80,6 +80,7 @@
         self.rows: dict[tuple[str, str], dict[str, Any]] = {}
         self.version = 1
         self._beats: dict[str, float] = {}
+        self._gone: set[str] = set()
         self._changed = asyncio.Event()
 
     def write(self, table: str, key: str, document: object) -> None:
@@ -102,12 +103,21 @@
         }
         self._announce()
 
+    def remove_entries(self, keys: list[str]) -> None:
+        """Removes the entries of upstreams that are taken away and go on serving for a while."""
+        for key in keys:
+            self._gone.add(key)
+            self._beats.pop(key, None)
+            self.remove("servers", key)
+
     def _announce(self) -> None:
         self._changed.set()
         self._changed = asyncio.Event()
 
     def beat(self, key: str, entry: dict[str, Any]) -> None:
-        """Renews the entry of an upstream."""
+        """Renews the entry of an upstream, unless it was taken away."""
+        if key in self._gone:
+            return
         self._beats[key] = time.monotonic()
         row = self.rows.get(("servers", key))
         if row is not None and "value" in row:
@@ -202,6 +212,8 @@
         self._upstream_count = 0
         self._hosts: dict[str, subprocess.Popen[bytes]] = {}
         self.own_ends: dict[str, int] = {}
+        self.store_ports: dict[str, int] = {}
+        """Port of the store by host, where it is another than the store's own."""
 
     def start_store(self) -> None:
         """Starts the store."""
@@ -229,6 +241,11 @@
         self.record.write(f"upstream {name} of {service} starts")
         return name
 
+    def remove_entries(self, names: list[str]) -> None:
+        """Takes upstreams out of the store at one moment; they go on serving."""
+        self.store.remove_entries(names)
+        self.record.write(f"the store has removed the entries of {', '.join(names)}")
+
     def kill_upstream(self, name: str) -> None:
         """Ends an upstream with SIGKILL."""
         self._upstreams[name].kill()
@@ -336,7 +353,7 @@
 probesPerS = 3
 floorShare = 0.7
 [platform]
-address = "{self.store_ip}:{STORE_PORT}"
+address = "{self.store_ip}:{self.store_ports.get(ip, STORE_PORT)}"
 form = "table"
 writesPerS = 400
 readsPerS = 2000
@@ -391,7 +408,10 @@
         await asyncio.sleep(0.2)
         for task in self._tasks:
             task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        others = asyncio.all_tasks() - {asyncio.current_task()}
+        for task in others:
+            task.cancel()
+        await asyncio.gather(*others, return_exceptions=True)
 
 
 def read_header(head: str, name: str) -> str | None:
--- a/review/upstream_2.py
+++ b/review/upstream_2.py
@@ -116,7 +116,13 @@
         self, method: str, path: str, attempt: str, echo: str, writer: asyncio.StreamWriter
     ) -> bool:
         options = self._options
-        run = {"upstream": options.name, "service": options.service, "attempt": attempt}
+        # The monotonic clock is the same for all processes of a machine.
+        run = {
+            "upstream": options.name,
+            "service": options.service,
+            "attempt": attempt,
+            "at": time.monotonic(),
+        }
         with Path(options.runs).open("a", encoding="utf-8") as runs:
             runs.write(json.dumps({**run, "method": method, "path": path}) + "\n")
         await asyncio.sleep(options.work_ms / 1000.0)
