Refusals: 503 only for requests that did not run, on our own interface too

Cause: a GET whose attempts at all targets gave unreadable answers was refused with 503 `no-target` and the verdict may-have-run, if time for a further try was left; with none left, 502 as asked for. On the platform's interface the status follows the verdict. Change: a status that promises "not run" becomes 502 where the attempt may have run, whatever the reason.

--- a/endivedrift/shell/_answers.py
+++ b/endivedrift/shell/_answers.py
@@ -1,7 +1,8 @@
 """Builds the HTTP answers of refusals, with problem details (RFC 9457) and Proxy-Status (RFC 9209).
 
 The reason of a refusal determines the status and the Proxy-Status error; reasons that are not
-listed here have the default ones.
+listed here have the default ones. A status that promises that the request did not run is replaced
+where it may have run.
 """
 
 import json
@@ -54,7 +55,10 @@
     RefusalReason.BAD_REQUEST: "http_request_error",
     RefusalReason.HOST_FAILED: "proxy_internal_error",
 }
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+"""Statuses that tell a caller that its request did not run."""
 DEFAULT_STATUS = 503
+MAY_HAVE_RUN_STATUS = 502
 DEFAULT_PROXY_ERROR = "destination_unavailable"
 
 
@@ -78,6 +82,8 @@
       the body is in milliseconds.
     """
     status = _STATUSES.get(refusal.reason, DEFAULT_STATUS)
+    if status in NOT_RUN_STATUSES and refusal.attempt_verdict is Verdict.MAY_HAVE_RUN:
+        status = MAY_HAVE_RUN_STATUS
     problem: dict[str, object] = {
         "type": PROBLEM_TYPE_PREFIX + refusal.reason.value,
         "title": refusal.reason.value.replace("-", " "),
--- a/endivedrift/shell/_targets.py
+++ b/endivedrift/shell/_targets.py
@@ -35,6 +35,7 @@
 from endivedrift.core.effects import SendToTarget
 from endivedrift.core.events import AttemptFinished
 from endivedrift.policy import Holding
+from endivedrift.shell._answers import NOT_RUN_STATUSES
 from endivedrift.shell._conventions import DEFAULT_CONVENTIONS, HttpConventions
 from endivedrift.shell._http import (
     EVENTS_PER_TURN,
@@ -75,8 +76,6 @@
 MAX_RETRY_AFTER = timedelta(minutes=10)
 """Longest such time that is honoured; a longer one is more likely a fault of the target."""
 MIN_SERVER_ERROR_STATUS = 500
-NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
-"""Statuses that tell a caller that its request did not run."""
 
 _DECIMAL = re.compile(rb"\d{1,15}(\.\d{1,15})?")
 
