Sockets: a descriptor is closed only after all tasks have stopped waiting on it

Cause: the task of a connection closed the socket while a writer waited in it. The event loop keeps the wait under the number of the descriptor, which the next socket gets: its wait was refused as a second one, or changing the registration raised ENOENT in the loop, which ends the process. Ruled out: a port in use, as the process said; the kernel's limit of descriptors. Awaiting the reader alone does not help: the writers go on. Change: one type for all sockets of a host. Closing one ends the waits in it, and its descriptor is closed when the last task has left. It also replaces the closed socket's AttributeError and ValueError by OSError, which ended the task that relieves memory. Result: LeavingCallerTest failed before (WriteResourceBusy in the next connection); it and the tests of each kind of wait pass.

--- a/endivedrift/platform/_store.py
+++ b/endivedrift/platform/_store.py
@@ -7,6 +7,7 @@
 
 import contextlib
 import json
+import socket
 from dataclasses import dataclass
 from datetime import timedelta
 from typing import Any
@@ -14,7 +15,6 @@
 
 import curio
 import h11
-from curio import socket
 
 from endivedrift.core import (
     MAX_ERA,
@@ -26,7 +26,7 @@
 )
 from endivedrift.platform._headers import STORE_ERA_HEADERS
 from endivedrift.platform._values import WireError, read_field, read_integer
-from endivedrift.shell.interface import parse_endpoint
+from endivedrift.shell.interface import Socket, open_stream_socket, parse_endpoint
 from endivedrift.shell.running import make_logger
 
 CALL_TIMEOUT = timedelta(seconds=2)
@@ -84,7 +84,7 @@
     def __init__(self, address: Address) -> None:
         """Stores the address; the first call connects."""
         self._address = address
-        self._sock: socket.socket | None = None
+        self._sock: Socket | None = None
         self._http: h11.Connection | None = None
         self._era = 0
 
@@ -209,7 +209,7 @@
                 self._era = min(int(value), MAX_ERA)
 
     async def _connect(self) -> None:
-        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        sock = open_stream_socket()
         try:
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
@@ -228,7 +228,7 @@
         self._sock, self._http = sock, h11.Connection(h11.CLIENT)
 
 
-async def _receive(sock: socket.socket, silence: timedelta) -> bytes:
+async def _receive(sock: Socket, silence: timedelta) -> bytes:
     """Receives bytes.
 
     Raises:
--- a/endivedrift/shell/_callers.py
+++ b/endivedrift/shell/_callers.py
@@ -9,13 +9,13 @@
 
 import contextlib
 import re
+import socket
 from collections import deque
 from dataclasses import dataclass, field
 from datetime import timedelta
 
 import curio
 import h11
-from curio import socket
 
 from endivedrift.core import (
     Address,
@@ -72,6 +72,7 @@
     read_host,
 )
 from endivedrift.shell._serving import ServingContext, build_failure, serve_request
+from endivedrift.shell._sockets import Socket, open_stream_socket
 
 MAX_PENDING_BYTES = 65_536
 """Bytes of one connection that are read and not parsed; further ones are left to the kernel."""
@@ -176,7 +177,7 @@
       read_deadline: When the request that is being read must be complete.
     """
 
-    sock: socket.socket
+    sock: Socket
     http: h11.Connection
     exchanges: deque[_Exchange] = field(default_factory=deque)
     wakeup: curio.Event = field(default_factory=curio.Event)
@@ -237,7 +238,7 @@
         self._serves_entry = serves_entry
         self._connections: dict[int, _Connection] = {}
         self._is_closing = False
-        self._listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self._listener = open_stream_socket()
         self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         # Accepted connections inherit the size of the buffer.
         self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
@@ -252,15 +253,13 @@
     async def stop_listening(self) -> None:
         """Accepts the connections in the backlog, then closes the listening socket."""
         self._is_closing = True
-        with self._listener.blocking() as raw:
-            raw.setblocking(False)
-            waiting = []
-            with contextlib.suppress(OSError):
-                while True:
-                    waiting.append(raw.accept()[0])
+        waiting = []
+        with contextlib.suppress(OSError):
+            while True:
+                waiting.append(self._listener.raw.accept()[0])
         await self._listener.close()
         for accepted in waiting:
-            await self._start_connection(socket.socket(fileno=accepted.detach()))
+            await self._start_connection(Socket(accepted))
         for connection in list(self._connections.values()):
             connection.is_closing = True
             await connection.wakeup.set()
@@ -274,7 +273,7 @@
         """Returns the number of open connections."""
         return len(self._connections)
 
-    async def _start_connection(self, sock: socket.socket) -> None:
+    async def _start_connection(self, sock: Socket) -> None:
         over_limit = len(self._connections) - self._limits.caller_connections
         if over_limit >= 0 and await self._end_unused_connection():
             over_limit = -1
@@ -881,7 +880,7 @@
     )
 
 
-async def _receive(sock: socket.socket, size: int, flags: int = 0) -> bytes:
+async def _receive(sock: Socket, size: int, flags: int = 0) -> bytes:
     """Receives bytes; returns none if the connection has ended in any way."""
     try:
         return bytes(await sock.recv(size, flags))
--- a/endivedrift/shell/_connection_slots.py
+++ b/endivedrift/shell/_connection_slots.py
@@ -8,7 +8,8 @@
 from collections.abc import Awaitable, Callable
 
 import curio
-from curio import socket
+
+from endivedrift.shell._sockets import Socket
 
 
 class ConnectionSlots:
@@ -17,12 +18,10 @@
     def __init__(self, limit: int) -> None:
         """Creates slots for `limit` connections."""
         self._limit = limit
-        self._tasks: dict[socket.socket, curio.Task] = {}
-        self._without_request: dict[socket.socket, None] = {}
+        self._tasks: dict[Socket, curio.Task] = {}
+        self._without_request: dict[Socket, None] = {}
 
-    async def start(
-        self, sock: socket.socket, serve: Callable[[socket.socket], Awaitable[None]]
-    ) -> None:
+    async def start(self, sock: Socket, serve: Callable[[Socket], Awaitable[None]]) -> None:
         """Serves a new connection in a task of its own, and closes it afterwards.
 
         It is closed at once if all slots are taken by connections that have sent their requests.
@@ -38,19 +37,17 @@
         self._without_request[sock] = None
         self._tasks[sock] = await curio.spawn(self._serve, sock, serve, daemon=True)
 
-    def note_request(self, sock: socket.socket) -> None:
+    def note_request(self, sock: Socket) -> None:
         """Notes that the request of a connection has arrived."""
         self._without_request.pop(sock, None)
 
-    async def _serve(
-        self, sock: socket.socket, serve: Callable[[socket.socket], Awaitable[None]]
-    ) -> None:
+    async def _serve(self, sock: Socket, serve: Callable[[Socket], Awaitable[None]]) -> None:
         try:
             await serve(sock)
         finally:
             await self._end(sock)
 
-    async def _end(self, sock: socket.socket) -> None:
+    async def _end(self, sock: Socket) -> None:
         self._without_request.pop(sock, None)
         self._tasks.pop(sock, None)
         with contextlib.suppress(OSError):
--- a/endivedrift/shell/_exchange.py
+++ b/endivedrift/shell/_exchange.py
@@ -6,10 +6,10 @@
 
 import curio
 import h11
-from curio import socket
 
 from endivedrift.core import Address, Headers
 from endivedrift.shell._http import READ_BYTES, copy_headers, parse_endpoint
+from endivedrift.shell._sockets import Socket, open_stream_socket
 
 MAX_REPLY_BYTES = 64 * 1024 * 1024
 
@@ -57,7 +57,7 @@
     Raises:
       ExchangeError: If no complete reply was received in time.
     """
-    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    sock = open_stream_socket()
     sent = False
     try:
         async with curio.timeout_after(timeout.total_seconds()):
@@ -83,7 +83,7 @@
             await sock.close()
 
 
-async def _read_reply(sock: socket.socket, http: h11.Connection) -> HttpReply:
+async def _read_reply(sock: Socket, http: h11.Connection) -> HttpReply:
     status = 0
     headers: Headers = ()
     body = bytearray()
--- a/endivedrift/shell/_http.py
+++ b/endivedrift/shell/_http.py
@@ -6,6 +6,7 @@
 import contextlib
 import errno
 import fcntl
+import socket
 import struct
 import termios
 from dataclasses import dataclass
@@ -13,10 +14,10 @@
 
 import curio
 import h11
-from curio import socket
 
 from endivedrift.core import Address, Headers
 from endivedrift.policy import SMALL_BYTES
+from endivedrift.shell._sockets import Socket
 
 READ_BYTES = 65_536
 EVENTS_PER_TURN = 128
@@ -76,7 +77,7 @@
     return count if count <= MAX_COUNT else None
 
 
-async def accept_connection(listener: socket.socket) -> socket.socket:
+async def accept_connection(listener: Socket) -> Socket:
     """Waits for a connection; while there are no descriptors for it, it stays in the backlog.
 
     Raises:
@@ -97,7 +98,7 @@
             return sock
 
 
-def has_departed(sock: socket.socket) -> bool:
+def has_departed(sock: Socket) -> bool:
     """Tells whether the other side has closed a connection, even if there are unread bytes.
 
     False if the system does not tell.
@@ -108,7 +109,7 @@
         return False
 
 
-def has_unread_bytes(sock: socket.socket) -> bool:
+def has_unread_bytes(sock: Socket) -> bool:
     """Tells whether bytes have arrived that were not read; True if the system does not tell."""
     try:
         return bool(count_buffered_bytes(sock, termios.FIONREAD))
@@ -116,7 +117,7 @@
         return True
 
 
-def count_buffered_bytes(sock: socket.socket, buffer: int) -> int:
+def count_buffered_bytes(sock: Socket, buffer: int) -> int:
     """Returns the bytes in a buffer of the kernel.
 
     Args:
@@ -125,17 +126,20 @@
     Raises:
       OSError: If the connection is closed, or the system does not tell.
     """
-    return int.from_bytes(fcntl.ioctl(sock.fileno(), buffer, bytes(_INT_BYTES)), "little")
+    descriptor = sock.fileno()
+    if descriptor < 0:
+        raise OSError(errno.EBADF, "the connection is closed")
+    return int.from_bytes(fcntl.ioctl(descriptor, buffer, bytes(_INT_BYTES)), "little")
 
 
-async def reset_connection(sock: socket.socket) -> None:
+async def reset_connection(sock: Socket) -> None:
     """Ends a connection, so that closing it resets it and the kernel drops its bytes."""
     with contextlib.suppress(OSError):
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
         await sock.shutdown(socket.SHUT_RDWR)
 
 
-async def send_message(sock: socket.socket, head: bytes, body: bytes) -> None:
+async def send_message(sock: Socket, head: bytes, body: bytes) -> None:
     """Sends a head and a body without a copy of a large body.
 
     Raises:
--- a/endivedrift/shell/_memory.py
+++ b/endivedrift/shell/_memory.py
@@ -11,7 +11,6 @@
 from enum import Enum
 
 import curio
-from curio import socket
 
 from endivedrift.core import CallerName, Clock, Instant, RequestId
 from endivedrift.policy import (
@@ -34,6 +33,7 @@
 from endivedrift.shell._http import count_buffered_bytes, reset_connection
 from endivedrift.shell._log import make_logger
 from endivedrift.shell._metrics import Metrics
+from endivedrift.shell._sockets import Socket
 
 DEFAULT_MEMORY_BYTES = 200_000_000
 """Memory of the smallest hosts."""
@@ -62,7 +62,7 @@
     """
 
     holding: Holding
-    sock: socket.socket
+    sock: Socket
     size: int
     started: Instant
     written: int = 0
@@ -176,7 +176,7 @@
                 self.release(holding, size)
         return is_kept
 
-    async def start_sending(self, holding: Holding, sock: socket.socket, size: int) -> Sending:
+    async def start_sending(self, holding: Holding, sock: Socket, size: int) -> Sending:
         """Begins to watch how fast a caller takes an answer of `size` bytes."""
         sending = Sending(holding, sock, size, self._clock.monotonic())
         self._sendings.append(sending)
--- a/endivedrift/shell/_peer_calls.py
+++ b/endivedrift/shell/_peer_calls.py
@@ -10,7 +10,6 @@
 from datetime import timedelta
 
 import curio
-from curio import socket
 
 from endivedrift.core import Address
 from endivedrift.objects import MAX_BODY_BYTES
@@ -26,6 +25,7 @@
     verify_mac,
 )
 from endivedrift.shell._http import parse_endpoint
+from endivedrift.shell._sockets import Socket, open_stream_socket
 
 NONCE_BYTES = 16
 LENGTH_BYTES = 4
@@ -79,7 +79,7 @@
     Raises:
       PeerCallError: If no authentic, readable reply was received in time.
     """
-    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    sock = open_stream_socket()
     sent = False
     limit = min(timeout, connect_timeout or timeout)
     try:
@@ -109,7 +109,7 @@
 
 async def serve_call(
     secret: bytes,
-    sock: socket.socket,
+    sock: Socket,
     handler: Callable[[Call], Awaitable[Reply]],
     reserve: Callable[[int], Awaitable[bool]],
 ) -> bool:
@@ -145,14 +145,14 @@
 
 
 async def _write_frame(
-    sock: socket.socket, secret: bytes, nonce: bytes, label: bytes, body: bytes
+    sock: Socket, secret: bytes, nonce: bytes, label: bytes, body: bytes
 ) -> None:
     mac = compute_mac(secret, nonce, label, body)
     await sock.sendall(len(body).to_bytes(LENGTH_BYTES, "big") + mac + body)
 
 
 async def _read_frame(
-    sock: socket.socket,
+    sock: Socket,
     secret: bytes,
     nonce: bytes,
     label: bytes,
@@ -174,7 +174,7 @@
 
 
 async def _read_exactly(
-    sock: socket.socket, count: int, reserve_piece: Callable[[int], Awaitable[bool]] | None = None
+    sock: Socket, count: int, reserve_piece: Callable[[int], Awaitable[bool]] | None = None
 ) -> bytes:
     data = bytearray()
     while len(data) < count:
--- a/endivedrift/shell/_peers.py
+++ b/endivedrift/shell/_peers.py
@@ -2,11 +2,11 @@
 
 import contextlib
 import random
+import socket
 from collections.abc import Awaitable, Callable
 from datetime import timedelta
 
 import curio
-from curio import socket
 
 from endivedrift.core import (
     Address,
@@ -53,6 +53,7 @@
 )
 from endivedrift.shell._requests import digest_request, fingerprint_request, read_host
 from endivedrift.shell._serving import MAX_MEMORY_WAIT, ServingContext, serve_request
+from endivedrift.shell._sockets import Socket, open_datagram_socket, open_stream_socket
 from endivedrift.shell._targets import TargetRequest
 
 FETCH_TIMEOUT = timedelta(seconds=2)
@@ -87,9 +88,9 @@
         self._read_object = read_object
         self._canonical: dict[str, bytes] = {}
         sockaddr = parse_endpoint(address).to_sockaddr()
-        self._udp = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._udp = open_datagram_socket()
         self._udp.bind(sockaddr)
-        self._tcp = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self._tcp = open_stream_socket()
         self._tcp.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self._tcp.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
         self._tcp.bind(sockaddr)
@@ -107,9 +108,8 @@
             self._last_encoded = (message, encode_datagram(self._context.secret, message))
         datagram = self._last_encoded[1]
         self._runtime.metrics.peer_bytes["sent"] += len(datagram)
-        with contextlib.suppress(OSError), self._udp.blocking() as raw:
-            raw.setblocking(False)
-            raw.sendto(datagram, parse_endpoint(address).to_sockaddr())
+        with contextlib.suppress(OSError):
+            self._udp.raw.sendto(datagram, parse_endpoint(address).to_sockaddr())
 
     async def receive(self) -> None:
         """Receives datagrams until cancelled."""
@@ -224,7 +224,7 @@
             _log.info("A host did not reply.", peer=address, cause=str(error))
             return None
 
-    async def _serve_connection(self, sock: socket.socket) -> None:
+    async def _serve_connection(self, sock: Socket) -> None:
         request_id, memory = self._runtime.new_request_id(), self._context.pool.memory
         holding = memory.open(request_id, id(sock))
 
@@ -241,7 +241,7 @@
         finally:
             memory.close(holding)
 
-    async def _handle_call(self, sock: socket.socket, holding: Holding, call: Call) -> Reply:
+    async def _handle_call(self, sock: Socket, holding: Holding, call: Call) -> Reply:
         if isinstance(call, ConfigQuery):
             canonical = self._canonical.get(call.digest)
             return ConfigBytes(canonical) if canonical is not None else NotFound()
@@ -257,7 +257,7 @@
         finally:
             await watching.cancel()
 
-    async def _watch_sender(self, sock: socket.socket, request_id: RequestId) -> None:
+    async def _watch_sender(self, sock: Socket, request_id: RequestId) -> None:
         """Reports when the sender of a request closes its connection, since its caller has left."""
         with contextlib.suppress(OSError):
             await sock.recv(1)
--- a/endivedrift/shell/_signals.py
+++ b/endivedrift/shell/_signals.py
@@ -1,9 +1,10 @@
 """Delivers operating system signals to curio tasks."""
 
 import signal
+import socket
 from types import FrameType
 
-from curio import socket
+from endivedrift.shell._sockets import Socket
 
 
 class SignalInbox:
@@ -11,7 +12,8 @@
 
     def __init__(self, *signals: signal.Signals) -> None:
         """Installs handlers for the given signals; must be called on the main thread."""
-        self._reader, self._writer = socket.socketpair()
+        reader, writer = socket.socketpair()
+        self._reader, self._writer = Socket(reader), Socket(writer)
         signal.set_wakeup_fd(self._writer.fileno(), warn_on_full_buffer=False)
         for number in signals:
             signal.signal(number, _ignore)
--- a/endivedrift/shell/_simple_http_server.py
+++ b/endivedrift/shell/_simple_http_server.py
@@ -1,17 +1,18 @@
 """A small HTTP server for requests that are answered immediately, one for each connection."""
 
 import contextlib
+import socket
 from collections.abc import Callable
 from datetime import timedelta
 
 import curio
 import h11
-from curio import socket
 
 from endivedrift.core import Address
 from endivedrift.shell._answers import HttpAnswer
 from endivedrift.shell._connection_slots import ConnectionSlots
 from endivedrift.shell._http import MAX_HEAD_BYTES, accept_connection, parse_endpoint
+from endivedrift.shell._sockets import Socket, open_stream_socket
 
 REQUEST_TIMEOUT = timedelta(seconds=10)
 PIECE_BYTES = 4_096
@@ -35,7 +36,7 @@
         """
         self._answer_request = answer
         self._slots = ConnectionSlots(max_connections)
-        self._listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self._listener = open_stream_socket()
         self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         # Accepted connections inherit the size of the buffer.
         self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, MAX_HEAD_BYTES)
@@ -51,14 +52,14 @@
         """Closes the listening socket."""
         await self._listener.close()
 
-    async def _serve(self, sock: socket.socket) -> None:
+    async def _serve(self, sock: Socket) -> None:
         http = h11.Connection(h11.SERVER, max_incomplete_event_size=MAX_HEAD_BYTES)
         errors = (OSError, h11.RemoteProtocolError, h11.LocalProtocolError, curio.TaskTimeout)
         with contextlib.suppress(*errors):
             async with curio.timeout_after(REQUEST_TIMEOUT.total_seconds()):
                 await self._answer(sock, http)
 
-    async def _answer(self, sock: socket.socket, http: h11.Connection) -> None:
+    async def _answer(self, sock: Socket, http: h11.Connection) -> None:
         event = http.next_event()
         while event is h11.NEED_DATA:
             http.receive_data(await sock.recv(PIECE_BYTES))
--- a/endivedrift/shell/_targets.py
+++ b/endivedrift/shell/_targets.py
@@ -10,7 +10,7 @@
 
 import contextlib
 import re
-import socket as stdlib_socket
+import socket
 from collections import deque
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field, replace
@@ -18,7 +18,6 @@
 
 import curio
 import h11
-from curio import socket
 
 from endivedrift.core import (
     NO_RATE_LIMIT,
@@ -51,6 +50,7 @@
 )
 from endivedrift.shell._log import make_logger
 from endivedrift.shell._memory import BodyMemory
+from endivedrift.shell._sockets import Socket, open_stream_socket
 
 MAX_IDLE_TIME = timedelta(seconds=10)
 MAX_MEMORY_WAIT = timedelta(seconds=1.5)
@@ -94,7 +94,7 @@
 
 @dataclass(slots=True)
 class _Connection:
-    sock: socket.socket
+    sock: Socket
     http: h11.Connection
     idle_since: Instant
     max_idle_time: timedelta = MAX_IDLE_TIME
@@ -326,7 +326,7 @@
           OSError: If the target refuses it or cannot be reached.
           curio.TaskTimeout: If the target does not answer in time.
         """
-        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        sock = open_stream_socket()
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         try:
             async with curio.timeout_after(limit):
@@ -600,12 +600,10 @@
     return f"{effect.request}.{effect.target}".encode()
 
 
-def _is_silent(sock: socket.socket) -> bool:
+def _is_silent(sock: Socket) -> bool:
     """Tells whether an idle connection is open and has nothing to read."""
     try:
-        with sock.blocking() as raw:
-            raw.setblocking(False)
-            raw.recv(1, stdlib_socket.MSG_PEEK)
+        sock.raw.recv(1, socket.MSG_PEEK)
     except BlockingIOError:
         return True
     except OSError:
@@ -613,6 +611,6 @@
     return False
 
 
-async def _close(sock: socket.socket) -> None:
+async def _close(sock: Socket) -> None:
     with contextlib.suppress(OSError):
         await sock.close()
--- a/endivedrift/shell/callers_test.py
+++ b/endivedrift/shell/callers_test.py
@@ -34,6 +34,8 @@
 LARGE_BODY = b"z" * 6_000_000
 SILENCE_LIMIT_S = 60.0
 """Time without a byte after which a test fails, far beyond any delay of a busy machine."""
+REUSED_NUMBERS = 8
+"""Connections of which one gets the number of the descriptor that was closed before them."""
 WRITE = b"POST /stays/w HTTP/1.1\r\nhost: x\r\ncontent-length: 4\r\n\r\n"
 
 
@@ -68,13 +70,16 @@
         state = build_host(build_identity(), SECRET, 1)
         self.runtime = Runtime(state, clock, Metrics())
         claims: Any = None
-        context = ServingContext(self.runtime, TargetPool(clock), claims, SECRET)
+        pool = TargetPool(clock)
+        self.memory = pool.memory
+        context = ServingContext(self.runtime, pool, claims, SECRET)
+        self.address = (ip, 9100)
         self.server = CallerServer(context, Address(f"{ip}:9100"), LimitsSection())
         await self.runtime.dispatch(build_config_fetched(clock, objects))  # type: ignore[arg-type]
         await curio.spawn(self.server.accept(), daemon=True)
         self.caller = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self.caller.setsockopt(stdlib_socket.SOL_SOCKET, stdlib_socket.SO_RCVBUF, 65_536)
-        await self.caller.connect((ip, 9100))
+        await self.caller.connect(self.address)
 
     async def handle(self, request: StandinRequest) -> StandinReply:
         name = request.path.rpartition("/")[2]
@@ -199,6 +204,32 @@
                 self.assertEqual(served.server._inputs.used, 0)
 
 
+class LeavingCallerTest(ServedTest):
+    """Guards against hosts that end when a caller leaves while its answer is being written."""
+
+    def test_the_host_serves_on_and_holds_nothing_of_the_answer(self) -> None:
+        async def scenario(served: Served) -> bytes:
+            await served.caller.sendall(write_read("large"))
+            await served.caller.recv(1)
+            async with curio.timeout_after(SILENCE_LIMIT_S):
+                # The caller has left, and what it does not take blocks the writing task.
+                await served.caller.shutdown(stdlib_socket.SHUT_WR)
+                while served.server.count_connections():
+                    await curio.sleep(0.01)
+                for number in range(REUSED_NUMBERS):
+                    sock = socket.socket(stdlib_socket.AF_INET, stdlib_socket.SOCK_STREAM)
+                    await sock.connect(served.address)
+                    await sock.sendall(write_read(f"n{number}"))
+                    self.assertIn(b"HTTP/1.1 200 ", await sock.recv(65_536))
+                    await sock.close()
+                while served.memory.budget.used:
+                    await curio.sleep(0.01)
+            return b""
+
+        served, _ = self.run_scenario(scenario)
+        self.assertEqual(served.ran, ["large", *(f"n{n}" for n in range(REUSED_NUMBERS))])
+
+
 class StoppingTest(ServedTest):
     def receive_large(self, disturb: Callable[[Served], Awaitable[None]] | None) -> bytes:
         """Reads a large answer slowly; `disturb` is called while the host is writing it."""
--- a/endivedrift/shell/interface.py
+++ b/endivedrift/shell/interface.py
@@ -1,8 +1,16 @@
-"""What a platform adapter builds on: HTTP conventions, and a server for the platform's requests."""
+"""What a platform adapter builds on: HTTP conventions, sockets, and a server for requests."""
 
 from endivedrift.shell._answers import HttpAnswer
 from endivedrift.shell._conventions import HttpConventions
 from endivedrift.shell._http import parse_endpoint
 from endivedrift.shell._simple_http_server import SimpleHttpServer
+from endivedrift.shell._sockets import Socket, open_stream_socket
 
-__all__ = ["HttpAnswer", "HttpConventions", "SimpleHttpServer", "parse_endpoint"]
+__all__ = [
+    "HttpAnswer",
+    "HttpConventions",
+    "SimpleHttpServer",
+    "Socket",
+    "open_stream_socket",
+    "parse_endpoint",
+]
