Accepting: a fault of one connection ends neither the loop nor the process

Cause: accept(2) reports faults of the connection that is accepted (EPROTO, EHOSTUNREACH, ETIMEDOUT ...) to the listener. All but ECONNABORTED ended the loop that accepts calls between hosts, and so the process; for callers the loop ended without a word and the host accepted no more. A failure to start serving did the same. Change: one loop accepts and starts connections, and passes over those that fail; the loop of callers is guarded like the others. ListenError tells addresses that cannot be used from later failures.

--- a/endivedrift/daemon.py
+++ b/endivedrift/daemon.py
@@ -7,7 +7,7 @@
 from expression import Result
 
 from endivedrift.settings import read_settings
-from endivedrift.shell.host import DefaultEnvironment, configure_logs, run_daemon
+from endivedrift.shell.host import DefaultEnvironment, ListenError, configure_logs, run_daemon
 
 EXIT_BAD_SETTINGS = 2
 EXIT_CANNOT_LISTEN = 3
@@ -35,7 +35,7 @@
             configure_logs(checked.log)
             try:
                 run_daemon(checked, DefaultEnvironment(checked))
-            except OSError as error:
+            except ListenError as error:
                 typer.echo(f"daemon: cannot listen: {error}", err=True)
                 raise typer.Exit(EXIT_CANNOT_LISTEN) from None
 
--- a/endivedrift/platform/_command.py
+++ b/endivedrift/platform/_command.py
@@ -10,7 +10,7 @@
 
 from endivedrift.platform._environment import read_environment
 from endivedrift.platform._values import WireError
-from endivedrift.shell.host import configure_logs, run_daemon
+from endivedrift.shell.host import ListenError, configure_logs, run_daemon
 
 NODE_FILE_VARIABLE = "ENDIVEDRIFT_NODE_FILE"
 EXIT_BAD_SETTINGS = 2
@@ -35,7 +35,7 @@
     configure_logs(node_file.settings.log)
     try:
         run_daemon(node_file.settings, environment)
-    except OSError as error:
+    except ListenError as error:
         print(f"daemon: cannot listen: {error}", file=sys.stderr)
         return EXIT_CANNOT_LISTEN
     return 0
--- a/endivedrift/shell/_callers.py
+++ b/endivedrift/shell/_callers.py
@@ -48,7 +48,7 @@
 from endivedrift.shell._http import (
     EVENTS_PER_TURN,
     READ_BYTES,
-    accept_connection,
+    accept_connections,
     build_buffers,
     copy_headers,
     drop_sent_bytes,
@@ -247,8 +247,7 @@
 
     async def accept(self) -> None:
         """Accepts connections until cancelled."""
-        while True:
-            await self._start_connection(await accept_connection(self._listener))
+        await accept_connections(self._listener, self._start_connection)
 
     async def stop_listening(self) -> None:
         """Accepts the connections in the backlog, then closes the listening socket."""
--- a/endivedrift/shell/_daemon.py
+++ b/endivedrift/shell/_daemon.py
@@ -47,6 +47,10 @@
 _log = make_logger("daemon")
 
 
+class ListenError(Exception):
+    """An address of the host cannot be used."""
+
+
 def new_incarnation(clock: Clock) -> Incarnation:
     """Returns a unique incarnation that is greater than those of earlier processes of the host.
 
@@ -66,7 +70,7 @@
       settings: Settings of the host.
       environment: The environment that the host runs in.
     Raises:
-      OSError: If an address cannot be used.
+      ListenError: If an address cannot be used.
     """
     curio.run(_run, settings, environment)
 
@@ -94,23 +98,25 @@
     memory = BodyMemory(clock, metrics, settings.limits.memory_mb * BYTES_PER_MB)
     pool = TargetPool(clock, conventions, memory)
     context = ServingContext(runtime, pool, environment.claims, secret, conventions)
-    operators = OperatorServer(
-        runtime, identity.operator_address, settings.limits.operator_connections
-    )
-    peers = PeerTransport(context, identity.peer_address, environment.read_object, settings.limits)
-    callers = CallerServer(
-        context, identity.caller_address, settings.limits, environment.serves_entry_to_callers
-    )
-    loops = [
-        _tick(runtime),
-        _clean_pool(pool),
-        peers.receive(),
-        peers.accept(),
-        operators.accept(),
-        *environment.build_loops(runtime, peers.install),
-    ]
+    limits = settings.limits
+    try:
+        operators = OperatorServer(runtime, identity.operator_address, limits.operator_connections)
+        peers = PeerTransport(context, identity.peer_address, environment.read_object, limits)
+        callers = CallerServer(
+            context, identity.caller_address, limits, environment.serves_entry_to_callers
+        )
+        loops = [
+            _tick(runtime),
+            _clean_pool(pool),
+            peers.receive(),
+            peers.accept(),
+            operators.accept(),
+            *environment.build_loops(runtime, peers.install),
+        ]
+    except OSError as error:
+        raise ListenError(str(error)) from error
     tasks = [await curio.spawn(_guard(loop), daemon=True) for loop in loops]
-    accept_task = await curio.spawn(callers.accept(), daemon=True)
+    accept_task = await curio.spawn(_guard(callers.accept()), daemon=True)
     # Objects created up to here live as long as the process, so later collections skip them.
     gc.collect()
     gc.freeze()
--- a/endivedrift/shell/_http.py
+++ b/endivedrift/shell/_http.py
@@ -9,6 +9,7 @@
 import socket
 import struct
 import termios
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from datetime import timedelta
 
@@ -17,6 +18,7 @@
 
 from endivedrift.core import Address, Headers
 from endivedrift.policy import SMALL_BYTES
+from endivedrift.shell._log import make_logger
 from endivedrift.shell._sockets import Socket
 
 READ_BYTES = 65_536
@@ -33,6 +35,25 @@
 """TCP states of a connection whose other side has closed it: CLOSE, CLOSE_WAIT and LAST_ACK."""
 _INT_BYTES = 4
 _SHORTAGES = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM})
+_CONNECTION_FAULTS = frozenset(
+    {
+        errno.ECONNABORTED,
+        errno.ECONNRESET,
+        errno.EHOSTDOWN,
+        errno.EHOSTUNREACH,
+        errno.ENETDOWN,
+        errno.ENETUNREACH,
+        errno.ENONET,
+        errno.ENOPROTOOPT,
+        errno.EOPNOTSUPP,
+        errno.EPERM,
+        errno.EPROTO,
+        errno.ETIMEDOUT,
+    }
+)
+"""Faults of the connection that was to be accepted; accept(2) reports them to the listener."""
+
+_log = make_logger("connections")
 
 _HOP_HEADERS = frozenset(
     {
@@ -77,7 +98,24 @@
     return count if count <= MAX_COUNT else None
 
 
-async def accept_connection(listener: Socket) -> Socket:
+async def accept_connections(listener: Socket, start: Callable[[Socket], Awaitable[None]]) -> None:
+    """Accepts connections and starts to serve each, until cancelled.
+
+    A connection that cannot be accepted or served ends alone.
+
+    Raises:
+      OSError: If the listening socket cannot be used.
+    """
+    while True:
+        sock = await _accept_connection(listener)
+        try:
+            await start(sock)
+        except Exception:
+            _log.exception("A connection could not be served.")
+            await sock.close()
+
+
+async def _accept_connection(listener: Socket) -> Socket:
     """Waits for a connection; while there are no descriptors for it, it stays in the backlog.
 
     Raises:
@@ -88,12 +126,11 @@
         await curio.sleep(0)
         try:
             sock, _ = await listener.accept()
-        except ConnectionAbortedError:
-            continue
         except OSError as error:
-            if error.errno not in _SHORTAGES:
+            if error.errno in _SHORTAGES:
+                await curio.sleep(ACCEPT_RETRY_DELAY.total_seconds())
+            elif error.errno not in _CONNECTION_FAULTS:
                 raise
-            await curio.sleep(ACCEPT_RETRY_DELAY.total_seconds())
         else:
             return sock
 
--- a/endivedrift/shell/_peers.py
+++ b/endivedrift/shell/_peers.py
@@ -43,7 +43,7 @@
     encode_datagram,
 )
 from endivedrift.shell._connection_slots import ConnectionSlots
-from endivedrift.shell._http import accept_connection, parse_endpoint
+from endivedrift.shell._http import accept_connections, parse_endpoint
 from endivedrift.shell._log import make_logger
 from endivedrift.shell._peer_calls import (
     PEER_CONNECT_TIMEOUT,
@@ -126,8 +126,11 @@
 
     async def accept(self) -> None:
         """Accepts calls until cancelled."""
-        while True:
-            await self._slots.start(await accept_connection(self._tcp), self._serve_connection)
+
+        async def start(sock: Socket) -> None:
+            await self._slots.start(sock, self._serve_connection)
+
+        await accept_connections(self._tcp, start)
 
     async def fetch_config(self, effect: FetchConfig) -> None:
         """Fetches an object set from peers or, if none of them has it, from the object store.
--- a/endivedrift/shell/_simple_http_server.py
+++ b/endivedrift/shell/_simple_http_server.py
@@ -11,7 +11,7 @@
 from endivedrift.core import Address
 from endivedrift.shell._answers import HttpAnswer
 from endivedrift.shell._connection_slots import ConnectionSlots
-from endivedrift.shell._http import MAX_HEAD_BYTES, accept_connection, parse_endpoint
+from endivedrift.shell._http import MAX_HEAD_BYTES, accept_connections, parse_endpoint
 from endivedrift.shell._sockets import Socket, open_stream_socket
 
 REQUEST_TIMEOUT = timedelta(seconds=10)
@@ -45,8 +45,11 @@
 
     async def accept(self) -> None:
         """Accepts connections until cancelled."""
-        while True:
-            await self._slots.start(await accept_connection(self._listener), self._serve)
+
+        async def start(sock: Socket) -> None:
+            await self._slots.start(sock, self._serve)
+
+        await accept_connections(self._listener, start)
 
     async def close(self) -> None:
         """Closes the listening socket."""
