Configuration: a value beyond a bound of ours keeps no version out of force

Cause: the object set into which a configuration is converted has bounds of our own, and is rejected as a whole for one field. So did header and idle time-outs, sizes of heads, connections of a target, weights, names of rules, hosts, services and tenants, prefixes, and two rules with one prefix. Of two rules with one name for a host, the second replaced the first without a word. Ruled out: clamping the time-out alone; it would cut requests earlier than the operator asked, and leave the class. What cannot be served costs only itself. The prefix pattern of the object model allows all characters of a request target. `label` of an account is written only where it is used, so that object sets keep their digests beside hosts of earlier builds.

--- a/endivedrift/objects/_constraints.py
+++ b/endivedrift/objects/_constraints.py
@@ -13,6 +13,10 @@
 STRICT = {"extra": "forbid", "strict": True}
 """Configuration of pydantic for records: no unknown fields, no conversion between types."""
 
+OMIT_DEFAULT = {"omit_default": True}
+"""Metadata of a field that is written only if it differs from its default, so that object sets
+without it have the digest that builds without the field compute."""
+
 
 @dataclass(frozen=True, slots=True)
 class Range:
--- a/endivedrift/objects/_reading.py
+++ b/endivedrift/objects/_reading.py
@@ -143,7 +143,11 @@
     """Returns a record as plain JSON values."""
     if dataclasses.is_dataclass(value):
         record: Any = type(value)
-        return {name: describe_record(getattr(value, name)) for name in _list_field_names(record)}
+        return {
+            name: describe_record(getattr(value, name))
+            for name, omitted in _list_fields(record)
+            if omitted is dataclasses.MISSING or getattr(value, name) != omitted
+        }
     if isinstance(value, dict):
         return {key: describe_record(item) for key, item in value.items()}
     if isinstance(value, tuple):
@@ -152,5 +156,9 @@
 
 
 @cache
-def _list_field_names(record: type) -> tuple[str, ...]:
-    return tuple(field.name for field in dataclasses.fields(record))
+def _list_fields(record: type) -> tuple[tuple[str, Any], ...]:
+    """Returns the names of the fields, each with the value with which it is not written."""
+    return tuple(
+        (f.name, f.default if f.metadata.get("omit_default") else dataclasses.MISSING)
+        for f in dataclasses.fields(record)
+    )
--- a/endivedrift/objects/_schema.py
+++ b/endivedrift/objects/_schema.py
@@ -12,10 +12,22 @@
 from typing import Annotated, Any, ClassVar
 
 from endivedrift.core import AccountKeyDigest, Importance
-from endivedrift.objects._constraints import STRICT, Checked, Length, Pattern, Range
+from endivedrift.objects._constraints import (
+    OMIT_DEFAULT,
+    STRICT,
+    Checked,
+    Length,
+    Pattern,
+    Range,
+)
 
 MAX_BODY_BYTES = 64 * 1024 * 1024
-MAX_DEADLINE_MS = 120_000
+MAX_DURATION_MS = 86_400_000
+"""Longest time that a caller may be kept waiting, or its connection open: a day."""
+MAX_CONNECTION_CAP = 100_000
+MAX_HEAD_BYTES = 1_048_576
+MAX_INTERNAL_MS = 120_000
+"""Longest time of what hosts do on their own."""
 MAX_ATTEMPTS = 10
 MAX_REQUESTS_PER_S = 1_000_000_000
 """Greatest quota of an account, far above what a fleet serves."""
@@ -26,7 +38,8 @@
 KEY_DIGEST_PATTERN = Pattern(r"^[0-9a-f]{32}$")
 Name = Annotated[str, NAME_PATTERN]
 OptionalName = Annotated[str, OPTIONAL_NAME_PATTERN]
-Milliseconds = Annotated[int, Range(ge=1, le=MAX_DEADLINE_MS)]
+Milliseconds = Annotated[int, Range(ge=1, le=MAX_INTERNAL_MS)]
+CallerMilliseconds = Annotated[int, Range(ge=1, le=MAX_DURATION_MS)]
 Probability = Annotated[float, Range(gt=0.0, lt=1.0)]
 ShareOfAll = Annotated[float, Range(ge=0.0, le=1.0)]
 
@@ -100,7 +113,7 @@
 
     __pydantic_config__: ClassVar[dict[str, Any]] = STRICT
     slots: Annotated[int, Range(ge=1, le=10_000)]
-    connection_cap: Annotated[int, Range(ge=1, le=100_000)]
+    connection_cap: Annotated[int, Range(ge=1, le=MAX_CONNECTION_CAP)]
     not_run_header: Annotated[str, Pattern(r"^[a-z0-9-]+$")] = "x-not-run"
     draining_header: Annotated[str, Pattern(r"^[a-z0-9-]+$")] = "x-draining"
     discovered: bool = False
@@ -244,7 +257,7 @@
 
     __pydantic_config__: ClassVar[dict[str, Any]] = STRICT
     service: Name
-    path: Annotated[str, Pattern(r"^/[A-Za-z0-9._~/%!$&'()*+,;=:@-]*$")]
+    path: Annotated[str, Pattern(r'^/[!"$->@-~]*$')]
     methods: Annotated[tuple[Annotated[str, Pattern(r"^([A-Z]+|\*)$")], ...], Length(1)]
     subpaths_only: bool = False
     hosts: tuple[str, ...] = ()
@@ -253,9 +266,9 @@
     max_hedge_share: ShareOfAll = 1.0
     repeatable: bool
     key_required: bool = False
-    deadline_ms: Milliseconds
-    queue_wait_ms: Milliseconds
-    aim_ms: Annotated[int, Range(ge=0, le=MAX_DEADLINE_MS)] = 0
+    deadline_ms: CallerMilliseconds
+    queue_wait_ms: Annotated[int, Range(ge=0, le=MAX_DURATION_MS)]
+    aim_ms: Annotated[int, Range(ge=0, le=MAX_DURATION_MS)] = 0
     importance: Annotated[str, Pattern(r"^(critical|normal|deferrable)$")] = "normal"
     request_limit_bytes: Annotated[int, Range(ge=0, le=MAX_BODY_BYTES)] = 65_536
     answer_limit_bytes: Annotated[int, Range(ge=0, le=MAX_BODY_BYTES)] = 1_048_576
@@ -293,9 +306,9 @@
     """
 
     __pydantic_config__: ClassVar[dict[str, Any]] = STRICT
-    head_bytes: Annotated[int, Range(ge=256, le=1_048_576)] = 16_384
-    head_ms: Milliseconds = 10_000
-    idle_ms: Annotated[int, Range(ge=1, le=3_600_000)] = 60_000
+    head_bytes: Annotated[int, Range(ge=1, le=MAX_HEAD_BYTES)] = 16_384
+    head_ms: CallerMilliseconds = 10_000
+    idle_ms: CallerMilliseconds = 60_000
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -309,6 +322,8 @@
         without any is named by its callers, which then have to be trusted.
       importance: Priority in the queue, which takes precedence over that of the route; empty for
         the route's.
+      label: Name by which targets are told of the account, if it differs from the object's: the
+        bytes of a header value, as Latin-1.
     """
 
     __pydantic_config__: ClassVar[dict[str, Any]] = STRICT
@@ -316,6 +331,7 @@
     burst: Annotated[int, Range(ge=0, le=MAX_REQUESTS_PER_S)] = 0
     key_digests: tuple[Annotated[str, KEY_DIGEST_PATTERN], ...] = ()
     importance: Annotated[str, Pattern(r"^(|critical|normal|deferrable)$")] = ""
+    label: Annotated[str, Pattern(r"^[ -~\x80-\xff]*$")] = field(default="", metadata=OMIT_DEFAULT)
 
     @property
     def queue_priority(self) -> Importance | None:
--- a/endivedrift/platform/_configuration.py
+++ b/endivedrift/platform/_configuration.py
@@ -6,6 +6,7 @@
 accounts, whose keys are replaced by their digests.
 """
 
+from dataclasses import replace
 from typing import Any
 
 from expression import Result
@@ -16,16 +17,16 @@
     BOUNDS_RULE_NAME,
     MAX_ATTEMPTS,
     MAX_BODY_BYTES,
-    MAX_DEADLINE_MS,
+    MAX_CONNECTION_CAP,
+    MAX_DURATION_MS,
+    MAX_HEAD_BYTES,
     MAX_REQUESTS_PER_S,
     Caller,
     ConnectionLimit,
     FleetBounds,
     ObjectSet,
     Route,
-    Service,
     Share,
-    UpstreamGroup,
     build_discovered_group,
     build_discovered_service,
     build_drain_rule,
@@ -37,15 +38,21 @@
     digest_bytes,
     encode_object_set,
 )
+from endivedrift.platform._fitting import (
+    Fitting,
+    fit_host_name,
+    fit_name,
+    fit_path,
+    fit_weights,
+)
 from endivedrift.platform._headers import NOT_RUN_HEADER
 from endivedrift.platform._values import (
     WireError,
     escape_text,
+    read_any_integer,
+    read_any_number,
     read_field,
     read_integer,
-    read_milliseconds,
-    read_name,
-    read_number,
 )
 from endivedrift.shell.running import make_logger
 
@@ -53,12 +60,17 @@
 """Whether a request may be repeated, by the kind of its rule. A kind that is not listed counts as
 not repeatable, which is safe for every request."""
 
+UNASSIGNED = "unassigned"
+"""Distinguishes a service without targets from others: that of a route that may use no service."""
+
 _log = make_logger("platform")
 
 
 def read_configuration(document: object, bounds: FleetBounds, at: Instant) -> ConfigFetched:
     """Reads a configuration.
 
+    Values beyond the bounds of an object set are brought within them, which is logged.
+
     Args:
       document: JSON value of the configuration row.
       bounds: Bounds that hold for the fleet.
@@ -69,94 +81,139 @@
       WireError: If a field is missing or its value is invalid.
     """
     version = read_integer(document, "version", least=1)
+    fitting = Fitting()
     try:
-        canonical = encode_object_set(_build_objects(document, bounds))
+        canonical = encode_object_set(_build_objects(document, bounds, fitting))
     except WireError as error:
         raise WireError(f"version {version}: {error}") from None
     match decode_object_set(canonical):
         case Result(tag="error", error=cause):
             raise WireError(f"version {version}: {escape_text(cause)}")
+    if fitting.count:
+        _log.warning(
+            "Values of the configuration were changed.",
+            version=version,
+            count=fitting.count,
+            changes=fitting.shown,
+        )
     return ConfigFetched(at, ConfigRef(Version(version), digest_bytes(canonical)), canonical)
 
 
-def _build_objects(document: object, bounds: FleetBounds) -> ObjectSet:
+def _build_objects(document: object, bounds: FleetBounds, fitting: Fitting) -> ObjectSet:
     limits = read_field(document, "limits", dict)
-    max_body_bytes = min(MAX_BODY_BYTES, read_integer(limits, "maxBodyBytes"))
-    callers = _read_callers(document)
-    routes: dict[str, Route] = {}
-    for listener in read_field(document, "listeners", list):
-        # A listener's `host` is a host name of requests, not a host of the fleet.
-        host_name = read_field(listener, "host", str).lower()
-        for rule in read_field(listener, "rules", list):
-            # Rule names are unique only within one host name.
-            name = f"{read_field(rule, 'name', str)}.{host_name}"
-            routes[name] = _build_route(rule, host_name, max_body_bytes, bool(callers))
+    max_body_bytes = fitting.read_count(limits, "maxBodyBytes", "limits", 0, MAX_BODY_BYTES)
+    callers = _read_callers(document, fitting)
+    routes = _build_routes(document, max_body_bytes, bool(callers), fitting)
     routed_services = {route.service for route in routes.values()}
     routed_services |= {share.service for route in routes.values() for share in route.split}
-    services: dict[str, Service] = {}
-    groups: dict[str, UpstreamGroup] = {}
-    for cluster in read_field(document, "clusters", list):
-        name = read_field(cluster, "name", str)
-        if name in routed_services:
-            services[name] = build_discovered_service(name, bounds)
-            connection_cap = read_integer(cluster, "maxConns", least=1)
-            groups[name] = build_discovered_group(connection_cap, NOT_RUN_HEADER.decode())
+    connection_caps = _read_connection_caps(document, fitting)
+    for name in sorted(routed_services - set(connection_caps)):
+        fitting.note(f"service {name}", "is in no cluster; its connections have no limit")
     return ObjectSet(
-        service=services,
-        upstream_group=groups,
+        service={name: build_discovered_service(name, bounds) for name in sorted(routed_services)},
+        upstream_group={
+            name: build_discovered_group(
+                connection_caps.get(name, MAX_CONNECTION_CAP), NOT_RUN_HEADER.decode()
+            )
+            for name in sorted(routed_services)
+        },
         ejection_limit={BOUNDS_RULE_NAME: build_ejection_limit(bounds)},
         drain_rule={BOUNDS_RULE_NAME: build_drain_rule()},
         retry_rule={BOUNDS_RULE_NAME: build_retry_rule(bounds)},
         hedge_rule=build_hedge_rules(bounds),
         route=routes,
         caller=callers,
-        connection_limit={BOUNDS_RULE_NAME: _build_connection_limit(limits)},
+        connection_limit={BOUNDS_RULE_NAME: _build_connection_limit(limits, fitting)},
     )
 
 
-def _build_connection_limit(limits: dict[str, Any]) -> ConnectionLimit:
+def _build_connection_limit(limits: dict[str, Any], fitting: Fitting) -> ConnectionLimit:
+    most = MAX_DURATION_MS
     return ConnectionLimit(
-        head_bytes=read_integer(limits, "maxHeaderBytes"),
-        head_ms=read_milliseconds(limits, "headerTimeout"),
-        idle_ms=read_milliseconds(limits, "idleTimeout"),
+        head_bytes=fitting.read_count(limits, "maxHeaderBytes", "limits", 1, MAX_HEAD_BYTES),
+        head_ms=fitting.read_milliseconds(limits, "headerTimeout", "limits", 1, most),
+        idle_ms=fitting.read_milliseconds(limits, "idleTimeout", "limits", 1, most),
     )
 
 
-def _build_route(rule: Any, host_name: str, max_body_bytes: int, has_accounts: bool) -> Route:
+def _read_connection_caps(document: object, fitting: Fitting) -> dict[str, int]:
+    caps = {}
+    for cluster in read_field(document, "clusters", list):
+        name = fit_name(read_field(cluster, "name", str))
+        caps[name] = fitting.read_count(
+            cluster, "maxConns", f"cluster {name}", 1, MAX_CONNECTION_CAP
+        )
+    return caps
+
+
+def _build_routes(
+    document: object, max_body_bytes: int, has_accounts: bool, fitting: Fitting
+) -> dict[str, Route]:
+    """Builds the routes; of several rules for one host name and prefix, the first applies."""
+    routes: dict[str, Route] = {}
+    matches: set[tuple[str, str]] = set()
+    for listener in read_field(document, "listeners", list):
+        # A listener's `host` is a host name of requests, not a host of the fleet.
+        host_name = fit_host_name(read_field(listener, "host", str))
+        for rule in read_field(listener, "rules", list):
+            stated_name = f"{read_field(rule, 'name', str)}.{host_name}"
+            route = _build_route(rule, stated_name, host_name, fitting)
+            match = (host_name, route.path.rstrip("/"))
+            if match in matches:
+                fitting.note(f"rule {stated_name}", "is left out; an earlier one has its prefix")
+                continue
+            matches.add(match)
+            name = fit_name(stated_name)
+            if name in routes:
+                name = fit_name(stated_name, route.path)
+            routes[name] = replace(
+                route,
+                request_limit_bytes=max_body_bytes,
+                known_callers_only=has_accounts and route.known_callers_only,
+            )
+    return routes
+
+
+def _build_route(rule: Any, name: str, host_name: str, fitting: Fitting) -> Route:
     action = read_field(rule, "action", dict)
     kind = read_field(rule, "kind", str)
     if kind not in _REPEATABLE_BY_KIND:
         _log.warning(
             "Kind of a rule is unknown; its requests are not repeated.", kind=escape_text(kind)
         )
-    timeout_ms = read_milliseconds(action, "timeout")
-    split = _read_split(action)
-    is_public = "public" in rule and read_field(rule, "public", bool)
+    place = f"rule {name}"
+    most = MAX_DURATION_MS
+    timeout_ms = fitting.read_milliseconds(action, "timeout", place, 1, most)
+    split = _read_split(action, place, fitting)
+    service = split[0].service if split else fit_name(read_field(action, "service", str))
+    if split and not any(share.weight for share in split):
+        fitting.note(place, "its requests are refused; each weight is 0")
+        service, split = fit_name(name, UNASSIGNED), ()
     return Route(
-        service=split[0].service if split else read_field(action, "service", str),
-        path=read_field(rule, "match.prefix", str),
+        service=service,
+        path=fit_path(read_field(rule, "match.prefix", str)),
         subpaths_only=True,
         hosts=(host_name,),
         split=split,
-        max_attempts=min(MAX_ATTEMPTS, read_integer(action, "maxAttempts")),
+        max_attempts=fitting.read_count(action, "maxAttempts", place, 0, MAX_ATTEMPTS),
         methods=("*",),
         repeatable=_REPEATABLE_BY_KIND.get(kind, False),
         deadline_ms=timeout_ms,
-        aim_ms=min(MAX_DEADLINE_MS, read_milliseconds(rule, "targetLatency")),
-        queue_wait_ms=max(1, timeout_ms - 1),
+        aim_ms=fitting.read_milliseconds(rule, "targetLatency", place, 0, most),
+        queue_wait_ms=timeout_ms - 1,
         importance=_read_importance(rule),
-        request_limit_bytes=max_body_bytes,
         answer_limit_bytes=MAX_BODY_BYTES,
-        known_callers_only=has_accounts and not is_public,
+        known_callers_only=not ("public" in rule and read_field(rule, "public", bool)),
     )
 
 
 def _read_importance(document: object) -> str:
     """Reads a priority: 0 is the most urgent, and values beyond the last importance mean that."""
-    return Importance(min(read_integer(document, "priority"), max(Importance))).name.lower()
+    priority = min(read_any_integer(document, "priority"), max(Importance))
+    return Importance(priority).name.lower()
 
 
-def _read_callers(document: Any) -> dict[str, Caller]:
+def _read_callers(document: Any, fitting: Fitting) -> dict[str, Caller]:
     """Reads the tenants by name; empty if the configuration has none, so that no key is needed.
 
     Raises:
@@ -169,10 +226,12 @@
     owners: dict[str, int] = {}
     for index, tenant in enumerate(read_field(document, "tenants", list)):
         try:
-            name = read_name(tenant, "name")
+            stated_name = _read_caller_name(tenant)
+            name = fit_name(stated_name)
             if name in callers:
                 raise WireError("name: another tenant has it too")
-            callers[name] = _read_caller(tenant)
+            label = stated_name if stated_name != name else ""
+            callers[name] = _read_caller(tenant, label, f"tenants.{index}", fitting)
             for digest in callers[name].key_digests:
                 if owners.setdefault(digest, index) != index:
                     raise WireError(f"apiKeys: tenants.{owners[digest]} has one of them too")
@@ -181,21 +240,30 @@
     return callers
 
 
-def _read_caller(tenant: Any) -> Caller:
+def _read_caller_name(tenant: Any) -> str:
+    """Reads the name of a tenant, and returns the bytes of its header value as Latin-1."""
+    name: str = read_field(tenant, "name", str)
+    if not name or name.strip() != name or not name.isprintable():
+        raise WireError("name: is empty, or no header can hold it")
+    return name.encode("utf-8").decode("latin-1")
+
+
+def _read_caller(tenant: Any, label: str, place: str, fitting: Fitting) -> Caller:
     keys = read_field(tenant, "apiKeys", list)
     for position, key in enumerate(keys):
         if not isinstance(key, str) or not key:
             raise WireError(f"apiKeys.{position}: is not a key")
-    rate = read_number(tenant, "ratePerS") if tenant.get("ratePerS") is not None else 0.0
-    burst = read_number(tenant, "burst") if tenant.get("burst") is not None else 0.0
-    for field, value in (("ratePerS", rate), ("burst", burst)):
-        if value > MAX_REQUESTS_PER_S:
-            raise WireError(f"{field}: is greater than {MAX_REQUESTS_PER_S}")
+    quota = {
+        field: fitting.read_rate(tenant, field, place, MAX_REQUESTS_PER_S)
+        for field in ("ratePerS", "burst")
+        if tenant.get(field) is not None
+    }
     return Caller(
-        requests_per_s=rate,
-        burst=int(burst),
+        requests_per_s=quota.get("ratePerS", 0.0),
+        burst=int(quota.get("burst", 0.0)),
         key_digests=tuple(dict.fromkeys(digest_account_key(_encode_key(key)) for key in keys)),
         importance=_read_importance(tenant) if tenant.get("priority") is not None else "",
+        label=label,
     )
 
 
@@ -204,11 +272,14 @@
     return key.encode("utf-8", "surrogatepass")
 
 
-def _read_split(action: dict[str, Any]) -> tuple[Share, ...]:
+def _read_split(action: dict[str, Any], place: str, fitting: Fitting) -> tuple[Share, ...]:
     """Reads the services among which a rule divides its requests; empty if it names only one."""
     if action.get("trafficSplit") is None:
         return ()
-    return tuple(
-        Share(service=read_field(part, "service", str), weight=read_integer(part, "weight"))
-        for part in read_field(action, "trafficSplit", list)
-    )
+    parts = read_field(action, "trafficSplit", list)
+    names = [fit_name(read_field(part, "service", str)) for part in parts]
+    stated = [read_any_number(part, "weight") for part in parts]
+    weights = fit_weights(stated)
+    if weights != stated:
+        fitting.note(f"{place}.trafficSplit", "whole weights in the same proportions are used")
+    return tuple(Share(service=s, weight=w) for s, w in zip(names, weights, strict=True))
--- a/endivedrift/platform/_entries.py
+++ b/endivedrift/platform/_entries.py
@@ -7,6 +7,7 @@
 from datetime import timedelta
 
 from endivedrift.core import MAX_SLOTS, FailureDomain, ServiceName, TargetEntry, TargetName
+from endivedrift.platform._fitting import fit_name
 from endivedrift.platform._values import (
     WireError,
     escape_text,
@@ -38,7 +39,7 @@
     read_integer(document, "status.sequence")
     return TargetEntry(
         name=TargetName(read_name({"id": name}, "id")),
-        service=ServiceName(read_name(document, "info.service")),
+        service=ServiceName(fit_name(read_field(document, "info.service", str))),
         address=read_address(document, "address"),
         failure_domain=FailureDomain(read_name(document, "info.zone")),
         slots=read_integer(document, "info.slots", least=1, most=MAX_SLOTS),
--- a/endivedrift/platform/_values.py
+++ b/endivedrift/platform/_values.py
@@ -9,6 +9,7 @@
 import math
 import re
 from datetime import timedelta
+from fractions import Fraction
 from typing import Any
 
 from endivedrift.core import Address
@@ -21,7 +22,10 @@
 MAX_SHOWN_LENGTH = 80
 """Length up to which an invalid value is repeated in the text of an error."""
 
-_DURATION = re.compile(r"^(\d{1,15}(?:\.\d{1,15})?)(ms|s)$", re.ASCII)
+MAX_DURATION_LENGTH = 400
+"""Length up to which the text of a duration is read."""
+
+_DURATION = re.compile(r"^(\d+(?:\.\d+)?)(ms|s)$", re.ASCII)
 
 
 class WireError(ValueError):
@@ -34,24 +38,24 @@
     Raises:
       WireError: If it is missing, has another format or is too long.
     """
-    value = read_field(document, field, str)
-    found = _DURATION.fullmatch(value)
-    if found is None:
-        raise WireError(f"{field}: {_show(value)} is not a number with the unit ms or s")
-    number = float(found.group(1))
-    duration = timedelta(seconds=min(number / 1000.0 if found.group(2) == "ms" else number, 1e6))
-    if duration > MAX_DURATION:
-        raise WireError(f"{field}: {_show(value)} is longer than a day")
-    return duration
+    milliseconds = read_any_milliseconds(document, field)
+    if milliseconds > MAX_DURATION / timedelta(milliseconds=1):
+        raise WireError(f"{field}: {_show(read_field(document, field, str))} is longer than a day")
+    return timedelta(milliseconds=milliseconds)
 
 
-def read_milliseconds(document: object, field: str) -> int:
-    """Reads a field that holds a duration, and returns it in whole milliseconds.
+def read_any_milliseconds(document: object, field: str) -> float:
+    """Reads a field that holds a duration of any length, and returns it in milliseconds.
 
     Raises:
-      WireError: If it is missing, has another format or is too long.
+      WireError: If it is missing or has another format.
     """
-    return round(read_duration(document, field).total_seconds() * 1000.0)
+    value = read_field(document, field, str)
+    found = _DURATION.fullmatch(value) if len(value) <= MAX_DURATION_LENGTH else None
+    if found is None:
+        raise WireError(f"{field}: {_show(value)} is not a number with the unit ms or s")
+    number = float(found.group(1))
+    return number if found.group(2) == "ms" else number * 1000.0
 
 
 def read_integer(document: object, field: str, least: int = 0, most: int = MAX_INTEGER) -> int:
@@ -66,14 +70,40 @@
     return value
 
 
-def read_number(document: object, field: str) -> float:
-    """Reads a field that holds a finite number of at least 0.
+def read_any_integer(document: object, field: str) -> int:
+    """Reads a field that holds a whole number of at least 0, however great.
+
+    Raises:
+      WireError: If it is missing, of another type or negative.
+    """
+    value: int = read_field(document, field, int)
+    if value < 0:
+        raise WireError(f"{field}: is negative")
+    return value
+
+
+def read_any_number(document: object, field: str) -> Fraction:
+    """Reads a field that holds a finite number of at least 0, however great.
 
     Raises:
       WireError: If it is missing, of another type, negative or not finite.
     """
     value = read_field(document, field, (int, float))
-    if not 0 <= value <= MAX_INTEGER or math.isnan(value):
+    if isinstance(value, float) and not math.isfinite(value):
+        raise WireError(f"{field}: is not finite")
+    if value < 0:
+        raise WireError(f"{field}: is negative")
+    return Fraction(value)
+
+
+def read_number(document: object, field: str) -> float:
+    """Reads a field that holds a finite number of at least 0, and at most `MAX_INTEGER`.
+
+    Raises:
+      WireError: If it is missing, of another type, negative, too great or not finite.
+    """
+    value = read_any_number(document, field)
+    if value > MAX_INTEGER:
         raise WireError(f"{field}: is not from 0 to {MAX_INTEGER}")
     return float(value)
 
--- a/endivedrift/reducer/_attempts.py
+++ b/endivedrift/reducer/_attempts.py
@@ -14,6 +14,7 @@
     AttemptOutcome,
     AuditEntry,
     AuditKind,
+    CallerName,
     HostPhase,
     Importance,
     Instant,
@@ -551,11 +552,17 @@
         max_reuse_idle=_get_max_reuse_idle(state, service, route.repeatable),
         connect_timeout=timedelta(milliseconds=service.group.connect_ms),
         close_delimited=service.group.close_delimited,
-        caller=pending.head.caller,
+        caller=_get_label(state, pending.head.caller),
         hedge_after=hedge_after,
     )
 
 
+def _get_label(state: HostState, caller: CallerName | None) -> CallerName | None:
+    """Returns the name by which targets are told of an account."""
+    account = find_account(state, caller)
+    return CallerName(account.label) if account is not None and account.label else caller
+
+
 def _measure_first_attempt(
     state: HostState, service: ServiceState, pending: RequestState, at: Instant
 ) -> timedelta | None:
--- a/endivedrift/shell/_requests.py
+++ b/endivedrift/shell/_requests.py
@@ -14,15 +14,16 @@
     RequestHead,
 )
 from endivedrift.fleet import RouteTable
-from endivedrift.objects import digest_account_key
+from endivedrift.objects import MAX_DURATION_MS, digest_account_key
 from endivedrift.policy import MAX_KEY_LENGTH
 from endivedrift.shell._conventions import HttpConventions
 from endivedrift.shell._http import find_header, strip_hop_headers
 from endivedrift.shell._targets import TargetRequest
 
 FINGERPRINT_BYTES = 16
-MAX_CALLER_TIMEOUT_MS = 600_000
-MAX_CALLER_TIMEOUT_DIGITS = 6
+MAX_CALLER_TIMEOUT_MS = MAX_DURATION_MS
+"""Longest time for which a caller is taken to wait; one that states more waits as long."""
+MAX_CALLER_TIMEOUT_DIGITS = 20
 
 
 class HeaderError(ValueError):
@@ -171,9 +172,9 @@
     if value is None:
         return None
     digits = value if value.isdigit() and len(value) <= MAX_CALLER_TIMEOUT_DIGITS else b"0"
-    if not 0 < int(digits) <= MAX_CALLER_TIMEOUT_MS:
+    if not int(digits):
         if not conventions.rejects_invalid_deadlines:
             return None
         name = conventions.deadline_header.decode().title()
         raise HeaderError(f"{name} must be a whole number of milliseconds")
-    return timedelta(milliseconds=int(value))
+    return timedelta(milliseconds=min(int(digits), MAX_CALLER_TIMEOUT_MS))
--- a/tests/accounts_test.py
+++ b/tests/accounts_test.py
@@ -223,5 +223,17 @@
             self.assertGreater(use.get(GLOBEX), use.get(ACME))
 
 
+class LabelTest(unittest.TestCase):
+    # Guards against targets that are told another name of an account than its operator gave it.
+    def test_targets_are_told_the_label_of_an_account(self) -> None:
+        objects = build_object_set()
+        callers = {"plain": Caller(), "two_words.1": Caller(label="two words")}
+        harness = HostHarness(replace(objects, caller=callers))
+        for name, told in (("plain", "plain"), ("two_words.1", "two words")):
+            _, effects = harness.receive_request(caller=name)
+            (sent,) = (effect for effect in effects if isinstance(effect, SendToTarget))
+            self.assertEqual(sent.caller, told)
+
+
 if __name__ == "__main__":
     unittest.main()
