Targets: a status that HTTP does not have is no answer

Callers saw: answers with status 600 and 999 as a target in trouble sent them, with its signature; for 199 with a body, 504 at the deadline. 000, 00, 0, 099, 101 and 1000 gave 502 already. Cause: the parser accepts three digits up to 999 and takes each status under 200 for an interim answer; nothing compared them with the statuses of HTTP. Change: final answers have a status from 200 to 599, from targets and between hosts. An interim answer that announces a body is unreadable at once.

--- a/endivedrift/shell/_codec.py
+++ b/endivedrift/shell/_codec.py
@@ -52,6 +52,7 @@
     Version,
 )
 from endivedrift.objects import check_address
+from endivedrift.shell._http import MAX_FINAL_STATUS, MIN_FINAL_STATUS
 from endivedrift.shell._packing import check_packed
 
 MAC_BYTES = 16
@@ -67,8 +68,6 @@
 MAX_COUNT = 2**53
 """Greatest count that is accepted: all smaller ones are exact as floating-point numbers."""
 MICROSECOND = timedelta(microseconds=1)
-MIN_STATUS, MAX_STATUS = 200, 999
-"""Statuses of final answers that HTTP can express."""
 MAX_DIGEST_BYTES = 64
 MAX_CONFIG_BYTES = 64 * 1024 * 1024
 NO_TIME_MICROS = -1
@@ -568,7 +567,7 @@
 
 def _get_status(status: int) -> int:
     """Checks the status of an answer, which must be a final one."""
-    if not MIN_STATUS <= status <= MAX_STATUS:
+    if not MIN_FINAL_STATUS <= status <= MAX_FINAL_STATUS:
         raise ValueError("the status is out of bounds")
     return status
 
--- a/endivedrift/shell/_http.py
+++ b/endivedrift/shell/_http.py
@@ -25,6 +25,8 @@
 EVENTS_PER_TURN = 128
 """Events of the parser after which other tasks run; tiny chunks take no wait between two events."""
 MAX_HEAD_BYTES = 16_384
+MIN_FINAL_STATUS, MAX_FINAL_STATUS = 200, 599
+"""Statuses of final answers; HTTP has no others (RFC 9110, section 15)."""
 MAX_COUNT = 10**9
 """Greatest number that is accepted in a header; as a duration in seconds it is 31 years."""
 MAX_COUNT_DIGITS = 20
--- a/endivedrift/shell/_targets.py
+++ b/endivedrift/shell/_targets.py
@@ -38,6 +38,7 @@
 from endivedrift.shell._conventions import DEFAULT_CONVENTIONS, HttpConventions
 from endivedrift.shell._http import (
     EVENTS_PER_TURN,
+    MAX_FINAL_STATUS,
     MAX_HEAD_BYTES,
     READ_BYTES,
     copy_headers,
@@ -77,6 +78,9 @@
 """Longest such time that is honoured; a longer one is more likely a fault of the target."""
 MIN_SERVER_ERROR_STATUS = 500
 
+_BODY_HEADERS = frozenset({b"content-length", b"transfer-encoding"})
+"""Headers that an interim answer never has; a target that sends them means no interim answer."""
+
 _DECIMAL = re.compile(rb"\d{1,15}(\.\d{1,15})?")
 
 _log = make_logger("targets")
@@ -447,7 +451,7 @@
         if isinstance(event, h11.Response):
             self.response = event
             self.headers = copy_headers(event.headers)
-            if not self._is_trustworthy(event):
+            if event.status_code > MAX_FINAL_STATUS or not self._is_trustworthy(event):
                 return _AttemptResult(AttemptOutcome.MALFORMED)
             # Memory is reserved for the whole answer at once where its size is known. Otherwise
             # many answers, each read in part, could wait for one another.
@@ -467,7 +471,8 @@
             return self._classify(self.response.status_code)
         elif isinstance(event, h11.InformationalResponse):
             self.informational_count += 1
-            if self.informational_count > MAX_INFORMATIONAL_RESPONSES:
+            is_bodiless = not any(name in _BODY_HEADERS for name, _ in event.headers)
+            if self.informational_count > MAX_INFORMATIONAL_RESPONSES or not is_bodiless:
                 return _AttemptResult(AttemptOutcome.MALFORMED)
         else:
             return _AttemptResult(AttemptOutcome.MALFORMED)
--- a/endivedrift/shell/codec_test.py
+++ b/endivedrift/shell/codec_test.py
@@ -245,7 +245,7 @@
 
     # Guards against a caller without an answer: what another host said cannot be written as one.
     def test_a_status_that_no_answer_can_have_is_rejected(self) -> None:
-        for status in (0, 100, 199, 1000, 65_535):
+        for status in (0, 100, 199, 600, 999, 1000, 65_535):
             self.assertIsNone(decode_reply(encode_reply(Answer(status, (), b""))))
 
     # Guards against a host that ends at a rate too great to count with.
--- a/endivedrift/shell/targets_test.py
+++ b/endivedrift/shell/targets_test.py
@@ -391,6 +391,39 @@
 )
 
 
+class OddStatusTest(unittest.TestCase):
+    """A status that HTTP does not have is no answer, in either interface.
+
+    Guards against callers that get such a status as the answer of a target.
+    """
+
+    def attempt(self, interface: Interface, answer: bytes) -> AttemptFinished:
+        finished, _ = run_attempts(
+            answer, conventions=interface.conventions, headers=interface.request_headers
+        )
+        return finished[0]
+
+    def test_it_is_no_answer_with_or_without_what_targets_state(self) -> None:
+        statements = ("", "x-not-run: 1\r\n")
+        statuses = ("000", "00", "0", "099", "101", "199", "600", "999", "1000", "-20", "2e2")
+        for interface, status, stated in product(INTERFACES, statuses, statements):
+            for signature in {"", interface.signature}:
+                with self.subTest(status=status, stated=stated, signature=signature):
+                    extra = interface.echo + signature + stated
+                    answer = write_answer(extra=extra).replace(b" 200 ", f" {status} ".encode(), 1)
+                    finished = self.attempt(interface, answer)
+                    self.assertIs(finished.outcome, AttemptOutcome.MALFORMED)
+                    self.assertIsNone(finished.answer)
+
+    def test_the_last_status_is_passed_on_after_interim_answers(self) -> None:
+        for interface in INTERFACES:
+            answer = write_answer(status=599, extra=interface.echo + interface.signature)
+            interim = b"HTTP/1.1 199 X\r\n\r\nHTTP/1.1 100 X\r\n\r\n"
+            finished = self.attempt(interface, interim + answer)
+            assert finished.answer is not None
+            self.assertEqual(finished.answer.status, 599)
+
+
 class EarlierRefusalTest(unittest.TestCase):
     """A target repeats an earlier refusal on a kept connection while it runs the next request.
 
