Sockets: a connection that is always ready lets other tasks run

Cause: a call that needs no wait does not give up its turn, so that a loop over a connection that delivers without a pause kept the host from all other work, and from its own time limits, which end waits only. Found by reading, on the path of the store whose interim answers have no end. Change: after 32 calls in a row without a wait, the next call of a socket lets other tasks run first. It does so before the call, so that no bytes that were read or written are lost to a time limit or a cancellation.

--- a/endivedrift/shell/_sockets.py
+++ b/endivedrift/shell/_sockets.py
@@ -12,8 +12,12 @@
 from collections.abc import Awaitable, Callable
 from typing import Any, TypeAlias
 
+import curio
 from curio.traps import _io_release, _read_wait, _write_wait
 
+CALLS_PER_TURN = 32
+"""Calls in a row without a wait after which other tasks run, however fast the other side is."""
+
 SocketAddress: TypeAlias = tuple[str, int]
 
 
@@ -40,7 +44,7 @@
       raw: The socket in non-blocking mode, for calls that need no wait.
     """
 
-    __slots__ = ("_descriptor", "_is_closed", "_waiting", "raw")
+    __slots__ = ("_calls", "_descriptor", "_is_closed", "_waiting", "raw")
 
     def __init__(self, raw: stdlib_socket.socket) -> None:
         """Takes over a socket and makes it non-blocking."""
@@ -49,6 +53,7 @@
         self._descriptor = _Descriptor(raw.fileno())
         self._waiting = 0
         self._is_closed = False
+        self._calls = 0
 
     def fileno(self) -> int:
         """Returns the number of the descriptor, or -1 once it is closed."""
@@ -137,6 +142,10 @@
         *arguments: Any,
     ) -> Any:
         """Makes a call, if need be after waiting until it can be made."""
+        self._calls += 1
+        if self._calls > CALLS_PER_TURN:
+            self._calls = 0
+            await curio.sleep(0)
         while True:
             self._check_open()
             try:
@@ -145,6 +154,7 @@
                 await self._wait(wait)
 
     async def _wait(self, wait: Callable[[_Descriptor], Awaitable[None]]) -> None:
+        self._calls = 0
         self._waiting += 1
         try:
             await wait(self._descriptor)
--- a/endivedrift/shell/sockets_test.py
+++ b/endivedrift/shell/sockets_test.py
@@ -12,7 +12,12 @@
 
 import curio
 
-from endivedrift.shell._sockets import Socket, open_datagram_socket, open_stream_socket
+from endivedrift.shell._sockets import (
+    CALLS_PER_TURN,
+    Socket,
+    open_datagram_socket,
+    open_stream_socket,
+)
 
 PACKAGE = Path(__file__).resolve().parent.parent
 EVENT_LIMIT_S = 60.0
@@ -140,6 +145,29 @@
         self.assertEqual(after, -1)
 
 
+class TurnTest(unittest.TestCase):
+    # Guards against a host that serves nobody while one connection delivers without a pause.
+    def test_a_connection_that_is_always_ready_lets_other_tasks_run(self) -> None:
+        left, right = open_pair()
+        calls = 0
+
+        async def read() -> None:
+            nonlocal calls
+            while calls < 100_000:
+                left.raw.send(b"x")
+                await right.recv(1)
+                calls += 1
+
+        async def run() -> None:
+            reading = await curio.spawn(read)
+            for _ in range(10):
+                await curio.sleep(0)
+            await reading.cancel()
+
+        curio.run(run)
+        self.assertLessEqual(calls, 11 * (CALLS_PER_TURN + 1))
+
+
 class ImportsTest(unittest.TestCase):
     def test_no_module_waits_in_sockets_of_another_kind(self) -> None:
         users = set()
