--- a/endivedrift/platform/store_test.py
+++ b/endivedrift/platform/store_test.py
@@ -19,6 +19,8 @@
 from standins.platform_store import StoreStandin
 
 PORT = 20_950
+_BODY = json.dumps({"rows": [{"key": "config", "value": "", "ver": 4}], "ver": 4}).encode()
+ANSWER = b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n" % len(_BODY) + _BODY
 UNREACHED_LIMIT = timedelta(seconds=60)
 """Limit of a call that gets a reply, far beyond any delay of a busy machine."""
 
@@ -125,5 +127,38 @@
         self.run_scenario(scenario)
 
 
+class SilentConnectionTest(unittest.TestCase):
+    # Guards against hosts that learn of no change after their connections to the store went silent
+    # for good, without a reset, while new ones work.
+    def test_a_silent_connection_costs_one_question(self) -> None:
+        accepted: list[int] = []
+
+        async def answer(sock: curio.socket.socket, address: object) -> None:
+            accepted.append(sock.fileno())
+            is_first = len(accepted) == 1
+            while await sock.recv(65_536):
+                await sock.sendall(ANSWER)
+                if is_first:
+                    await curio.sleep(UNREACHED_LIMIT.total_seconds())
+
+        async def run() -> None:
+            address = (f"127.{1 + os.getpid() % 250}.{secrets.randbelow(250)}.1", PORT)
+            serving = await curio.spawn(curio.tcp_server, *address, answer, daemon=True)
+            await curio.sleep(0.05)
+            client = StoreClient(Address(f"{address[0]}:{address[1]}"))
+            version = (await client.read_table("op")).version
+            silence = timedelta(milliseconds=100)
+            is_short = mock.patch.object(_store, "QUESTION_TIMEOUT", silence)
+            with is_short, self.assertRaises(StoreError):
+                await client.read_changes("op", version)
+            changes = await client.read_changes("op", version)
+            self.assertEqual([row.key for row in changes.rows], ["config"])
+            self.assertEqual(len(accepted), 2)
+            await client.close()
+            await serving.cancel()
+
+        curio.run(run)
+
+
 if __name__ == "__main__":
     unittest.main()
