Targets: an answer that ends with its connection needs a target that lives

Cause: the kernel closes the connections of a killed process like the process itself; the end of the connection was the end of the answer. Ruled out: passing such answers on without a length; callers could not tell either. Change: after such an answer the host looks whether the target still takes connections, as after a cut answer, and cuts the answer if it does not. Result: UnframedAnswerTest failed before (answered, not cut) and passes.

--- a/endivedrift/shell/_targets.py
+++ b/endivedrift/shell/_targets.py
@@ -109,6 +109,7 @@
     rate_limit: float | None = None
     new_connection: bool = False
     memory_wait: timedelta = timedelta(0)
+    is_close_delimited: bool = False
 
 
 class TargetPool:
@@ -160,7 +161,13 @@
         latency = self._clock.monotonic() - started - attempt_result.memory_wait
         target_ended = False
         if attempt_result.outcome is AttemptOutcome.CUT:
-            target_ended = await self._refuses_connections(effect)
+            limit = min(END_CHECK_TIMEOUT, effect.deadline - self._clock.monotonic())
+            target_ended = await self._refuses_connections(effect, limit)
+        elif attempt_result.answer is not None and attempt_result.is_close_delimited:
+            # The kernel closes the connections of a process that is killed in the same way.
+            target_ended = await self._refuses_connections(effect, END_CHECK_TIMEOUT)
+            if target_ended:
+                attempt_result = replace(attempt_result, outcome=AttemptOutcome.CUT, answer=None)
         return AttemptFinished(
             self._clock.monotonic(),
             effect.request,
@@ -261,7 +268,11 @@
                 self.memory.close(owned)
         if attempt_result.outcome is AttemptOutcome.TIMED_OUT and reader.waits_for_memory:
             attempt_result = _AttemptResult(AttemptOutcome.NO_MEMORY)
-        attempt_result = replace(attempt_result, memory_wait=reader.memory_wait)
+        attempt_result = replace(
+            attempt_result,
+            memory_wait=reader.memory_wait,
+            is_close_delimited=reader.is_close_delimited(),
+        )
         if attempt_result.outcome in _BROKEN_OFF_OUTCOMES and reader.states_leaving():
             attempt_result = replace(attempt_result, leaving=True)
         await self._release(effect, connection, attempt_result)
@@ -296,9 +307,8 @@
             await _close(connection.sock)
         return None
 
-    async def _refuses_connections(self, effect: SendToTarget) -> bool:
+    async def _refuses_connections(self, effect: SendToTarget, limit: timedelta) -> bool:
         """Tells whether a target refuses connections; if it accepts one, that is kept for later."""
-        limit = min(END_CHECK_TIMEOUT, effect.deadline - self._clock.monotonic())
         if limit <= timedelta(0):
             return False
         try:
@@ -400,7 +410,7 @@
             event = self.connection.http.next_event()
             if event is h11.NEED_DATA:
                 data = await self.connection.sock.recv(READ_BYTES)
-                if not data and not self._is_close_delimited():
+                if not data and not self.is_close_delimited():
                     return _AttemptResult(AttemptOutcome.CUT)
                 self.connection.http.receive_data(data)
                 if not self.bounds.allow_bytes(len(data), len(self.body)):
@@ -427,7 +437,8 @@
         self.reserved_bytes += size if reserved else 0
         return reserved
 
-    def _is_close_delimited(self) -> bool:
+    def is_close_delimited(self) -> bool:
+        """Tells whether the answer has no length, so that it ends with its connection."""
         response = self.response
         return (
             response is not None
--- a/endivedrift/shell/targets_test.py
+++ b/endivedrift/shell/targets_test.py
@@ -391,6 +391,50 @@
 )
 
 
+class UnframedAnswerTest(unittest.TestCase):
+    """A target ends an answer without a length by closing its connection."""
+
+    def attempt(self, is_killed: bool) -> AttemptFinished:
+        interface = INTERFACES[1]
+        head = f"HTTP/1.1 200 X\r\n{interface.echo}{interface.signature}\r\n".encode()
+
+        async def run() -> AttemptFinished:
+            target = ScriptedTarget((head + b"part",), True, b"")
+
+            async def answer() -> None:
+                sock, _ = await target.listener.accept()
+                await sock.recv(65_536)
+                await sock.sendall(head + b"part")
+                if is_killed:
+                    await target.listener.close()
+                await sock.close()
+
+            answering = await curio.spawn(answer)
+            pool = TargetPool(SystemClock(), interface.conventions)
+            effect = replace(build_effect(target.address, 5.0), close_delimited=True)
+            request = TargetRequest("GET", b"/", interface.request_headers, b"")
+            finished = await pool.attempt(effect, request, never_abort)
+            await answering.join()
+            await pool.close()
+            await target.listener.close()
+            return finished
+
+        return curio.run(run)
+
+    def test_an_answer_whose_target_is_still_there_is_complete(self) -> None:
+        finished = self.attempt(is_killed=False)
+        assert finished.answer is not None
+        self.assertEqual(finished.answer.body, b"part")
+        self.assertFalse(finished.target_ended)
+
+    # Guards against part of an answer that is delivered as a whole one, with a length of its own.
+    def test_an_answer_whose_target_was_killed_is_cut(self) -> None:
+        finished = self.attempt(is_killed=True)
+        self.assertIs(finished.outcome, AttemptOutcome.CUT)
+        self.assertIsNone(finished.answer)
+        self.assertTrue(finished.target_ended)
+
+
 class OddStatusTest(unittest.TestCase):
     """A status that HTTP does not have is no answer, in either interface.
 
