Targets: wait for the exit of a process before its answer counts as whole

Change: after an answer that ended with its connection, a new connection must stay open for 10 ms. Result: UnframedAnswerTest plays a socket that is closed last; it failed before.

--- a/endivedrift/shell/_targets.py
+++ b/endivedrift/shell/_targets.py
@@ -60,6 +60,9 @@
 END_CHECK_TIMEOUT = timedelta(milliseconds=100)
 """Limit on the connection that shows whether a target has ended. A process that has ended refuses
 it within a round trip; one that does not answer at all may live."""
+EXIT_TIME = timedelta(milliseconds=10)
+"""Time in which the kernel closes all sockets of a process that has ended. It may close connections
+before the socket that accepts others, which then are reset."""
 KEEP_ALIVE_FRACTION = 0.8
 """Fraction of the idle timeout announced by a target during which a connection is reused. The rest
 covers the time that a request takes to reach the target."""
@@ -161,11 +164,10 @@
         latency = self._clock.monotonic() - started - attempt_result.memory_wait
         target_ended = False
         if attempt_result.outcome is AttemptOutcome.CUT:
-            limit = min(END_CHECK_TIMEOUT, effect.deadline - self._clock.monotonic())
-            target_ended = await self._refuses_connections(effect, limit)
+            target_ended = await self._refuses_connections(effect)
         elif attempt_result.answer is not None and attempt_result.is_close_delimited:
             # The kernel closes the connections of a process that is killed in the same way.
-            target_ended = await self._refuses_connections(effect, END_CHECK_TIMEOUT)
+            target_ended = await self._ends_connections(effect)
             if target_ended:
                 attempt_result = replace(attempt_result, outcome=AttemptOutcome.CUT, answer=None)
         return AttemptFinished(
@@ -307,8 +309,9 @@
             await _close(connection.sock)
         return None
 
-    async def _refuses_connections(self, effect: SendToTarget, limit: timedelta) -> bool:
+    async def _refuses_connections(self, effect: SendToTarget) -> bool:
         """Tells whether a target refuses connections; if it accepts one, that is kept for later."""
+        limit = min(END_CHECK_TIMEOUT, effect.deadline - self._clock.monotonic())
         if limit <= timedelta(0):
             return False
         try:
@@ -320,6 +323,24 @@
         self._idle.setdefault(effect.address, deque()).append(connection)
         return False
 
+    async def _ends_connections(self, effect: SendToTarget) -> bool:
+        """Tells whether a target refuses a connection, or ends it in the time of an exit.
+
+        One that stays open is kept for later. A target that has too many connections ends new ones
+        too, and cannot be told from one that exits.
+        """
+        try:
+            connection = await self._connect(effect.address, END_CHECK_TIMEOUT.total_seconds())
+        except curio.TaskTimeout:
+            return False
+        except OSError:
+            return True
+        if await _ends_within(connection.sock, EXIT_TIME):
+            await _close(connection.sock)
+            return True
+        self._idle.setdefault(effect.address, deque()).append(connection)
+        return False
+
     async def _open(self, effect: SendToTarget, remaining: float) -> _Connection | None:
         limit = min(remaining, effect.connect_timeout.total_seconds())
         try:
@@ -613,6 +634,16 @@
     return False
 
 
+async def _ends_within(sock: Socket, time: timedelta) -> bool:
+    """Tells whether a connection ends in a time in which nothing is due on it."""
+    has_ended = False
+    async with curio.ignore_after(time.total_seconds()):
+        with contextlib.suppress(OSError):
+            await sock.recv(1, socket.MSG_PEEK)
+        has_ended = True
+    return has_ended
+
+
 async def _close(sock: Socket) -> None:
     with contextlib.suppress(OSError):
         await sock.close()
--- a/endivedrift/shell/targets_test.py
+++ b/endivedrift/shell/targets_test.py
@@ -394,7 +394,7 @@
 class UnframedAnswerTest(unittest.TestCase):
     """A target ends an answer without a length by closing its connection."""
 
-    def attempt(self, is_killed: bool) -> AttemptFinished:
+    def attempt(self, is_killed: bool, closes_last: bool = False) -> AttemptFinished:
         interface = INTERFACES[1]
         head = f"HTTP/1.1 200 X\r\n{interface.echo}{interface.signature}\r\n".encode()
 
@@ -405,9 +405,13 @@
                 sock, _ = await target.listener.accept()
                 await sock.recv(65_536)
                 await sock.sendall(head + b"part")
-                if is_killed:
+                if is_killed and not closes_last:
                     await target.listener.close()
                 await sock.close()
+                if is_killed and closes_last:
+                    # The connection that waits to be accepted is reset.
+                    await curio.traps._read_wait(target.listener.fileno())
+                    await target.listener.close()
 
             answering = await curio.spawn(answer)
             pool = TargetPool(SystemClock(), interface.conventions)
@@ -429,10 +433,12 @@
 
     # Guards against part of an answer that is delivered as a whole one, with a length of its own.
     def test_an_answer_whose_target_was_killed_is_cut(self) -> None:
-        finished = self.attempt(is_killed=True)
-        self.assertIs(finished.outcome, AttemptOutcome.CUT)
-        self.assertIsNone(finished.answer)
-        self.assertTrue(finished.target_ended)
+        for closes_last in (False, True):
+            with self.subTest(closes_last=closes_last):
+                finished = self.attempt(is_killed=True, closes_last=closes_last)
+                self.assertIs(finished.outcome, AttemptOutcome.CUT)
+                self.assertIsNone(finished.answer)
+                self.assertTrue(finished.target_ended)
 
 
 class OddStatusTest(unittest.TestCase):
