Discovery: count the grace of a mass loss from the latest answer of the store

Cause: a loss that would break the floor was held back for 1.2 s from when the host learned of it, which may be 0.9 s after the store removed the targets. Ruled out: a shorter grace for all; a loss that a wait reports at once keeps its 1.2 s. Change: such targets are kept until 1.7 s after the latest known answer at most, as they may have vanished right after it. Result: the new test failed before with an answer 0.9 s old, and passes.

--- a/endivedrift/reducer/_discovery.py
+++ b/endivedrift/reducer/_discovery.py
@@ -44,6 +44,10 @@
 """Time for which targets are kept whose simultaneous loss would break the floor of their service:
 over half of the two seconds after which a vanished target must get no more requests."""
 
+REMOVAL_SHARE = 0.85
+"""Share of the time after which a vanished target must get no more requests. The rest is left for a
+tick and for the requests that are on their way."""
+
 
 def ask_for_targets(state: HostState, at: Instant) -> list[Effect]:
     """Asks other hosts for targets if the store has not listed any since the start."""
@@ -220,10 +224,22 @@
         until = max(until, state.store.answering_since + REREGISTRATION_GRACE)
     service = state.services.get(state.discovered[name].service)
     if service is not None and len(set(service.targets) - gone) < service.floor:
-        until = max(until, at + MASS_LOSS_GRACE)
+        until = max(until, min(at + MASS_LOSS_GRACE, _compute_removal_limit(state, at)))
     return until
 
 
+def _compute_removal_limit(state: HostState, at: Instant) -> Instant:
+    """Returns until when targets may be used whose removal was found now.
+
+    They may have been removed right after the latest answer of the store that is known. A host that
+    has been behind for longer has missed the limit already.
+    """
+    as_of, limit = state.store.as_of, state.store.change_limit
+    if as_of is None or at - as_of > limit:
+        return at + limit
+    return max(at, as_of + limit * REMOVAL_SHARE)
+
+
 def place_registered_target(state: HostState, entry: TargetEntry, at: Instant) -> list[AuditEntry]:
     """Adds a registered target to its service, if the object set in force has that service."""
     service = state.services.get(entry.service)
--- a/tests/patterns_test.py
+++ b/tests/patterns_test.py
@@ -490,6 +490,23 @@
         self.harness.advance(0.5)
         self.assertEqual(len(self.list_targets()), 3)
 
+    # Guards against DRAIN: a removal that is found by a question, and held back from then on.
+    def test_many_that_were_removed_before_a_question_are_not_kept_too_long(self) -> None:
+        for age in (0.0, 0.3, 0.6, 0.9):
+            with self.subTest(age=age):
+                self.setUp()
+                for _ in range(10):
+                    now = self.harness.clock.monotonic()
+                    self.harness.apply(StoreAnswered(now, now))
+                    self.harness.advance(0.5)
+                now = self.harness.clock.monotonic()
+                self.harness.apply(StoreAnswered(now, now))
+                self.harness.advance(age)
+                self.remove_targets(range(6))
+                self.assertEqual(len(self.list_targets()), 9)
+                self.harness.advance(1.8 - age)
+                self.assertEqual(len(self.list_targets()), 3)
+
     def test_a_target_that_restarts_under_its_name_is_new(self) -> None:
         self.run_load(1.0, 35.0)
         now = self.harness.clock.monotonic()
