--- a/endivedrift/platform/_configuration.py
+++ b/endivedrift/platform/_configuration.py
@@ -106,7 +106,7 @@
     routes = _build_routes(document, max_body_bytes, bool(callers), fitting)
     routed_services = {route.service for route in routes.values()}
     routed_services |= {share.service for route in routes.values() for share in route.split}
-    connection_caps = _read_connection_caps(document, fitting)
+    connection_caps = _read_connection_caps(document, routed_services, fitting)
     for name in sorted(routed_services - set(connection_caps)):
         fitting.note(f"service {name}", "is in no cluster; its connections have no limit")
     return ObjectSet(
@@ -136,13 +136,15 @@
     )
 
 
-def _read_connection_caps(document: object, fitting: Fitting) -> dict[str, int]:
+def _read_connection_caps(document: object, services: set[str], fitting: Fitting) -> dict[str, int]:
+    """Reads how many connections a target of each of the services takes."""
     caps = {}
     for cluster in read_field(document, "clusters", list):
         name = fit_name(read_field(cluster, "name", str))
-        caps[name] = fitting.read_count(
-            cluster, "maxConns", f"cluster {name}", 1, MAX_CONNECTION_CAP
-        )
+        if name in services:
+            caps[name] = fitting.read_count(
+                cluster, "maxConns", f"cluster {name}", 1, MAX_CONNECTION_CAP
+            )
     return caps
 
 
--- a/endivedrift/shell/_targets.py
+++ b/endivedrift/shell/_targets.py
@@ -335,11 +335,15 @@
             return False
         except OSError:
             return True
-        if await _ends_within(connection.sock, EXIT_TIME):
-            await _close(connection.sock)
-            return True
-        self._idle.setdefault(effect.address, deque()).append(connection)
-        return False
+        has_ended = True
+        try:
+            has_ended = await _ends_within(connection.sock, EXIT_TIME)
+        finally:
+            if has_ended:
+                await _close(connection.sock)
+        if not has_ended:
+            self._idle.setdefault(effect.address, deque()).append(connection)
+        return has_ended
 
     async def _open(self, effect: SendToTarget, remaining: float) -> _Connection | None:
         limit = min(remaining, effect.connect_timeout.total_seconds())
