Targets: only a refused connection shows that a target has ended

Cause, found by reading the change again: after an answer that ended with its connection, any failure of the check cut the answer and counted as an end of the target. A target that resets connections beyond its limit would have been counted so three times for one popular request, which is then refused by the whole fleet; a host without descriptors would have cut whole answers. Change: a reset cuts the answer and counts as no end; what fails at the host itself, or in time, leaves the answer whole. Result: UnframedAnswerTest asks for all three; it failed before for the reset and for want of descriptors.

--- a/endivedrift/shell/_targets.py
+++ b/endivedrift/shell/_targets.py
@@ -167,8 +167,11 @@
             target_ended = await self._refuses_connections(effect)
         elif attempt_result.answer is not None and attempt_result.is_close_delimited:
             # The kernel closes the connections of a process that is killed in the same way.
-            target_ended = await self._ends_connections(effect)
-            if target_ended:
+            try:
+                is_cut = await self._ends_connections(effect)
+            except ConnectionRefusedError:
+                is_cut = target_ended = True
+            if is_cut:
                 attempt_result = replace(attempt_result, outcome=AttemptOutcome.CUT, answer=None)
         return AttemptFinished(
             self._clock.monotonic(),
@@ -324,17 +327,22 @@
         return False
 
     async def _ends_connections(self, effect: SendToTarget) -> bool:
-        """Tells whether a target refuses a connection, or ends it in the time of an exit.
+        """Tells whether a target resets a new connection in the time that a process takes to exit.
 
-        One that stays open is kept for later. A target that has too many connections ends new ones
-        too, and cannot be told from one that exits.
+        One that stays open is kept for later. A target that has too many connections resets new
+        ones too, so this does not show that it has ended.
+
+        Raises:
+          ConnectionRefusedError: If it refuses the connection, which shows that.
         """
         try:
             connection = await self._connect(effect.address, END_CHECK_TIMEOUT.total_seconds())
-        except curio.TaskTimeout:
-            return False
-        except OSError:
+        except ConnectionRefusedError:
+            raise
+        except ConnectionResetError:
             return True
+        except (OSError, curio.TaskTimeout):
+            return False
         has_ended = True
         try:
             has_ended = await _ends_within(connection.sock, EXIT_TIME)
