--- a/endivedrift/platform/_fitting.py
+++ b/endivedrift/platform/_fitting.py
@@ -50,11 +50,7 @@
         Raises:
           WireError: If it is missing, negative or of another type.
         """
-        stated = read_any_integer(document, name)
-        used = min(max(stated, least), most)
-        if used != stated:
-            self.note(f"{place}.{name}", f"{used} is used in its place, the nearest possible")
-        return used
+        return int(self._fit(f"{place}.{name}", read_any_integer(document, name), least, most))
 
     def read_milliseconds(
         self, document: object, name: str, place: str, least: int, most: int
@@ -65,10 +61,7 @@
           WireError: If it is missing or not a duration.
         """
         stated = read_any_milliseconds(document, name)
-        used = round(min(max(stated, least), most))
-        if not least <= stated <= most:
-            self.note(f"{place}.{name}", f"{used} ms is used in its place, the nearest possible")
-        return used
+        return round(self._fit(f"{place}.{name}", stated, least, most, " ms"))
 
     def read_rate(self, document: object, name: str, place: str, most: int) -> float:
         """Reads a number and brings it into the range from 0 to `most`.
@@ -76,10 +69,16 @@
         Raises:
           WireError: If it is missing, negative or not a finite number.
         """
-        stated = read_any_number(document, name)
-        if stated > most:
-            self.note(f"{place}.{name}", f"{most} is used in its place, the nearest possible")
-        return float(min(stated, Fraction(most)))
+        return float(self._fit(f"{place}.{name}", read_any_number(document, name), 0, most))
+
+    def _fit(
+        self, place: str, stated: float | Fraction, least: int, most: int, unit: str = ""
+    ) -> float | Fraction:
+        """Returns the value in a range that is nearest to the stated one."""
+        used = min(max(stated, least), most)
+        if used != stated:
+            self.note(place, f"{used}{unit} is used in its place, the nearest possible")
+        return used
 
 
 def fit_name(text: str, distinction: str = "") -> str:
