--- a/endivedrift/objects/_schema.py
+++ b/endivedrift/objects/_schema.py
@@ -27,7 +27,7 @@
 MAX_CONNECTION_CAP = 100_000
 MAX_HEAD_BYTES = 1_048_576
 MAX_INTERNAL_MS = 120_000
-"""Longest time of what hosts do on their own."""
+"""Longest duration of what hosts do by themselves, such as connecting, warming up or ejecting."""
 MAX_ATTEMPTS = 10
 MAX_REQUESTS_PER_S = 1_000_000_000
 """Greatest quota of an account, far above what a fleet serves."""
--- a/endivedrift/platform/_configuration.py
+++ b/endivedrift/platform/_configuration.py
@@ -61,7 +61,7 @@
 not repeatable, which is safe for every request."""
 
 UNASSIGNED = "unassigned"
-"""Distinguishes a service without targets from others: that of a route that may use no service."""
+"""Part of the name of a service without targets, to which a route leads whose weights are 0."""
 
 _log = make_logger("platform")
 
--- a/endivedrift/shell/_http.py
+++ b/endivedrift/shell/_http.py
@@ -25,7 +25,7 @@
 EVENTS_PER_TURN = 128
 """Events of the parser after which other tasks run; tiny chunks take no wait between two events."""
 MAX_INTERIM_ANSWERS = 16
-"""Interim answers before a final one; a server that sends more means no final answer."""
+"""Interim answers (1xx) that are read before the final one."""
 MAX_FRAMING_BYTES = 256 * 1024
 """Bytes beyond its body that an answer may take, as heads, chunk headers and trailers."""
 MAX_HEAD_BYTES = 16_384
@@ -62,7 +62,7 @@
 _log = make_logger("connections")
 
 _BODY_HEADERS = frozenset({b"content-length", b"transfer-encoding"})
-"""Headers that an interim answer never has; a target that sends them means no interim answer."""
+"""Headers that no interim answer has (RFC 9110, section 8.6; RFC 9112, section 6.1)."""
 _HOP_HEADERS = frozenset(
     {
         b"connection",
