Observability: how each change of the store was learned, and how old it may be

Cause: a target was used 2.6 s after the store had acknowledged that it leaves (DRAIN). No log line said how this host learned of changes nor how old they were, so that a sum of delays, an age counted too young and a change that was missed altogether looked the same. 'Floor changed.' did not say how many of the targets in use were failing.

Change: causes of joined, leaving, missing and gone targets end with the way (wait, question, update of a host, fetch) and the greatest age, which is the time since the store was last known not to have the change. endivedrift_change_age_seconds counts these ages by way, and endivedrift_store_reads_overtaken_total the reads that were older than what the host knew when they arrived. 'Floor changed.' has the number of failing targets. No decision changes.

--- a/endivedrift/core/__init__.py
+++ b/endivedrift/core/__init__.py
@@ -53,6 +53,7 @@
 from endivedrift.core._states import (
     AttemptOutcome,
     AuditKind,
+    ChangeSource,
     ClaimOutcome,
     ForwardOutcome,
     HostPhase,
@@ -86,6 +87,7 @@
     "AuditKind",
     "AccountKeyDigest",
     "CallerName",
+    "ChangeSource",
     "ClaimId",
     "ClaimOutcome",
     "Clock",
--- a/endivedrift/core/_states.py
+++ b/endivedrift/core/_states.py
@@ -40,6 +40,16 @@
     REPLACED = "replaced"
 
 
+class ChangeSource(Enum):
+    """How a host learned of changes in the store."""
+
+    READ = "read"
+    WAIT = "wait"
+    QUESTION = "question"
+    UPDATE = "update"
+    FETCH = "fetch"
+
+
 class Importance(IntEnum):
     """Priority of a queued request; the lowest value is served first."""
 
--- a/endivedrift/core/effects.py
+++ b/endivedrift/core/effects.py
@@ -25,6 +25,7 @@
     PeerMessage,
     Refusal,
 )
+from endivedrift.core._states import ChangeSource
 
 
 @dataclass(frozen=True, slots=True)
@@ -197,6 +198,24 @@
     entry: AuditEntry
 
 
+@dataclass(frozen=True, slots=True)
+class ObserveChanges:
+    """Count changes in the store by how they were learned.
+
+    Attributes:
+      source: How they were learned.
+      age: Time since the store was last known not to have them, which is their greatest age.
+    """
+
+    source: ChangeSource
+    age: timedelta
+
+
+@dataclass(frozen=True, slots=True)
+class CountOvertakenRead:
+    """Count a read of the store that was older than what this host knew when it arrived."""
+
+
 Effect: TypeAlias = (
     SendToTarget
     | StartHedge
@@ -214,6 +233,8 @@
     | AskStore
     | SetStoreReading
     | RecordAudit
+    | ObserveChanges
+    | CountOvertakenRead
 )
 RequestEffect: TypeAlias = (
     SendToTarget
--- a/endivedrift/core/events.py
+++ b/endivedrift/core/events.py
@@ -19,7 +19,7 @@
     TargetEntry,
     TargetLoad,
 )
-from endivedrift.core._states import AttemptOutcome, ClaimOutcome, ForwardOutcome
+from endivedrift.core._states import AttemptOutcome, ChangeSource, ClaimOutcome, ForwardOutcome
 
 
 @dataclass(frozen=True, slots=True)
@@ -165,6 +165,7 @@
 
     If `complete` is set, `entries` holds all registered targets. The event covers the changes in
     the store after version `since` and up to `version`; both are 0 if the store has no versions.
+    `source` tells how they were learned, and `sender` from which host, if from one.
     """
 
     at: Instant
@@ -173,6 +174,8 @@
     complete: bool = False
     version: int = 0
     since: int = 0
+    source: ChangeSource = ChangeSource.READ
+    sender: HostId = HostId("")
 
 
 @dataclass(frozen=True, slots=True)
--- a/endivedrift/platform/_environment.py
+++ b/endivedrift/platform/_environment.py
@@ -17,6 +17,7 @@
 
 from endivedrift.core import (
     Address,
+    ChangeSource,
     ClaimOutcome,
     Digest,
     FailureDomain,
@@ -132,7 +133,8 @@
 
     Attributes:
       name: Its name.
-      apply: Takes the rows and the version after which they changed, or 0 for a whole table.
+      apply: Takes the rows, the version after which they changed, or 0 for a whole table, and how
+        they were read.
       version: Version of the store up to which the table has been read, or 0.
       waits: Connection on which the store waits for changes.
       questions: Connection for questions that it answers at once.
@@ -141,7 +143,7 @@
     """
 
     name: str
-    apply: Callable[[TableRead, int], Coroutine[Any, Any, None]]
+    apply: Callable[[TableRead, int, ChangeSource], Coroutine[Any, Any, None]]
     waits: StoreClient
     questions: StoreClient
     version: int = 0
@@ -244,7 +246,7 @@
         after = table.version
         try:
             read, complete = await _read_updates(table.questions, table.name, after)
-            await self._apply(table, read, after, complete)
+            await self._apply(table, read, after, complete, ChangeSource.QUESTION)
         except StoreError as error:
             cause = str(error)
         except Exception as error:
@@ -279,7 +281,7 @@
                 await curio.sleep(jitter_period(RETRY_PERIOD))
                 continue
             if found is not None:
-                await self._apply(table, found[0], after, found[1])
+                await self._apply(table, found[0], after, found[1], ChangeSource.WAIT)
             await curio.sleep(MIN_FEED_INTERVAL.total_seconds())
 
     def _get_known_version(self, table: _Table) -> int:
@@ -289,11 +291,13 @@
             return state.store.config_read_to
         return state.targets_read_to
 
-    async def _apply(self, table: _Table, read: TableRead, after: int, complete: bool) -> None:
+    async def _apply(
+        self, table: _Table, read: TableRead, after: int, complete: bool, source: ChangeSource
+    ) -> None:
         """Applies rows, unless later ones were applied while these were read."""
         if table.version > after and not complete and read.version <= table.version:
             return
-        await table.apply(read, 0 if complete else after)
+        await table.apply(read, 0 if complete else after, source)
         table.version = max(table.version, read.version)
 
     async def _set_reading(self, enabled: bool) -> None:
@@ -305,7 +309,7 @@
         for table in self._tables.values():
             await table.end_wait()
 
-    async def _apply_configuration(self, read: TableRead, since: int) -> None:
+    async def _apply_configuration(self, read: TableRead, since: int, source: ChangeSource) -> None:
         """Installs the configuration if its row was read and is valid."""
         for row in read.rows:
             if row.key != CONFIGURATION_KEY or row.deleted:
@@ -318,7 +322,7 @@
                 continue
             await self._install(fetched)
 
-    async def _apply_entries(self, read: TableRead, since: int) -> None:
+    async def _apply_entries(self, read: TableRead, since: int, source: ChangeSource) -> None:
         """Reports targets that registered, changed or were removed to the reducer."""
         entries: dict[TargetName, TargetEntry] = {}
         removed: set[TargetName] = set()
@@ -344,6 +348,7 @@
             complete=not since,
             version=read.version,
             since=since,
+            source=source,
         )
         await self._runtime.dispatch(event)
 
--- a/endivedrift/policy/_choice.py
+++ b/endivedrift/policy/_choice.py
@@ -314,11 +314,11 @@
 
 def count_used_targets(state: ServiceState, at: Instant) -> int:
     """Returns how many targets have had a request lately, as far as this host knows."""
-    return sum(
-        1
-        for r in state.targets.values()
-        if r.last_request_at is not None and at - r.last_request_at < UNUSED_AFTER
-    )
+    return sum(1 for r in state.targets.values() if _is_used(r, at))
+
+
+def _is_used(record: TargetRecord, at: Instant) -> bool:
+    return record.last_request_at is not None and at - record.last_request_at < UNUSED_AFTER
 
 
 def note_floor(state: ServiceState, at: Instant) -> list[AuditEntry]:
@@ -329,7 +329,11 @@
     state.is_below_floor = is_below
     share = state.recent_outcomes.unserved_share
     used = count_used_targets(state, at)
-    cause = f"{share:.2f} of the requests unserved, {used} targets in use, floor {state.floor}"
+    failing = sum(1 for r in state.targets.values() if _is_used(r, at) and _has_failed_last(r))
+    cause = (
+        f"{share:.2f} of the requests unserved, {used} targets in use, {failing} of them failing, "
+        f"floor {state.floor}"
+    )
     subject = "below the floor" if is_below else "at the floor or served again"
     return [AuditEntry(at, AuditKind.FLOOR_CHANGED, subject, cause, state.name)]
 
--- a/endivedrift/reducer/_discovery.py
+++ b/endivedrift/reducer/_discovery.py
@@ -15,6 +15,7 @@
 from endivedrift.core import (
     AuditEntry,
     AuditKind,
+    ChangeSource,
     HostId,
     Instant,
     LeavingSource,
@@ -23,7 +24,7 @@
     TargetName,
     get_store_era,
 )
-from endivedrift.core.effects import Effect, FetchTargets, RecordAudit
+from endivedrift.core.effects import Effect, FetchTargets, ObserveChanges, RecordAudit
 from endivedrift.core.events import (
     PeerTargetsReceived,
     TargetsObserved,
@@ -66,7 +67,13 @@
     Targets without a version are used only until the store has listed its targets.
     """
     if event.version:
-        observed = TargetsObserved(event.at, event.entries, complete=True, version=event.version)
+        observed = TargetsObserved(
+            event.at,
+            event.entries,
+            complete=True,
+            version=event.version,
+            source=ChangeSource.FETCH,
+        )
         return apply_observed_targets(state, observed)
     if state.has_read_targets:
         return []
@@ -92,6 +99,7 @@
         return []
     entries: list[AuditEntry] = []
     era = get_store_era(event.version)
+    learned = _describe_source(state, event)
     is_restored = state.targets_version > 0 and get_store_era(state.targets_version) < era
     state.targets_version = max(state.targets_version, event.version)
     observed = event.entries
@@ -106,9 +114,24 @@
     if event.complete:
         state.has_read_targets = True
         gone |= set(state.discovered) - {entry.name for entry in event.entries}
-    entries += _remove_or_keep_lapsed(state, gone, event.at)
+    entries += _remove_or_keep_lapsed(state, gone, event.at, learned)
     lost: list[Effect] = [RecordAudit(entry) for entry in entries]
-    return lost + _apply_entries(state, event.at, observed)
+    return lost + _apply_entries(state, event.at, observed, learned) + _observe_age(state, event)
+
+
+def _describe_source(state: HostState, event: TargetsObserved) -> str:
+    """Describes for the audit trail how changes were learned, and how old they may be."""
+    if not event.version:
+        return ""
+    sender = f" of {event.sender}" if event.sender else ""
+    as_of = state.store.as_of
+    age = f", at most {(event.at - as_of).total_seconds():.3f} s old" if as_of is not None else ""
+    return f"; learned by {event.source.value}{sender}{age}"
+
+
+def _observe_age(state: HostState, event: TargetsObserved) -> list[Effect]:
+    as_of = state.store.as_of
+    return [ObserveChanges(event.source, event.at - as_of)] if as_of is not None else []
 
 
 def _find_departure(state: HostState, entry: TargetEntry) -> Departure | None:
@@ -132,7 +155,7 @@
 
 
 def _apply_entries(
-    state: HostState, at: Instant, observed: tuple[TargetEntry, ...]
+    state: HostState, at: Instant, observed: tuple[TargetEntry, ...], learned: str = ""
 ) -> list[Effect]:
     entries: list[AuditEntry] = []
     changed_services = set()
@@ -148,9 +171,9 @@
         if known == entry or (known is not None and known.started_ms > entry.started_ms):
             continue
         if known is not None and known.service != entry.service:
-            entries += _remove_target(state, entry.name, at)
+            entries += _remove_target(state, entry.name, at, learned)
         state.discovered[entry.name] = entry
-        entries += place_registered_target(state, entry, at)
+        entries += place_registered_target(state, entry, at, learned)
         if departure is not None:
             _restore_limits(state, entry, departure)
         changed_services.add(entry.service)
@@ -195,7 +218,7 @@
 
 
 def _remove_or_keep_lapsed(
-    state: HostState, gone: set[TargetName], at: Instant
+    state: HostState, gone: set[TargetName], at: Instant, learned: str
 ) -> list[AuditEntry]:
     """Removes targets whose registrations vanished, at once or after a grace period.
 
@@ -206,11 +229,12 @@
     for name in sorted(gone - set(state.removal_times)):
         until = _compute_removal_time(state, gone, name, at)
         if until <= at:
-            entries += _remove_target(state, name, at)
+            entries += _remove_target(state, name, at, learned)
             continue
         state.removal_times[name] = until
         _record_departure(state, state.discovered[name])
-        cause = f"its registration lapsed; kept for {(until - at).total_seconds():.1f} s"
+        kept_s = (until - at).total_seconds()
+        cause = f"its registration lapsed{learned}; kept for {kept_s:.1f} s"
         service = state.discovered[name].service
         entries.append(AuditEntry(at, AuditKind.TARGET_MISSING, name, cause, service))
     return entries
@@ -240,14 +264,25 @@
     return max(at, as_of + limit * REMOVAL_SHARE)
 
 
-def place_registered_target(state: HostState, entry: TargetEntry, at: Instant) -> list[AuditEntry]:
-    """Adds a registered target to its service, if the object set in force has that service."""
+def place_registered_target(
+    state: HostState, entry: TargetEntry, at: Instant, learned: str = ""
+) -> list[AuditEntry]:
+    """Adds a registered target to its service, if the object set in force has that service.
+
+    Args:
+      state: The host.
+      entry: The target's registration.
+      at: Current time.
+      learned: How the registration was learned, as the end of a cause.
+    Returns:
+      Audit entries.
+    """
     service = state.services.get(entry.service)
     if service is None or not service.group.discovered:
         return []
     entries = []
     if register_target(service, entry, at):
-        cause = f"registered at {entry.address}, started {entry.started_ms}"
+        cause = f"registered at {entry.address}, started {entry.started_ms}{learned}"
         entries.append(AuditEntry(at, AuditKind.TARGET_JOINED, entry.name, cause, service.name))
     announcement = state.announcements.pop(entry.name, None)
     if announcement is not None:
@@ -257,14 +292,16 @@
             entries += mark_leaving(service, entry.name, at, LeavingSource.ANNOUNCED, cause)
             return entries
     if entry.leaving:
-        cause = "it registered that it is shutting down"
+        cause = f"it registered that it is shutting down{learned}"
         entries += mark_leaving(service, entry.name, at, LeavingSource.LISTED, cause)
     else:
         entries += restore_registered_target(service, entry.name, at, "registered as ready again")
     return entries
 
 
-def _remove_target(state: HostState, name: TargetName, at: Instant) -> list[AuditEntry]:
+def _remove_target(
+    state: HostState, name: TargetName, at: Instant, learned: str = ""
+) -> list[AuditEntry]:
     state.removal_times.pop(name, None)
     entry = state.discovered.pop(name, None)
     if entry is None:
@@ -273,9 +310,8 @@
     _record_departure(state, entry)
     if service is None or service.targets.pop(name, None) is None:
         return []
-    return [
-        AuditEntry(at, AuditKind.TARGET_GONE, name, "its registration was removed", service.name)
-    ]
+    cause = f"its registration was removed{learned}"
+    return [AuditEntry(at, AuditKind.TARGET_GONE, name, cause, service.name)]
 
 
 def _record_departure(state: HostState, entry: TargetEntry) -> None:
--- a/endivedrift/reducer/_reduce.py
+++ b/endivedrift/reducer/_reduce.py
@@ -8,7 +8,7 @@
 from functools import singledispatch
 
 from endivedrift.core import NO_CONFIG, AuditEntry, AuditKind, HostPhase
-from endivedrift.core.effects import Effect, RecordAudit
+from endivedrift.core.effects import CountOvertakenRead, Effect, RecordAudit
 from endivedrift.core.events import (
     AttemptFinished,
     AttemptLate,
@@ -149,6 +149,8 @@
 @_reduce.register
 def _(event: TargetsObserved, state: HostState) -> list[Effect]:
     effects = end_store_outage(state, event.at)
+    if event.version < state.targets_version:
+        effects.append(CountOvertakenRead())
     # There was no change between the latest known one and the version that was asked for.
     event = replace(event, since=min(event.since, state.targets_version))
     return effects + apply_observed_targets(state, event) + announce_changes(state, event)
--- a/endivedrift/reducer/_relaying.py
+++ b/endivedrift/reducer/_relaying.py
@@ -17,6 +17,7 @@
 from endivedrift.core import (
     AuditEntry,
     AuditKind,
+    ChangeSource,
     HostId,
     Instant,
     Member,
@@ -105,7 +106,13 @@
     observed = None
     if update.since <= state.targets_version < update.version and update.since < update.version:
         observed = TargetsObserved(
-            at, update.entries, update.gone, version=update.version, since=update.since
+            at,
+            update.entries,
+            update.gone,
+            version=update.version,
+            since=update.since,
+            source=ChangeSource.UPDATE,
+            sender=sender.host,
         )
         effects += apply_observed_targets(state, observed)
     elif update.version > state.targets_version and at >= state.next_ask_at:
--- a/endivedrift/shell/_metrics.py
+++ b/endivedrift/shell/_metrics.py
@@ -10,6 +10,7 @@
 from endivedrift.core import (
     Answer,
     AuditEntry,
+    ChangeSource,
     HostPhase,
     Instant,
     MemberStatus,
@@ -59,6 +60,8 @@
       request_seconds: Time from a request's arrival to its answer, by service.
       request_wait: Time from the last bytes of a request to the begin of its handling.
       loop_lag: Time by which the periodic timer was late.
+      change_ages: Greatest age of changes in the store when they were learned, by how.
+      overtaken_reads: Reads of the store that were older than what was known here.
       attempts: Attempts at targets by service and outcome.
       hedges: Hedges by service and outcome: `answered` if the hedge won, `cancelled` if the first
         attempt did.
@@ -79,6 +82,8 @@
         self.request_seconds: dict[str, Durations] = {}
         self.request_wait = Durations()
         self.loop_lag = Durations()
+        self.change_ages: dict[ChangeSource, Durations] = {}
+        self.overtaken_reads = 0
         self.attempts: Counter[tuple[str, str]] = Counter()
         self.hedges: Counter[tuple[str, str]] = Counter()
         self.audit: Counter[str] = Counter()
@@ -95,6 +100,11 @@
         """Counts an audit entry."""
         self.audit[entry.kind.value] += 1
 
+    def observe_changes(self, source: ChangeSource, age: timedelta) -> None:
+        """Counts changes in the store by how they were learned, with their greatest age."""
+        durations = self.change_ages.setdefault(source, Durations())
+        durations.observe(age.total_seconds())
+
     def count_request(self, service: str, result: Answer | Refusal, duration: timedelta) -> None:
         """Counts a finished request by its result, and records its duration."""
         label = "answered" if isinstance(result, Answer) else result.reason.value
@@ -172,6 +182,14 @@
         for service, durations in self.request_seconds.items():
             histogram.add_metric([service], durations.list_buckets(), durations.sum_s)
         yield histogram
+        text = "Greatest age of changes in the store when they were learned, by how"
+        histogram = HistogramMetricFamily("endivedrift_change_age_seconds", text, labels=("way",))
+        for source, durations in self.change_ages.items():
+            histogram.add_metric([source.value], durations.list_buckets(), durations.sum_s)
+        yield histogram
+        text = "Reads of the store that were older than what this host knew when they arrived"
+        name = "endivedrift_store_reads_overtaken"
+        yield CounterMetricFamily(name, text, value=self.overtaken_reads)
         for name, text, durations in (
             (
                 "endivedrift_request_wait_seconds",
--- a/endivedrift/shell/_runtime.py
+++ b/endivedrift/shell/_runtime.py
@@ -25,12 +25,14 @@
     AbortAttempt,
     AskStore,
     ClaimKey,
+    CountOvertakenRead,
     DeliverAnswer,
     Effect,
     FetchConfig,
     FetchTargets,
     ForwardToOwner,
     ForwardToPeer,
+    ObserveChanges,
     QueueRequest,
     RecordAudit,
     RefuseRequest,
@@ -186,6 +188,16 @@
     )
 
 
+@_perform.register
+async def _(effect: ObserveChanges, runtime: Runtime) -> None:
+    runtime.metrics.observe_changes(effect.source, effect.age)
+
+
+@_perform.register
+async def _(effect: CountOvertakenRead, runtime: Runtime) -> None:
+    runtime.metrics.overtaken_reads += 1
+
+
 def _ignore_datagram(address: Address, message: PeerMessage) -> None:
     """Drops a datagram; used until the peer sockets are open."""
 
--- /dev/null
+++ b/tests/store_changes_test.py
@@ -0,0 +1,92 @@
+"""Tests of what hosts know of changes in the store, from whom, and how old that may be."""
+
+import unittest
+from datetime import timedelta
+
+import curio
+
+from endivedrift.core import AuditKind, ChangeSource, HostId, TargetName
+from endivedrift.core.effects import Effect, RecordAudit
+from endivedrift.core.events import StoreAnswered, TargetsObserved
+from endivedrift.shell._metrics import Metrics
+from endivedrift.shell._runtime import Runtime
+from tests.builders import HostHarness, build_discovered_set, build_target_entry
+
+TARGET_COUNT = 3
+FIRST_VERSION = 100
+
+
+class StoreReader:
+    """A host that reads a store and has learned of a few targets from it."""
+
+    def __init__(self, host: HostHarness | None = None) -> None:
+        """Starts the host with all targets, as of a moment ago."""
+        self.host = host or HostHarness(build_discovered_set(), store_is_relayed=True)
+        self.host.advance(0.1)
+        entries = tuple(build_target_entry(n) for n in range(TARGET_COUNT))
+        self.host.apply(TargetsObserved(self.now, entries, complete=True, version=FIRST_VERSION))
+        self.host.apply(StoreAnswered(self.now, self.now, FIRST_VERSION, FIRST_VERSION))
+
+    @property
+    def now(self) -> timedelta:
+        """The time at the host."""
+        return self.host.clock.monotonic()
+
+    def read_leaving(
+        self, *numbers: int, version: int, source: ChangeSource = ChangeSource.WAIT
+    ) -> list[Effect]:
+        """Applies a read of the changes after the first version: targets that leave."""
+        entries = tuple(build_target_entry(n, leaving=True) for n in numbers)
+        event = TargetsObserved(
+            self.now, entries, version=version, since=FIRST_VERSION, source=source
+        )
+        return self.host.apply(event)
+
+
+class ChangeAgeTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.reader = StoreReader()
+        self.reader.host.advance(0.7)
+
+    def find_cause(self, effects: list[Effect], target: TargetName) -> str:
+        return next(
+            e.entry.cause
+            for e in effects
+            if isinstance(e, RecordAudit)
+            and (e.entry.kind, e.entry.subject) == (AuditKind.TARGET_LEAVING, target)
+        )
+
+    def test_the_log_tells_how_a_change_was_learned_and_how_old_it_may_be(self) -> None:
+        effects = self.reader.read_leaving(1, version=101, source=ChangeSource.QUESTION)
+        cause = self.find_cause(effects, build_target_entry(1).name)
+        self.assertTrue(cause.endswith("; learned by question, at most 0.700 s old"), cause)
+
+    def test_the_log_names_the_host_that_told_of_it(self) -> None:
+        entry = build_target_entry(1, leaving=True)
+        event = TargetsObserved(
+            self.reader.now,
+            (entry,),
+            version=101,
+            since=FIRST_VERSION,
+            source=ChangeSource.UPDATE,
+            sender=HostId("h7"),
+        )
+        cause = self.find_cause(self.reader.host.apply(event), entry.name)
+        self.assertIn("; learned by update of h7, at most", cause)
+
+    def test_metrics_count_ages_and_overtaken_reads(self) -> None:
+        runtime = Runtime(self.reader.host.state, self.reader.host.clock, Metrics())
+        for version in (103, 102):
+            entry = build_target_entry(version - 102, leaving=True)
+            event = TargetsObserved(
+                self.reader.now,
+                (entry,),
+                version=version,
+                since=FIRST_VERSION,
+                source=ChangeSource.WAIT,
+            )
+            curio.run(runtime.dispatch, event)
+        text = runtime.metrics.render(runtime.state, self.reader.now).decode()
+        self.assertIn('endivedrift_change_age_seconds_bucket{le="1.0",way="wait"} 1.0', text)
+        self.assertIn('endivedrift_change_age_seconds_bucket{le="0.5",way="wait"} 0.0', text)
+        self.assertIn("endivedrift_store_reads_overtaken_total 1.0", text)
