Clock: the time in which a machine is suspended counts

Cause: the steady clock stands still while a machine is suspended. A host that woke took the latest answer of the store that it knew for as old as before, told others of it with that age, and these took it over as later than their own; all of them asked the store up to one interval later. Pauses of targets and waits lasted longer, too.

Evidence: by reading; the new test failed before.

Change: the host's clock is CLOCK_BOOTTIME where there is one.

--- a/endivedrift/core/_clock.py
+++ b/endivedrift/core/_clock.py
@@ -1,6 +1,7 @@
 """The clock interface, which is passed to all code that needs the time.
 
-A clock has two readings. `monotonic` never goes back and orders events within one process.
+A clock has two readings. `monotonic` never goes back and orders events within one process. It also
+counts the time in which the machine is suspended, since what other machines told ages meanwhile.
 `wall` is the date and time of day; it is used for the audit trail and for expiry times that
 several hosts have to compare.
 """
@@ -9,6 +10,8 @@
 from datetime import UTC, datetime, timedelta
 from typing import Protocol, TypeAlias
 
+MONOTONIC_CLOCK = getattr(time, "CLOCK_BOOTTIME", time.CLOCK_MONOTONIC)
+"""The clock that counts the time of a suspended machine, where the operating system has one."""
 Instant: TypeAlias = timedelta
 """Time on a monotonic clock with an arbitrary zero; comparable within one process only."""
 
@@ -28,7 +31,7 @@
 
     def monotonic(self) -> Instant:
         """Returns the time since an arbitrary start."""
-        return timedelta(seconds=time.monotonic())
+        return timedelta(seconds=time.clock_gettime(MONOTONIC_CLOCK))
 
     def wall(self) -> datetime:
         """Returns the date and time in UTC."""
--- a/tests/store_changes_test.py
+++ b/tests/store_changes_test.py
@@ -1,7 +1,9 @@
 """Tests of what hosts know of changes in the store, from whom, and how old that may be."""
 
+import time
 import unittest
 from datetime import timedelta
+from unittest import mock
 
 import curio
 
@@ -11,6 +13,7 @@
     HostId,
     MemberStatus,
     StoreUpdate,
+    SystemClock,
     TargetName,
 )
 from endivedrift.core.effects import AskStore, Effect, RecordAudit, SendPeerMessage
@@ -121,6 +124,18 @@
         return [m.store_update for m in messages if m.store_update is not None]
 
 
+class SuspendedHostTest(unittest.TestCase):
+    # Guards against DRAIN and CONFIG: a host that was suspended takes an old answer of the store
+    # for a recent one, asks late, and passes it on to hosts that then ask late too.
+    def test_the_time_of_a_suspended_machine_counts(self) -> None:
+        clocks = {time.CLOCK_BOOTTIME: 9.5, time.CLOCK_MONOTONIC: 4.0}
+        with (
+            mock.patch("time.clock_gettime", clocks.__getitem__),
+            mock.patch("time.monotonic", return_value=clocks[time.CLOCK_MONOTONIC]),
+        ):
+            self.assertEqual(SystemClock().monotonic(), timedelta(seconds=9.5))
+
+
 class ChangeBudgetTest(unittest.TestCase):
     # Guards against DRAIN and CONFIG: delays that fit into the limit each, and not together.
     def test_the_steps_from_a_change_to_the_last_request_fit_into_the_limit(self) -> None:
