Store: what a message tells is as old as the pause in which it waited

Cause: the age of an answer of the store that a message carries counted from when it was read. A host that had stood still for seconds read the messages that had waited meanwhile, counted their answers as recent, asked the store up to one interval late, and passed the wrong age on to hosts that ran all the while and took it for a later answer than their own.

Evidence: the new test failed before: after a pause of 3 s an answer counted as 50 ms old.

Change: a host notes a time without ticks and messages, and for half a second afterwards counts what messages tell as older by that time. It then asks the store itself at its next tick. Pauses under a quarter of a second count as the lag of a busy host.

--- a/endivedrift/reducer/_reduce.py
+++ b/endivedrift/reducer/_reduce.py
@@ -54,6 +54,7 @@
 from endivedrift.reducer._state import HostState
 from endivedrift.reducer._store_contact import (
     end_store_outage,
+    note_pause,
     record_store_answer,
     record_store_outage,
 )
@@ -179,6 +180,7 @@
 
 @_reduce.register
 def _(event: PeerMessageReceived, state: HostState) -> list[Effect]:
+    note_pause(state.store, event.at)
     fresh, effects = receive_message(state.membership, event.at, event.source, event.message)
     if not fresh:
         return effects
@@ -201,6 +203,7 @@
 
 @_reduce.register
 def _(event: Ticked, state: HostState) -> list[Effect]:
+    note_pause(state.store, event.at)
     return handle_tick(state, event)
 
 
--- a/endivedrift/reducer/_relaying.py
+++ b/endivedrift/reducer/_relaying.py
@@ -34,6 +34,7 @@
 from endivedrift.reducer._store_contact import (
     adopt_answer,
     ask_store,
+    compute_queue_time,
     describe_answer,
     note_answers,
     note_delay,
@@ -104,8 +105,11 @@
     if not state.store_is_relayed or update is None:
         return []
     effects: list[Effect] = []
+    queue_time = compute_queue_time(state.store, at)
     if update.answering_for is not None and update.answered_age is not None:
-        effects += note_answers(state, at - update.answering_for, at - update.answered_age)
+        sent_at = at - queue_time
+        since, until = sent_at - update.answering_for, sent_at - update.answered_age
+        effects += note_answers(state, since, until)
     observed = None
     if update.since <= state.targets_version < update.version and update.since < update.version:
         observed = TargetsObserved(
@@ -125,7 +129,7 @@
     # The answer covers what its sender knows, which must be known here too.
     knows_all = update.version <= state.targets_version and not state.misses_config
     if update.answer is not None and knows_all:
-        effects += adopt_answer(state, at, update.answer)
+        effects += adopt_answer(state, at, update.answer, queue_time)
     is_news = observed is not None or state.store.as_of != latest
     if is_news and is_reader(state) and sender.failure_domain != state.identity.failure_domain:
         effects += _send_update(
--- a/endivedrift/reducer/_state.py
+++ b/endivedrift/reducer/_state.py
@@ -267,6 +267,9 @@
       answered_at: When the store last answered any host, as far as known, or None.
       answering_since: Since when it has answered some host or other without a longer pause.
       behind_since: As of when the store was known here when this host began to be behind, or None.
+      last_event_at: When this host last had a tick or a message from another host, or None.
+      pause: How long it did not run before its latest event after a pause.
+      pause_ended_at: When that was.
     """
 
     change_limit: timedelta = CHANGE_LIMIT
@@ -283,6 +286,9 @@
     answered_at: Instant | None = None
     answering_since: Instant = Instant(0)
     behind_since: Instant | None = None
+    last_event_at: Instant | None = None
+    pause: timedelta = timedelta(0)
+    pause_ended_at: Instant = Instant(0)
 
 
 @dataclass(frozen=True, slots=True)
--- a/endivedrift/reducer/_store_contact.py
+++ b/endivedrift/reducer/_store_contact.py
@@ -16,6 +16,7 @@
 from endivedrift.core import AuditEntry, AuditKind, Instant, StoreAnswer
 from endivedrift.core.effects import AskStore, Effect, RecordAudit
 from endivedrift.core.events import StoreAnswered, StoreUnavailable
+from endivedrift.policy import TICK_PERIOD
 from endivedrift.reducer._change_budget import compute_ask_age, compute_rank_delay
 from endivedrift.reducer._state import HostState, StoreContact, get_asking_rank, is_reader
 
@@ -30,6 +31,10 @@
 ASK_LIMIT = timedelta(seconds=30)
 """Time after which a question without an outcome counts as failed; a call ends far earlier."""
 ANSWER_NUMBERS = 2**32
+MIN_PAUSE = timedelta(milliseconds=250)
+"""Shortest time without an event, beyond the period of ticks, that counts as a pause of a host."""
+QUEUE_TIME = timedelta(milliseconds=500)
+"""Time after a pause in which messages that arrived during it may still be read."""
 OUTAGE_PAUSE = timedelta(seconds=2.5)
 """Time without an answer to any host that counts as an outage of the store. Others ask long before
 if a host fails; registrations lapse after a longer one."""
@@ -58,6 +63,21 @@
     return compute_ask_age(limit) + compute_rank_delay(limit, rank)
 
 
+def note_pause(contact: StoreContact, at: Instant) -> None:
+    """Notes at an event how long this host has not run; what it reads next may be that old."""
+    last, contact.last_event_at = contact.last_event_at, at
+    if last is None or at - last < TICK_PERIOD + MIN_PAUSE:
+        return
+    # Two pauses soon after each other may both have delayed what is read now.
+    contact.pause = at - last + compute_queue_time(contact, at)
+    contact.pause_ended_at = at
+
+
+def compute_queue_time(contact: StoreContact, at: Instant) -> timedelta:
+    """Computes how long a message may have waited here before it is read."""
+    return contact.pause if at - contact.pause_ended_at < QUEUE_TIME else timedelta(0)
+
+
 def record_store_answer(state: HostState, event: StoreAnswered) -> list[Effect]:
     """Notes what an answer to this host shows."""
     contact = state.store
@@ -78,13 +98,23 @@
     return effects + adopt_answer(state, event.at, answer)
 
 
-def adopt_answer(state: HostState, at: Instant, answer: StoreAnswer) -> list[Effect]:
+def adopt_answer(
+    state: HostState, at: Instant, answer: StoreAnswer, queue_time: timedelta = timedelta(0)
+) -> list[Effect]:
     """Notes an answer of the store to some host, if it is later than the latest one known.
 
     All that it covers must be known here. An answer that was relayed on several ways counts from
     the earliest time, so that hosts that tell one another of it do not make it seem later.
+
+    Args:
+      state: The host.
+      at: Current time.
+      answer: The answer, with its age when the message about it was sent.
+      queue_time: How long that message may have waited here before it was read.
+    Returns:
+      Audit entries.
     """
-    contact, as_of = state.store, at - answer.age
+    contact, as_of = state.store, at - answer.age - queue_time
     if contact.as_of is not None:
         if (contact.source, contact.number) == (answer.source, answer.number):
             contact.as_of = min(contact.as_of, as_of)
--- a/tests/store_changes_test.py
+++ b/tests/store_changes_test.py
@@ -8,16 +8,21 @@
 import curio
 
 from endivedrift.core import (
+    Address,
     AuditKind,
     ChangeSource,
     HostId,
+    Member,
     MemberStatus,
+    MessageKind,
+    PeerMessage,
+    StoreAnswer,
     StoreUpdate,
     SystemClock,
     TargetName,
 )
 from endivedrift.core.effects import AskStore, Effect, RecordAudit, SendPeerMessage
-from endivedrift.core.events import StoreAnswered, TargetsObserved
+from endivedrift.core.events import PeerMessageReceived, StoreAnswered, TargetsObserved
 from endivedrift.platform._node_file import MAX_CHANGE_LIMIT
 from endivedrift.reducer._change_budget import MIN_BUDGET_LIMIT, list_change_delays
 from endivedrift.shell._metrics import Metrics
@@ -30,6 +35,12 @@
 """Hosts of the largest fleet that is planned for."""
 
 
+def build_neighbour(name: str) -> Member:
+    """Builds another host of the failure domain of `StoreReader`."""
+    me = HostHarness(identity=build_identity(name)).state.membership.me
+    return me.with_status(MemberStatus.ALIVE)
+
+
 class StoreReader:
     """A host that reads a store and has learned of a few targets from it."""
 
@@ -46,6 +57,21 @@
         """The time at the host."""
         return self.host.clock.monotonic()
 
+    def receive_answer(self, number: int, age: timedelta) -> list[Effect]:
+        """Applies an update of another host that knows of an answer of the store, but no change."""
+        answer = StoreAnswer(age, HostId("h2"), number, FIRST_VERSION, FIRST_VERSION)
+        message = PeerMessage(
+            MessageKind.NOTICE,
+            build_neighbour("h2"),
+            number,
+            0,
+            HostId(""),
+            False,
+            self.host.state.config,
+            store_update=StoreUpdate(FIRST_VERSION, FIRST_VERSION, answer=answer),
+        )
+        return self.host.apply(PeerMessageReceived(self.now, Address("h2:2"), message))
+
     def read_leaving(
         self, *numbers: int, version: int, source: ChangeSource = ChangeSource.WAIT
     ) -> list[Effect]:
@@ -110,8 +136,7 @@
     # Guards against DRAIN and FLOOR: an update that names a version and lacks changes before it.
     def test_an_update_holds_all_changes_up_to_the_version_that_it_names(self) -> None:
         reader = StoreReader()
-        neighbour = HostHarness(identity=build_identity("h2")).state.membership.me
-        reader.host.receive_notice(neighbour.with_status(MemberStatus.ALIVE))
+        reader.host.receive_notice(build_neighbour("h2"))
         effects = reader.read_leaving(1, 2, version=102)
         self.assertTrue(self.list_updates(effects))
         effects += reader.read_leaving(1, version=101)
@@ -136,6 +161,29 @@
             self.assertEqual(SystemClock().monotonic(), timedelta(seconds=9.5))
 
 
+class WaitingMessageTest(unittest.TestCase):
+    # Guards against DRAIN and CONFIG: a host that stood still counts what it is told by a message
+    # that waited meanwhile as recent, asks late, and passes that on.
+    def test_an_answer_in_a_message_may_be_as_old_as_the_pause_before(self) -> None:
+        reader = StoreReader()
+        started, pause = reader.now, timedelta(seconds=3)
+        reader.host.clock.advance(pause)
+        for number in range(1, 4):
+            reader.receive_answer(number, age=timedelta(milliseconds=50))
+            reader.host.clock.advance(timedelta(milliseconds=1))
+        as_of = reader.host.state.store.as_of
+        assert as_of is not None
+        self.assertLessEqual(as_of, started)
+        self.assertTrue(any(isinstance(e, AskStore) for e in reader.host.advance(0.1)))
+
+    def test_an_answer_counts_in_full_once_the_host_runs_again(self) -> None:
+        reader = StoreReader()
+        reader.host.clock.advance(timedelta(seconds=3))
+        reader.host.advance(1.0)
+        reader.receive_answer(1, age=timedelta(milliseconds=50))
+        self.assertEqual(reader.host.state.store.as_of, reader.now - timedelta(milliseconds=50))
+
+
 class ChangeBudgetTest(unittest.TestCase):
     # Guards against DRAIN and CONFIG: delays that fit into the limit each, and not together.
     def test_the_steps_from_a_change_to_the_last_request_fit_into_the_limit(self) -> None:
@@ -151,10 +199,7 @@
             with self.subTest(hosts=count):
                 reader = StoreReader()
                 for number in range(count):
-                    member = HostHarness(
-                        identity=build_identity(f"h{number + 2}")
-                    ).state.membership.me
-                    reader.host.receive_notice(member.with_status(MemberStatus.ALIVE))
+                    reader.host.receive_notice(build_neighbour(f"h{number + 2}"))
                 reader.host.apply(
                     StoreAnswered(reader.now, reader.now, FIRST_VERSION, FIRST_VERSION)
                 )
