Floor: only sound targets count as targets in use

Cause: while a tenth of the requests of a service was not served, 3 of 8 sound targets got nothing for two seconds (FLOOR). A host counted each target with a recent request as in use, also those that had just failed one, and compared that with a share of all targets. With 14 targets, six failing and five of eight sound ones in use, it counted 11 of 10 needed and saw nothing wrong; sound targets with a failure some seconds ago were passed over in favour of those without.

Evidence: the numbers of the record, replayed on one host, send the request to a target in use before, and to an idle sound one after; the new test failed before.

Change: a target counts as sound if it stays and has not failed for two seconds. The floor is its share of the sound targets, the targets in use are the sound ones, and only a sound target is used for the sake of the floor. 'Floor changed.' has these numbers.

--- a/endivedrift/policy/_choice.py
+++ b/endivedrift/policy/_choice.py
@@ -9,7 +9,7 @@
 it, by the record of earlier failures, while one has room. Targets that failed recently are avoided
 while another target is usable, and get one request at a time until they give a good answer. If the
 service fails many of its requests in spite of this, requests are spread so that at least as many
-targets as the floor are in use.
+sound targets as the floor are in use.
 """
 
 import math
@@ -50,6 +50,8 @@
 UNUSED_AFTER = timedelta(milliseconds=1_500)
 """Time after its last request from which a target counts as unused: three quarters of the two
 seconds in which a target must get a request to count as in use."""
+SOUND_AFTER = timedelta(seconds=2)
+"""Time after a failure from which a target counts as sound again: the usual length of a failure."""
 UNREPEATABLE_MAX_WAIT = timedelta(milliseconds=100)
 """Time that a request which must not be repeated waits for a target with no recent failure. It is
 half the usual response time, in which some target most likely frees a slot."""
@@ -305,20 +307,50 @@
 
 
 def uses_too_few_targets(state: ServiceState, at: Instant) -> bool:
-    """Tells whether a service is failing while fewer targets than its floor get requests."""
+    """Tells whether a service is failing while fewer sound targets than its floor get requests."""
     recent = state.recent_outcomes
     if recent.ended < MIN_RECENT_REQUESTS or recent.unserved_share <= MAX_UNSERVED_SHARE:
         return False
-    return count_used_targets(state, at) < state.floor
+    use = count_use(state, at)
+    return use.used < use.floor
 
 
-def count_used_targets(state: ServiceState, at: Instant) -> int:
-    """Returns how many targets have had a request lately, as far as this host knows."""
-    return sum(1 for r in state.targets.values() if _is_used(r, at))
+@dataclass(frozen=True, slots=True)
+class TargetUse:
+    """Which targets of a service get requests, as far as this host knows.
+
+    Attributes:
+      sound: Targets that stay and have not failed lately.
+      used: Sound targets that have had a request lately.
+      floor: Sound targets that must be used while the service is failing.
+    """
+
+    sound: int
+    used: int
+    floor: int
+
+
+def count_use(state: ServiceState, at: Instant) -> TargetUse:
+    """Counts the sound targets and those in use.
+
+    Targets that fail do not count: requests that reach them are not served, and they make no more
+    use of the others.
+    """
+    sound = [record for record in state.targets.values() if _is_sound(record, at)]
+    used = sum(1 for record in sound if not _is_unused(record, at))
+    floor = max(state.ejection.floor, math.ceil(state.ejection.floor_share * len(sound)))
+    return TargetUse(len(sound), used, min(floor, len(sound)))
+
+
+def _is_sound(record: TargetRecord, at: Instant) -> bool:
+    if record.state is TargetState.LEAVING:
+        return False
+    failed_at = record.failures.last_failure_at
+    return not failed_at or at - failed_at >= SOUND_AFTER
 
 
-def _is_used(record: TargetRecord, at: Instant) -> bool:
-    return record.last_request_at is not None and at - record.last_request_at < UNUSED_AFTER
+def _is_unused(record: TargetRecord, at: Instant) -> bool:
+    return record.last_request_at is None or at - record.last_request_at >= UNUSED_AFTER
 
 
 def note_floor(state: ServiceState, at: Instant) -> list[AuditEntry]:
@@ -328,11 +360,11 @@
         return []
     state.is_below_floor = is_below
     share = state.recent_outcomes.unserved_share
-    used = count_used_targets(state, at)
-    failing = sum(1 for r in state.targets.values() if _is_used(r, at) and _has_failed_last(r))
+    use = count_use(state, at)
+    others = len(state.targets) - use.sound
     cause = (
-        f"{share:.2f} of the requests unserved, {used} targets in use, {failing} of them failing, "
-        f"floor {state.floor}"
+        f"{share:.2f} of the requests unserved, {use.used} of {use.sound} sound targets in use, "
+        f"floor {use.floor}; {others} others failed lately or leave"
     )
     subject = "below the floor" if is_below else "at the floor or served again"
     return [AuditEntry(at, AuditKind.FLOOR_CHANGED, subject, cause, state.name)]
@@ -341,8 +373,8 @@
 def _find_unused_target(
     state: ServiceState, candidates: list[_Candidate], at: Instant
 ) -> TargetName | None:
-    """Finds the target that has been unused for longest, among those with the best records."""
-    unused = [c for c in candidates if at - (c[1].last_request_at or Instant(0)) >= UNUSED_AFTER]
+    """Finds the sound target unused for longest, among those with the best records."""
+    unused = [c for c in candidates if _is_sound(c[1], at) and _is_unused(c[1], at)]
     found = min(
         unused,
         key=lambda c: (
--- a/tests/patterns_test.py
+++ b/tests/patterns_test.py
@@ -43,6 +43,7 @@
 )
 from endivedrift.fleet import build_membership
 from endivedrift.policy import PeerInFlight, _choice, _service
+from endivedrift.policy._service import RecentOutcomes
 from endivedrift.reducer import _attempts, _discovery
 from tests.builders import (
     READ_PATH,
@@ -445,6 +446,26 @@
             failing = recent.unserved_share > 0.1
             self.assertTrue(not failing or len(used) >= 0.7 * 9, (len(used), failing))
 
+    # Guards against FLOOR: sound targets get nothing, since failing ones count as targets in use.
+    def test_failing_targets_do_not_count_as_targets_in_use(self) -> None:
+        self.observe(range(14))
+        self.harness.advance(1.0)
+        now = self.harness.clock.monotonic()
+        service = self.harness.state.services[ServiceName(SERVICE)]
+        records = [service.targets[name_target(number)] for number in range(14)]
+        for record in records:
+            record.last_request_at = now
+        for record in records[:6]:
+            record.failures.add_failure(now)
+        # These failed a while ago, so that others are preferred.
+        for record in records[6:9]:
+            record.failures.add_failure(now - timedelta(seconds=3))
+            record.last_request_at = now - timedelta(seconds=2)
+        service.recent_outcomes = RecentOutcomes(ended=155.0, unserved=16.0, updated=now)
+        self.sent.clear()
+        self.handle_effects(self.harness.receive_request("POST", WRITE_PATH)[1])
+        self.assertIn(self.sent[0][1], [record.target.name for record in records[6:9]])
+
     def test_the_trail_does_not_show_when_a_service_is_below_its_floor(self) -> None:
         self.run_load(2.0, 20.0)
         with inject_fault(_choice, "_find_unused_target", lambda *arguments: None):
