Discovery: targets that leave do not make up for a mass loss

Cause: when the loss of many registrations at once would break the floor of a service, they are kept for a while, as it is more likely a fault of the store. Targets that were leaving counted among those that remain, so that the loss was not recognised during a release: the service lost sound targets at once (FLOOR).

Evidence: found by reading the counts of targets; with 9 staying and 7 leaving targets, 4 of the staying ones were removed at once, which leaves 5 where 7 are the floor. The new test failed before.

Change: targets that leave are not counted. How long the others are kept is as before.

--- a/endivedrift/reducer/_discovery.py
+++ b/endivedrift/reducer/_discovery.py
@@ -22,6 +22,7 @@
     ServiceName,
     TargetEntry,
     TargetName,
+    TargetState,
     get_store_era,
 )
 from endivedrift.core.effects import Effect, FetchTargets, ObserveChanges, RecordAudit
@@ -30,7 +31,12 @@
     TargetsObserved,
 )
 from endivedrift.fleet import sample_alive
-from endivedrift.policy import mark_leaving, register_target, restore_registered_target
+from endivedrift.policy import (
+    ServiceState,
+    mark_leaving,
+    register_target,
+    restore_registered_target,
+)
 from endivedrift.reducer._attempts import dispatch_queued
 from endivedrift.reducer._state import Announcement, Departure, HostState
 
@@ -247,11 +253,20 @@
     if state.store.answered_at is not None:
         until = max(until, state.store.answering_since + REREGISTRATION_GRACE)
     service = state.services.get(state.discovered[name].service)
-    if service is not None and len(set(service.targets) - gone) < service.floor:
+    if service is not None and _count_staying(service, gone) < service.floor:
         until = max(until, min(at + MASS_LOSS_GRACE, _compute_removal_limit(state, at)))
     return until
 
 
+def _count_staying(service: ServiceState, gone: set[TargetName]) -> int:
+    """Counts the targets that are registered and not leaving, besides those that vanished."""
+    return sum(
+        1
+        for name, record in service.targets.items()
+        if name not in gone and record.state is not TargetState.LEAVING
+    )
+
+
 def _compute_removal_limit(state: HostState, at: Instant) -> Instant:
     """Returns until when targets may be used whose removal was found now.
 
--- a/tests/patterns_test.py
+++ b/tests/patterns_test.py
@@ -511,6 +511,17 @@
         self.harness.advance(0.5)
         self.assertEqual(len(self.list_targets()), 3)
 
+    # Guards against FLOOR: targets that leave count among those that remain after a mass loss.
+    def test_targets_that_leave_do_not_make_up_for_many_removed_ones(self) -> None:
+        now = self.harness.clock.monotonic()
+        leaving = tuple(build_target_entry(number, leaving=True) for number in range(9, 16))
+        self.harness.apply(TargetsObserved(now, leaving))
+        self.remove_targets(range(4))
+        self.harness.advance(1.0)
+        self.assertEqual(len(self.list_targets()), 16)
+        self.harness.advance(0.5)
+        self.assertEqual(len(self.list_targets()), 12)
+
     # Guards against DRAIN: a removal that is found by a question, and held back from then on.
     def test_many_that_were_removed_before_a_question_are_not_kept_too_long(self) -> None:
         for age in (0.0, 0.3, 0.6, 0.9):
