--- a/review/harness_3.py
+++ b/review/harness_3.py
@@ -184,12 +184,17 @@
 
 
 class Store:
-    """Stand-in for the platform's store: rows in tables, and their feed."""
+    """Stand-in for the platform's store: rows in tables, and their feed.
+
+    While it is down, it answers 503 to all calls, and what the operator and the upstreams write
+    waits until it is back.
+    """
 
     def __init__(self, ip: str) -> None:
         """Starts with no rows."""
         self.address = f"{ip}:{find_free_port(ip)}"
         self.ver = 1
+        self.is_down = False
         self._rows: dict[tuple[str, str], dict[str, Any]] = {}
         self._changed = asyncio.Condition()
 
@@ -207,8 +212,15 @@
         """Removes a row."""
         await self._put(table, key, {"deleted": True})
 
+    async def set_down(self, is_down: bool) -> None:
+        """Makes the store unavailable, or brings it back."""
+        async with self._changed:
+            self.is_down = is_down
+            self._changed.notify_all()
+
     async def _put(self, table: str, key: str, fields: dict[str, Any]) -> None:
         async with self._changed:
+            await self._changed.wait_for(lambda: not self.is_down)
             self.ver += 1
             row = {"table": table, "part": "", "key": key, "ver": self.ver, **fields}
             self._rows[(table, key)] = row
@@ -221,6 +233,9 @@
                 fields = dict(part.partition("=")[::2] for part in query.split("&"))
                 await asyncio.sleep(0.004)
                 rows = await self._read(path.rpartition("/")[2], fields)
+                if self.is_down:
+                    writer.write(format_answer(503, {}))
+                    continue
                 body = {"rows": rows, "truncated": False, "ver": self.ver, "now": "0ms"}
                 headers = {"Content-Type": "application/json"}
                 writer.write(format_answer(200, headers, json.dumps(body).encode()))
@@ -234,14 +249,14 @@
             rows = [r for (t, _), r in self._rows.items() if t == table and r["ver"] > after]
             return sorted(rows, key=lambda row: int(row["ver"]))
 
-        if call == "rows-get":
+        if call == "rows-get" or self.is_down:
             rows = [row for row in list_rows() if not row.get("deleted")]
             return sorted(rows, key=lambda row: str(row["key"]))
         wait_s = int(fields["waitMs"]) / 1000.0
         async with self._changed:
             with contextlib.suppress(asyncio.TimeoutError):
                 async with asyncio.timeout(wait_s):
-                    await self._changed.wait_for(list_rows)
+                    await self._changed.wait_for(lambda: self.is_down or list_rows())
             return list_rows()
 
 
@@ -453,6 +468,12 @@
         await self.store.remove("servers", upstream.name)
         self.record.write(f"{upstream.name} has ended")
 
+    async def remove_entry(self, upstream: Upstream) -> None:
+        """Removes the entry of an upstream that leaves without a report, and goes on serving."""
+        self.upstreams.remove(upstream)
+        await self.store.remove("servers", upstream.name)
+        self.record.write(f"the entry of {upstream.name} is removed")
+
     def launch(self, host: Host) -> None:
         """Starts the process of a host by the command of the deploy file."""
         seeds = ",".join(f'"{other.get_address("control")}"' for other in self.hosts)
@@ -468,7 +489,9 @@
         )
         path = self.directory / f"{host.zone}.toml"
         path.write_text(text, "utf-8")
-        environment = {key: os.environ[key] for key in ("PATH", "HOME", "LANG") if key in os.environ}
+        environment = {
+            key: os.environ[key] for key in ("PATH", "HOME", "LANG") if key in os.environ
+        }
         environment["PYTHONPATH"] = str(ROOT / "target" / "deps")
         environment["PYTHONDONTWRITEBYTECODE"] = "1"
         environment["ENDIVEDRIFT_NODE_FILE"] = str(path)
@@ -547,8 +570,8 @@
                 host.process.wait()
 
 
-def build_configuration(version: int, service: str) -> dict[str, Any]:
-    """Builds a configuration with a safe and an unsafe route to one service."""
+def build_configuration(version: int, service: str, others: tuple[str, ...] = ()) -> dict[str, Any]:
+    """Builds a configuration with a safe and an unsafe route to one service, and other clusters."""
 
     def build_rule(name: str, kind: str, prefix: str) -> dict[str, Any]:
         return {
@@ -583,12 +606,13 @@
         ],
         "clusters": [
             {
-                "name": service,
+                "name": name,
                 "healthPath": "/health",
                 "maxConns": 330,
                 "protocol": "h1",
                 "tls": False,
             }
+            for name in (service, *others)
         ],
     }
 
