--- a/review/11/case.py
+++ b/review/11/case.py
@@ -1,18 +1,19 @@
 """Case 11: an upstream that leaves at the end of its probation gets requests as before."""
 
 import asyncio
+import os
 import random
 import sys
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
-from harness_3 import DRAIN_S, Fleet, Message, Reply, Upstream, build_configuration, run_case
+from harness_3 import DRAIN_S, ZONES, Fleet, Message, Reply, Upstream, build_configuration, run_case
 
 SERVICE = "dele69a"
 ZONE = "rabat-a"
-UPSTREAMS = 6
-RATE_PER_S = 36.0
+UPSTREAMS = 9
+RATE_PER_S = 54.0
 SAFE_SHARE = 0.6
 GREY_S = 6.0
 GREY_FAILED, GREY_OF = 7, 10
@@ -130,8 +131,10 @@
 async def play(fleet: Fleet, trouble: bool) -> bool:
     """Plays rounds until the rule is broken; tells whether it was."""
     ip = f"{fleet.subnet}.1"
-    zones = ("rabat-a", "rabat-a", "rabat-b", "rabat-b", "fes-a", "fes-a")
-    fleet.upstreams = [Upstream(fleet.record, SERVICE, zone, ip) for zone in zones]
+    fleet.upstreams = [
+        Upstream(fleet.record, SERVICE, ZONES[number % len(ZONES)], ip)
+        for number in range(UPSTREAMS)
+    ]
     await fleet.start(build_configuration(11, SERVICE))
     replies: list[Reply] = []
     stop = asyncio.Event()
@@ -150,4 +153,5 @@
 
 
 if __name__ == "__main__":
-    sys.exit(run_case(play, Path(__file__).resolve().parent))
+    trouble = os.environ.get("TROUBLE", "1") != "0"
+    sys.exit(run_case(play, Path(__file__).resolve().parent, trouble))
--- a/review/harness_3.py
+++ b/review/harness_3.py
@@ -12,6 +12,8 @@
 import os
 import random
 import secrets
+import shutil
+import signal
 import socket
 import subprocess
 import sys
@@ -162,24 +164,28 @@
         self._file.close()
 
 
-def find_free_port(ip: str) -> int:
-    """Returns a port that is free at an address."""
-    with socket.socket() as probe:
-        probe.bind((ip, 0))
-        return int(probe.getsockname()[1])
+_taken: set[tuple[str, int]] = set()
+"""Ports that were handed out, though nothing may listen there yet."""
 
 
-def find_free_ports(ip: str, count: int) -> int:
-    """Returns the first of several consecutive ports that are free at an address."""
-    for _ in range(200):
+def find_free_ports(ip: str, count: int = 1) -> int:
+    """Returns the first of several consecutive ports that are free at an address.
+
+    They are below those that the system gives to outgoing connections.
+    """
+    for _ in range(500):
         first = random.randrange(10_000, 30_000)
+        ports = range(first, first + count)
+        if any((ip, port) in _taken for port in ports):
+            continue
         with contextlib.ExitStack() as stack:
             try:
-                for port in range(first, first + count):
+                for port in ports:
                     stack.enter_context(socket.socket()).bind((ip, port))
             except OSError:
                 continue
-            return first
+        _taken.update((ip, port) for port in ports)
+        return first
     raise CaseError("there are no free ports")
 
 
@@ -192,7 +198,7 @@
 
     def __init__(self, ip: str) -> None:
         """Starts with no rows."""
-        self.address = f"{ip}:{find_free_port(ip)}"
+        self.address = f"{ip}:{find_free_ports(ip)}"
         self.ver = 1
         self.is_down = False
         self._rows: dict[tuple[str, str], dict[str, Any]] = {}
@@ -284,7 +290,7 @@
         self.record = record
         self.name = "i-" + secrets.token_hex(4)
         self.service, self.zone = service, zone
-        self.address = f"{ip}:{find_free_port(ip)}"
+        self.address = f"{ip}:{find_free_ports(ip)}"
         self.slots: int = options.get("slots", 2)
         self.work_s: float = options.get("work_s", 0.2)
         self.behave: Behaviour | None = options.get("behave")
@@ -563,11 +569,12 @@
         return reply
 
     def stop(self) -> None:
-        """Ends the processes of all hosts."""
+        """Ends the processes of all hosts, and removes their settings and logs."""
         for host in self.hosts:
             if host.process is not None and host.process.poll() is None:
                 host.process.kill()
                 host.process.wait()
+        shutil.rmtree(self.directory, ignore_errors=True)
 
 
 def build_configuration(version: int, service: str, others: tuple[str, ...] = ()) -> dict[str, Any]:
@@ -618,33 +625,41 @@
 
 
 def run_case(
-    case: Callable[[Fleet, bool], Awaitable[bool]], folder: Path, limit_s: float = 110.0
+    case: Callable[[Fleet, bool], Awaitable[bool]],
+    folder: Path,
+    trouble: bool,
+    limit_s: float = 110.0,
 ) -> int:
     """Runs a case with its record, and ends all processes that it has started.
 
     Args:
       case: Takes the fleet and whether there is trouble; returns whether the rule was broken.
       folder: Folder of the case.
+      trouble: Whether the disruption is played.
       limit_s: Longest time of the case.
     Returns:
       The exit status.
     """
     record = Record(folder / "record.txt")
-    trouble = os.environ.get("TROUBLE", "1") != "0"
 
     async def run() -> int:
         fleet = Fleet(record)
+        loop, task = asyncio.get_running_loop(), asyncio.current_task()
+        assert task is not None
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, task.cancel)
         try:
             async with asyncio.timeout(limit_s):
                 return BROKEN if await case(fleet, trouble) else HELD
-        except (CaseError, OSError, TimeoutError) as error:
+        except (Exception, asyncio.CancelledError) as error:
+            # An error of the case must not look like a broken rule.
             record.write(f"the case could not run: {error!r}")
             print(f"could not run: {error!r}")
             return COULD_NOT_RUN
         finally:
             fleet.stop()
             # The connections of the stand-ins end with the loop.
-            asyncio.get_running_loop().set_exception_handler(lambda loop, context: None)
+            loop.set_exception_handler(lambda loop, context: None)
 
     try:
         return asyncio.run(run())
