--- a/review/12/case.py
+++ b/review/12/case.py
@@ -1,6 +1,7 @@
 """Case 12: an announcement is forgotten when the entry goes while its service has no route."""
 
 import asyncio
+import os
 import random
 import sys
 from pathlib import Path
@@ -142,4 +143,5 @@
 
 
 if __name__ == "__main__":
-    sys.exit(run_case(play, Path(__file__).resolve().parent))
+    trouble = os.environ.get("TROUBLE", "1") != "0"
+    sys.exit(run_case(play, Path(__file__).resolve().parent, trouble))
