Ejection: only targets on probation are readmitted for their answers

Cause: _end_ejections readmitted any target with five good answers in a row, whatever its state, so also one that mark_leaving had put out of use since. mark_leaving decided by the source of the first sign whether a sign was new, so that no later one was heeded. The log of one host shows it: 36.062 s "its answer says that it is draining", 36.083 s "Readmitted. 5 good answers in a row", and nothing at the store's report, which both other hosts logged.

Ruled out: the store's report was not late (the other hosts had it within 10 ms), and the floor did not readmit it ("needed for the floor" is not in the log).

Change: the branch asks for the state PROBATION; each change of state starts the count of good answers anew, so that a target restored from LEAVING warms up; whether a sign of leaving is new follows from the state. tests/invariants.py states that a target is out of use just while it is known to leave.

--- a/endivedrift/policy/_ejection.py
+++ b/endivedrift/policy/_ejection.py
@@ -54,11 +54,10 @@
       Audit entries, none if the target was already known to be leaving.
     """
     record = state.targets[name]
-    was_leaving = record.leaving_source is not LeavingSource.NONE
     if record.leaving_source is not LeavingSource.ANNOUNCED:
         record.leaving_source = source
     record.leaving_seen_at = at
-    if was_leaving:
+    if record.state is TargetState.LEAVING:
         return []
     record.unsent_leaving = True
     entries = _change_state(state, record, TargetState.LEAVING, at, AuditKind.TARGET_LEAVING, cause)
@@ -111,9 +110,7 @@
     if not bad:
         record.consecutive_good += 1
         return []
-    record.consecutive_good = 0
-    _eject(record, at)
-    return [_build_audit_entry(state, record, at, AuditKind.EJECTED, "a trial request failed")]
+    return _eject(state, record, at, "a trial request failed")
 
 
 def compute_ejection_time(state: ServiceState, record: TargetRecord) -> timedelta:
@@ -154,12 +151,14 @@
             record.state is TargetState.EJECTED
             and at - record.state_since >= compute_ejection_time(state, record)
         ):
-            record.consecutive_good = 0
             cause = "ejection time ended"
             entries += _change_state(
                 state, record, TargetState.PROBATION, at, AuditKind.PROBATION, cause
             )
-        elif record.consecutive_good >= MIN_PROBATION_SUCCESSES:
+        elif (
+            record.state is TargetState.PROBATION
+            and record.consecutive_good >= MIN_PROBATION_SUCCESSES
+        ):
             cause = f"{record.consecutive_good} good answers in a row"
             entries += _readmit(state, record, at, cause)
     return entries
@@ -176,8 +175,7 @@
             f"own score {record.own_score:.1f}, shared score {record.shared_score:.1f}, "
             f"threshold {threshold:.1f}, own bad rate {record.own_bad_rate:.2f}"
         )
-        _eject(record, at)
-        entries.append(_build_audit_entry(state, record, at, AuditKind.EJECTED, cause))
+        entries += _eject(state, record, at, cause)
     return entries
 
 
@@ -206,10 +204,9 @@
             record.ejection_count = 0
 
 
-def _eject(record: TargetRecord, at: Instant) -> None:
-    record.state = TargetState.EJECTED
-    record.state_since = at
+def _eject(state: ServiceState, record: TargetRecord, at: Instant, cause: str) -> list[AuditEntry]:
     record.ejection_count += 1
+    return _change_state(state, record, TargetState.EJECTED, at, AuditKind.EJECTED, cause)
 
 
 def _readmit(
@@ -218,7 +215,6 @@
     record.own_score = 0.0
     record.shared_score = 0.0
     record.own_bad_rate = state.usual_bad_rate
-    record.consecutive_good = 0
     return _change_state(state, record, TargetState.HEALTHY, at, AuditKind.READMITTED, cause)
 
 
@@ -232,10 +228,5 @@
 ) -> list[AuditEntry]:
     record.state = new_state
     record.state_since = at
-    return [_build_audit_entry(state, record, at, kind, cause)]
-
-
-def _build_audit_entry(
-    state: ServiceState, record: TargetRecord, at: Instant, kind: AuditKind, cause: str
-) -> AuditEntry:
-    return AuditEntry(at, kind, record.target.name, cause, state.name)
+    record.consecutive_good = 0
+    return [AuditEntry(at, kind, record.target.name, cause, state.name)]
--- a/tests/announcements_test.py
+++ b/tests/announcements_test.py
@@ -10,17 +10,25 @@
 
 from endivedrift.core import (
     AttemptOutcome,
+    LeavingSource,
     RefusalReason,
     RouteName,
     ServiceName,
     TargetName,
+    TargetState,
     build_store_version,
 )
 from endivedrift.core.effects import Effect, RefuseRequest, SendPeerMessage, SendToTarget
 from endivedrift.core.events import AttemptFinished, TargetsObserved
 from endivedrift.fleet import NamedRoute
 from endivedrift.objects import Share
-from endivedrift.policy import _choice
+from endivedrift.policy import (
+    TargetRecord,
+    _choice,
+    mark_leaving,
+    restore_registered_target,
+)
+from endivedrift.policy._ejection import MIN_PROBATION_SUCCESSES
 from endivedrift.reducer import _discovery
 from endivedrift.reducer._requests import _choose_split_service
 from tests.builders import (
@@ -34,6 +42,7 @@
     name_target,
 )
 from tests.fuzzing import inject_fault
+from tests.invariants import check_states
 from tests.network import Network
 
 TARGET = name_target(1)
@@ -43,8 +52,10 @@
 class AnnouncementTest(unittest.TestCase):
     """Runs a host with three targets, of which one makes an announcement."""
 
+    FLOOR_SHARE = 0.7
+
     def setUp(self) -> None:
-        self.harness = HostHarness(build_discovered_set())
+        self.harness = HostHarness(build_discovered_set(self.FLOOR_SHARE))
         self.observe(complete=True)
         self.harness.advance(1.0)
         for _ in range(3):
@@ -220,6 +231,68 @@
         self.assertIn(TARGET, self.send(40))
 
 
+class ProbationTest(AnnouncementTest):
+    """The target is on probation after an ejection, and leaves."""
+
+    FLOOR_SHARE = 0.3  # Low enough that the target is not readmitted for the floor.
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.record.state = TargetState.PROBATION
+
+    @property
+    def record(self) -> TargetRecord:
+        return self.harness.state.services[ServiceName(SERVICE)].targets[TARGET]
+
+    def try_target(self, leaving: bool = False) -> None:
+        """Lets the target answer one request well."""
+        effects = self.harness.receive_request()[1]
+        sent = next(effect for effect in effects if isinstance(effect, SendToTarget))
+        self.assertEqual(sent.target, TARGET)
+        self.finish(sent, leaving=leaving)
+
+    def end_probation(self, leaving: bool = False) -> None:
+        """Lets the target answer so many requests well that the next tick ends its probation."""
+        for _ in range(MIN_PROBATION_SUCCESSES - 1):
+            self.try_target()
+        self.try_target(leaving=leaving)
+
+    def test_five_good_answers_end_the_probation(self) -> None:
+        self.end_probation()
+        self.assertIn(TARGET, self.send(40))
+
+    # Guards against DRAIN: a target that said that it leaves was readmitted for its good answers.
+    def test_it_stays_out_when_its_last_good_answer_says_that_it_leaves(self) -> None:
+        self.end_probation(leaving=True)
+        self.assertNotIn(TARGET, self.send(40))
+        check_states(self.harness.state)
+
+    # Guards against DRAIN: as above, by the store's report between that answer and the next tick.
+    def test_it_stays_out_when_the_store_reports_it_after_its_last_good_answer(self) -> None:
+        self.end_probation()
+        self.observe(numbers=(1,), leaving=True)
+        self.assertNotIn(TARGET, self.send(40))
+        check_states(self.harness.state)
+
+    # Guards against DRAIN: as above; signs that came after the readmission were ignored.
+    def test_it_stays_out_when_it_is_reported_again(self) -> None:
+        self.end_probation()
+        self.observe(numbers=(1,), leaving=True)
+        self.harness.advance(1.0)
+        self.observe(numbers=(1,), leaving=True)
+        self.assertNotIn(TARGET, self.send(40))
+
+    # Guards against a target that returns in place of a replaced one without its warm-up.
+    def test_good_answers_of_a_probation_do_not_shorten_a_later_warm_up(self) -> None:
+        self.end_probation()
+        service = self.harness.state.services[ServiceName(SERVICE)]
+        now = self.harness.clock.monotonic()
+        mark_leaving(service, TARGET, now, LeavingSource.LISTED, "listed as leaving")
+        restore_registered_target(service, TARGET, now, "registered as ready again")
+        self.harness.advance(0.1)
+        self.assertIs(self.record.state, TargetState.WARMING)
+
+
 class LeavingFleetTest(unittest.TestCase):
     def test_the_hosts_that_use_a_target_learn_at_once_that_it_leaves(self) -> None:
         network = Network(6, 3, build_discovered_set())
