Processes: what a target has stated is kept once, by process, not moved with its registration

Cause: that a process leaves stood in the record of its target, in announcements (services without a route), in departures (removed registrations) and in its entry, and was moved by hand between them. _record_departure moved it out of announcements although the lapsed registration was kept, and the next configuration looked only there. The log of one host: "its answer says that it is draining", 7 s later "its registration lapsed; kept for 2.0 s", 1 s later, with the route, "registered at ..., Target joined." and no sign of leaving.

Ruled out: a late removal (its line comes before the configuration's), a restart of the target (same start in both lines).

Change: policy/_processes.py keeps what a process has stated (leaving, held until, limit) by name and start, for registered processes and the latest 4,096 others; records refer to it, and nothing is moved. Attempts name the process that got them, so that an answer come late is not taken for one of its replacement, and a request chosen for a process that was replaced is not sent. A target whose process leaves takes no requests, whatever its state. reducer/_announcements.py is gone. The injected faults of three tests moved with the code that they replace (the memory of processes, mark_leaving).

Eight of the ten tests of tests/statements_test.py failed before, seven of them on requests: "'t1' unexpectedly found in Counter({'t0': 20, 't1': 10, 't2': 10})" on six paths, "'t1' not found" for the replacement; one on may_still_send. check_states is an invariant of the random test of the host.

--- a/endivedrift/core/__init__.py
+++ b/endivedrift/core/__init__.py
@@ -37,6 +37,7 @@
     ListedMachine,
     Member,
     PeerMessage,
+    ProcessId,
     QuotaReport,
     QuotaStatus,
     RateLimitReport,
@@ -49,6 +50,7 @@
     TargetEntry,
     TargetLoad,
     TimestampedAuditEntry,
+    identify_process,
 )
 from endivedrift.core._states import (
     AttemptOutcome,
@@ -120,6 +122,7 @@
     "NO_RATE_LIMIT",
     "PauseCause",
     "PeerMessage",
+    "ProcessId",
     "QuotaReport",
     "QuotaStatus",
     "RateLimitReport",
@@ -144,6 +147,7 @@
     "Version",
     "build_store_version",
     "get_store_era",
+    "identify_process",
     "get_store_number",
     "judge_outcome",
 ]
--- a/endivedrift/core/_records.py
+++ b/endivedrift/core/_records.py
@@ -198,6 +198,27 @@
     started_ms: int
 
 
+@dataclass(frozen=True, slots=True)
+class ProcessId:
+    """Identifies one process of a target.
+
+    Attributes:
+      name: The target.
+      started_ms: Start of the process in Unix milliseconds, or 0 if it does not state it.
+      address: Its address if it does not state its start, or else the empty string.
+    """
+
+    name: TargetName
+    started_ms: int
+    address: Address = Address("")
+
+
+def identify_process(entry: TargetEntry) -> ProcessId:
+    """Returns the id of the process that a registration is of."""
+    address = Address("") if entry.started_ms else entry.address
+    return ProcessId(entry.name, entry.started_ms, address)
+
+
 @dataclass(frozen=True, slots=True)
 class StoreAnswer:
     """An answer of the store to a question of some host, which asked for all changes.
--- a/endivedrift/core/effects.py
+++ b/endivedrift/core/effects.py
@@ -35,8 +35,9 @@
     The request may reuse a connection that was idle for at most `max_reuse_idle`; opening a new one
     is limited by `connect_timeout`. If `close_delimited` is set, an answer without a length ends
     when the target closes the connection. `caller` is the account that the target is told of, or
-    None. AttemptLate is raised each time `late_after` passes
-    without an answer, and HedgeDue once after `hedge_after`, unless that is None.
+    None. AttemptLate is raised each time `late_after` passes without an answer, and HedgeDue once
+    after `hedge_after`, unless that is None. `started_ms` is the start of the target's process in
+    Unix milliseconds, or 0 if it is not known.
     """
 
     request: RequestId
@@ -53,6 +54,7 @@
     close_delimited: bool = False
     caller: CallerName | None = None
     hedge_after: timedelta | None = None
+    started_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/endivedrift/core/events.py
+++ b/endivedrift/core/events.py
@@ -55,7 +55,8 @@
     the target takes from all hosts together, as its answer states: NO_RATE_LIMIT if it states none,
     None if nothing is known, since there was no answer or its statement could not be read.
     `new_connection` tells whether a connection was opened for the attempt, `is_hedge` whether it is
-    a hedge.
+    a hedge. `started_ms` is the start of the process that got the attempt, in Unix milliseconds, or
+    0 if it is not known.
     """
 
     at: Instant
@@ -71,6 +72,7 @@
     rate_limit: float | None = None
     new_connection: bool = False
     is_hedge: bool = False
+    started_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/endivedrift/policy/_ejection.py
+++ b/endivedrift/policy/_ejection.py
@@ -56,6 +56,8 @@
     record = state.targets[name]
     if record.leaving_source is not LeavingSource.ANNOUNCED:
         record.leaving_source = source
+    if source is LeavingSource.ANNOUNCED:
+        record.process.leaving = True
     record.leaving_seen_at = at
     if record.state is TargetState.LEAVING:
         return []
@@ -91,6 +93,7 @@
     state: ServiceState, record: TargetRecord, at: Instant, cause: str
 ) -> list[AuditEntry]:
     record.leaving_source = LeavingSource.NONE
+    record.process.leaving = False
     record.unsent_leaving = False
     if record.target.draining or (record.entry is not None and record.entry.leaving):
         return []
--- a/endivedrift/policy/_service.py
+++ b/endivedrift/policy/_service.py
@@ -29,6 +29,7 @@
 from endivedrift.policy._failure_record import FailureRecord
 from endivedrift.policy._fair_queue import FairQueue, ServedShares
 from endivedrift.policy._hedging import Hedging
+from endivedrift.policy._processes import Process
 from endivedrift.policy._rate_limit import RateLimit
 
 INITIAL_LATENCY = timedelta(milliseconds=25)
@@ -88,8 +89,7 @@
       repeated_pauses: Further pauses since the last one that followed a good answer.
       last_failure_at: When it last failed a request.
       failures: The periods in which it failed requests at any host.
-      held_until: Until when it wants no request from this host, as it stated in a refusal.
-      rate_limit: Limit on the requests of all hosts that it states, or None.
+      process: What its process has stated of itself.
       reported_in_flight: Requests in progress as last reported to other hosts.
       unsent_pause: Whether this host has paused it since the last report.
       unsent_in_flight: Whether the number of requests in progress changed since the last report.
@@ -126,8 +126,7 @@
     repeated_pauses: int = 0
     last_failure_at: Instant = Instant(0)
     failures: FailureRecord = field(default_factory=FailureRecord)
-    held_until: Instant = Instant(0)
-    rate_limit: RateLimit | None = None
+    process: Process = field(default_factory=Process)
     unsent_in_flight: bool = False
     unsent_pause: bool = False
     reported_in_flight: int = 0
@@ -140,13 +139,36 @@
         """The stronger of the two sequential tests."""
         return max(self.own_score, self.shared_score)
 
+    @property
+    def started_ms(self) -> int:
+        """Start of its process in Unix milliseconds, or 0 if that is not known."""
+        return self.entry.started_ms if self.entry is not None else 0
+
+    @property
+    def held_until(self) -> Instant:
+        """Until when it wants no request from this host, as it stated in a refusal."""
+        return self.process.held_until
+
+    @held_until.setter
+    def held_until(self, until: Instant) -> None:
+        self.process.held_until = until
+
+    @property
+    def rate_limit(self) -> RateLimit | None:
+        """Limit on the requests of all hosts that it states, or None."""
+        return self.process.rate_limit
+
+    @rate_limit.setter
+    def rate_limit(self, limit: RateLimit | None) -> None:
+        self.process.rate_limit = limit
+
     def get_risk_level(self, at: Instant, repeat_share: float) -> int:
         """Returns the level of the risk that it fails a request; see `FailureRecord`."""
         return self.failures.get_level(self.last_success_at, at, repeat_share)
 
     def takes_requests(self, at: Instant) -> bool:
         """Tells whether this host may send it a request, as far as the target has stated."""
-        if self.held_until > at:
+        if self.process.leaving or self.held_until > at:
             return False
         return self.rate_limit is None or self.rate_limit.may_send(at)
 
@@ -326,12 +348,13 @@
     return Hedging(rule.max_extra_share) if rule is not None and rule.max_extra_share else None
 
 
-def register_target(state: ServiceState, entry: TargetEntry, at: Instant) -> bool:
+def register_target(state: ServiceState, entry: TargetEntry, process: Process, at: Instant) -> bool:
     """Adds a target that registered itself, or updates its registration.
 
     Args:
       state: The service of the target.
       entry: Its registration.
+      process: What its process has stated of itself.
       at: Current time.
     Returns:
       Whether the target is new or has restarted, so that earlier knowledge of it is void.
@@ -345,7 +368,7 @@
             known.entry = entry
             return False
     target = Target(name=entry.name, address=entry.address, failure_domain=entry.failure_domain)
-    record = TargetRecord(target, TargetState.HEALTHY, at, entry=entry)
+    record = TargetRecord(target, TargetState.HEALTHY, at, entry=entry, process=process)
     if entry.warm_up_left > timedelta(0):
         record.state = TargetState.WARMING
         record.state_since = (
--- a/endivedrift/reducer/_attempts.py
+++ b/endivedrift/reducer/_attempts.py
@@ -64,7 +64,6 @@
     take_trial,
     update_typical_latency,
 )
-from endivedrift.reducer._announcements import note_late_announcement
 from endivedrift.reducer._paths import (
     PATH_OUTCOMES,
     forward_request,
@@ -80,7 +79,6 @@
     judge_attempt,
 )
 from endivedrift.reducer._quotas import return_charge
-from endivedrift.reducer._rate_limits import note_rate_limit
 from endivedrift.reducer._refusals import refuse
 from endivedrift.reducer._state import (
     HostState,
@@ -90,6 +88,7 @@
     get_limit_per_target,
     is_primary,
 )
+from endivedrift.reducer._statements import note_statements
 
 _REFUSAL_REASONS = {
     AttemptOutcome.SHED: RefusalReason.TARGET_REFUSED,
@@ -246,6 +245,8 @@
     record = service.targets.get(effect.target)
     if record is None or record.target.address != effect.address:
         return False
+    if record.started_ms != effect.started_ms:
+        return False
     return record.state is not TargetState.LEAVING
 
 
@@ -278,7 +279,7 @@
         effects += _record_attempt(state, service, event)
         reserved = _release_reservation(state, service, pending, event.request)
     else:
-        note_late_announcement(state, event)
+        effects += [RecordAudit(entry) for entry in note_statements(state, None, event)]
     answer = event.answer if event.outcome is AttemptOutcome.ANSWERED else None
     served = answer is not None and answer.status < SERVER_ERROR
     hedging = service.hedging if service is not None else None
@@ -544,6 +545,7 @@
         service=service.name,
         target=name,
         address=Address(record.target.address),
+        started_ms=record.started_ms,
         deadline=pending.deadline,
         late_after=_compute_late_after(service, pending, at),
         answer_limit_bytes=route.answer_limit_bytes,
@@ -763,7 +765,7 @@
     """
     record = service.targets.get(event.target)
     if record is None:
-        return []
+        return [RecordAudit(entry) for entry in note_statements(state, service, event)]
     entries: list[AuditEntry] = []
     attempt = record.attempts.pop(event.request, None)
     if state.path.is_cut and event.outcome in PATH_OUTCOMES:
@@ -777,14 +779,6 @@
         entries += record_trial(service, record, bad, event.at)
     if bad is False:
         record.last_success_at = event.at
-    if event.rate_limit is not None:
-        entries += note_rate_limit(state, service, record, event)
-    if event.retry_after is not None:
-        record.held_until = max(record.held_until, event.at + event.retry_after)
-        cause = f"wants no request for {event.retry_after.total_seconds():.1f} s"
-        entries.append(
-            AuditEntry(event.at, AuditKind.PAUSED, event.target, cause, service.name, event.request)
-        )
     failure = PauseCause.ANSWERED if status >= SERVER_ERROR else _PAUSE_CAUSES.get(event.outcome)
     if failure is PauseCause.REFUSED and event.retry_after is not None:
         failure = None
@@ -801,9 +795,7 @@
         record.last_answer_at = event.at
         record.last_latency = event.latency
         update_typical_latency(service, event.latency)
-    if event.leaving or event.outcome is AttemptOutcome.DRAINING:
-        cause = "its answer says that it is draining"
-        entries += mark_leaving(service, event.target, event.at, LeavingSource.ANNOUNCED, cause)
+    entries += note_statements(state, service, event)
     if event.outcome is AttemptOutcome.MISDIRECTED:
         cause = "another target answers at its address"
         entries += mark_leaving(service, event.target, event.at, LeavingSource.REPLACED, cause)
--- a/endivedrift/reducer/_config.py
+++ b/endivedrift/reducer/_config.py
@@ -26,7 +26,6 @@
 from endivedrift.objects import ObjectSet, decode_object_set
 from endivedrift.policy import ServiceState, build_service, dequeue_request, restore_floor
 from endivedrift.reducer._accounts import recheck_callers
-from endivedrift.reducer._announcements import keep_announcements
 from endivedrift.reducer._attempts import end_with_refusal
 from endivedrift.reducer._discovery import place_registered_target
 from endivedrift.reducer._quotas import forget_removed_quotas
@@ -110,9 +109,6 @@
 
 def _install(state: HostState, event: ConfigFetched, objects: ObjectSet) -> list[Effect]:
     previous = state.services
-    for name, service in previous.items():
-        if name not in objects.service:
-            keep_announcements(state, service)
     before = state.config.version
     state.config = event.config
     if event.config.version > state.newest_config.version:
--- a/endivedrift/reducer/_discovery.py
+++ b/endivedrift/reducer/_discovery.py
@@ -24,6 +24,7 @@
     TargetName,
     TargetState,
     get_store_era,
+    identify_process,
 )
 from endivedrift.core.effects import Effect, FetchTargets, ObserveChanges, RecordAudit
 from endivedrift.core.events import (
@@ -32,13 +33,18 @@
 )
 from endivedrift.fleet import sample_alive
 from endivedrift.policy import (
+    Process,
     ServiceState,
+    add_registration,
+    end_registration,
+    get_process,
     mark_leaving,
+    note_removal,
     register_target,
     restore_registered_target,
 )
 from endivedrift.reducer._attempts import dispatch_queued
-from endivedrift.reducer._state import Announcement, Departure, HostState
+from endivedrift.reducer._state import HostState
 
 REREGISTRATION_GRACE = timedelta(seconds=2)
 """Time after an outage of the store in which lapsed registrations are renewed, as specified for the
@@ -46,7 +52,6 @@
 ASKED_PEER_COUNT = 3
 ASK_INTERVAL = timedelta(seconds=1)
 """Time between two requests to other hosts: several times their response time."""
-MAX_DEPARTURES = 4_096
 MASS_LOSS_GRACE = timedelta(milliseconds=1_200)
 """Time for which targets are kept whose simultaneous loss would break the floor of their service:
 over half of the two seconds after which a vanished target must get no more requests."""
@@ -140,24 +145,15 @@
     return [ObserveChanges(event.source, event.at - as_of)] if as_of is not None else []
 
 
-def _find_departure(state: HostState, entry: TargetEntry) -> Departure | None:
-    """Returns what is known of the very process of a registration, if it was removed before.
-
-    A registration that does not state the start of its process may be of any.
-    """
-    departure = state.departures.get(entry.name)
-    is_same = departure is not None and 0 < departure.started_ms == entry.started_ms
-    return departure if is_same else None
-
-
 def _departed_before(state: HostState, entry: TargetEntry, era: int) -> bool:
     """Tells whether a registration was seen to be removed before the store was restored.
 
     The whole table of a restored store shows it again. It counts only once it is written anew,
     which is then reported as a change.
     """
-    departure = _find_departure(state, entry)
-    return departure is not None and departure.era < era
+    process = state.processes.processes.get(identify_process(entry))
+    removed_in = process.removed_in_era if process is not None else None
+    return removed_in is not None and removed_in < era
 
 
 def _apply_entries(
@@ -166,22 +162,21 @@
     entries: list[AuditEntry] = []
     changed_services = set()
     for observed_entry in observed:
-        departure = _find_departure(state, observed_entry)
-        entry = _keep_leaving(state, observed_entry, departure)
-        state.departures.pop(entry.name, None)
-        state.removal_times.pop(entry.name, None)
-        announcement = state.announcements.get(entry.name)
-        if announcement is not None and announcement.started_ms != entry.started_ms:
-            del state.announcements[entry.name]
-        known = state.discovered.get(entry.name)
-        if known == entry or (known is not None and known.started_ms > entry.started_ms):
+        state.removal_times.pop(observed_entry.name, None)
+        known = state.discovered.get(observed_entry.name)
+        if known is not None and known.started_ms > observed_entry.started_ms:
+            continue
+        if known is not None and identify_process(known) != identify_process(observed_entry):
+            end_registration(state.processes, known)
+        process = add_registration(state.processes, observed_entry)
+        entry = _keep_leaving(observed_entry, process)
+        if known == entry:
             continue
         if known is not None and known.service != entry.service:
             entries += _remove_target(state, entry.name, at, learned)
+            add_registration(state.processes, entry)
         state.discovered[entry.name] = entry
         entries += place_registered_target(state, entry, at, learned)
-        if departure is not None:
-            _restore_limits(state, entry, departure)
         changed_services.add(entry.service)
     effects: list[Effect] = [RecordAudit(entry) for entry in entries]
     for service in sorted(changed_services & set(state.services)):
@@ -190,31 +185,16 @@
     return effects
 
 
-def _restore_limits(
-    state: HostState, entry: TargetEntry, departure: Departure | Announcement
-) -> None:
-    """Applies again what a target stated on its requests, after it came back into use."""
-    service = state.services.get(entry.service)
-    record = service.targets.get(entry.name) if service is not None else None
-    if record is not None:
-        record.held_until = max(record.held_until, departure.held_until)
-        record.rate_limit = departure.rate_limit
-        if departure.rate_limit is not None:
-            state.limited_targets.setdefault(entry.service, set()).add(entry.name)
-
-
-def _keep_leaving(state: HostState, entry: TargetEntry, departure: Departure | None) -> TargetEntry:
-    """Marks a registration as leaving if its process has registered as leaving before.
+def _keep_leaving(entry: TargetEntry, process: Process) -> TargetEntry:
+    """Marks a registration as leaving if its process has stated before that it leaves.
 
     A process that shuts down does not return. A later registration as ready is an older one, which
-    was delayed or comes from an older copy of the store.
+    was delayed or comes from an older copy of the store. Without the start of the process, it may
+    be of another one.
     """
-    known = state.discovered.get(entry.name)
-    is_same = known is not None and 0 < known.started_ms == entry.started_ms
-    has_left = departure is not None and departure.leaving
-    if has_left or (known is not None and is_same and known.leaving):
-        return replace(entry, leaving=True)
-    return entry
+    if entry.leaving and entry.started_ms:
+        process.leaving = True
+    return replace(entry, leaving=True) if process.leaving else entry
 
 
 def remove_lapsed_targets(state: HostState, at: Instant) -> list[Effect]:
@@ -238,7 +218,7 @@
             entries += _remove_target(state, name, at, learned)
             continue
         state.removal_times[name] = until
-        _record_departure(state, state.discovered[name])
+        note_removal(state.processes, state.discovered[name], get_store_era(state.targets_version))
         kept_s = (until - at).total_seconds()
         cause = f"its registration lapsed{learned}; kept for {kept_s:.1f} s"
         service = state.discovered[name].service
@@ -296,18 +276,18 @@
     if service is None or not service.group.discovered:
         return []
     entries = []
-    if register_target(service, entry, at):
+    process = get_process(state.processes, identify_process(entry))
+    if register_target(service, entry, process, at):
         cause = f"registered at {entry.address}, started {entry.started_ms}{learned}"
         entries.append(AuditEntry(at, AuditKind.TARGET_JOINED, entry.name, cause, service.name))
-    announcement = state.announcements.pop(entry.name, None)
-    if announcement is not None:
-        _restore_limits(state, entry, announcement)
-        if announcement.leaving:
-            cause = "it announced that it is shutting down"
-            entries += mark_leaving(service, entry.name, at, LeavingSource.ANNOUNCED, cause)
-            return entries
+    if process.rate_limit is not None:
+        state.limited_targets.setdefault(entry.service, set()).add(entry.name)
+    cause = "it announced that it is shutting down"
     if entry.leaving:
         cause = f"it registered that it is shutting down{learned}"
+    if process.leaving:
+        entries += mark_leaving(service, entry.name, at, LeavingSource.ANNOUNCED, cause)
+    elif entry.leaving:
         entries += mark_leaving(service, entry.name, at, LeavingSource.LISTED, cause)
     else:
         entries += restore_registered_target(service, entry.name, at, "registered as ready again")
@@ -322,30 +302,9 @@
     if entry is None:
         return []
     service = state.services.get(ServiceName(entry.service))
-    _record_departure(state, entry)
+    note_removal(state.processes, entry, get_store_era(state.targets_version))
+    end_registration(state.processes, entry)
     if service is None or service.targets.pop(name, None) is None:
         return []
     cause = f"its registration was removed{learned}"
     return [AuditEntry(at, AuditKind.TARGET_GONE, name, cause, service.name)]
-
-
-def _record_departure(state: HostState, entry: TargetEntry) -> None:
-    """Notes that the registration of a target was removed, and the era of the first sign of it."""
-    service = state.services.get(entry.service)
-    record = service.targets.get(entry.name) if service is not None else None
-    if record is not None:
-        announced = record.leaving_source is LeavingSource.ANNOUNCED
-        held_until, rate_limit = record.held_until, record.rate_limit
-    else:
-        kept = state.announcements.pop(entry.name, None)
-        announced = kept is not None and kept.leaving
-        held_until = kept.held_until if kept is not None else Instant(0)
-        rate_limit = kept.rate_limit if kept is not None else None
-    earlier = _find_departure(state, entry)
-    era = earlier.era if earlier is not None else get_store_era(state.targets_version)
-    state.departures.pop(entry.name, None)
-    state.departures[entry.name] = Departure(
-        entry.started_ms, entry.leaving or announced, held_until, rate_limit, era
-    )
-    if len(state.departures) > MAX_DEPARTURES:
-        del state.departures[next(iter(state.departures))]
--- a/endivedrift/reducer/_rate_limits.py
+++ b/endivedrift/reducer/_rate_limits.py
@@ -74,7 +74,7 @@
     for report in reports:
         service = state.services.get(report.service)
         record = service.targets.get(report.target) if service is not None else None
-        if service is None or record is None or report.started_ms != _get_started_ms(record):
+        if service is None or record is None or report.started_ms != record.started_ms:
             continue
         stated_at = at - report.age - REPORT_DELAY
         if _learn(state, service, record, report.requests_per_s, stated_at, at):
@@ -176,8 +176,9 @@
         if not limit.is_in_force and age >= WITHDRAWN_REPEAT_TIME:
             continue
         demand = service.recent_outcomes.estimate_rate_per_s(at)
-        started_ms = _get_started_ms(record)
-        reports.append(RateLimitReport(name, target, started_ms, limit.requests_per_s, age, demand))
+        reports.append(
+            RateLimitReport(name, target, record.started_ms, limit.requests_per_s, age, demand)
+        )
     return reports
 
 
@@ -201,10 +202,6 @@
     return known
 
 
-def _get_started_ms(record: TargetRecord) -> int:
-    return record.entry.started_ms if record.entry is not None else 0
-
-
 def _describe(requests_per_s: float) -> str:
     return f"{requests_per_s:g}/s" if requests_per_s != NO_RATE_LIMIT else "no limit"
 
--- a/endivedrift/reducer/_state.py
+++ b/endivedrift/reducer/_state.py
@@ -51,8 +51,8 @@
     KeyTable,
     Overload,
     PathState,
+    ProcessTable,
     Quarantine,
-    RateLimit,
     ServiceState,
 )
 
@@ -152,42 +152,6 @@
     config: ConfigRef
 
 
-@dataclass(frozen=True, slots=True)
-class Departure:
-    """What stays known of a target whose registration was removed.
-
-    Attributes:
-      started_ms: Start of its process in Unix milliseconds.
-      leaving: Whether the process was known to be shutting down.
-      held_until: Until when the process wants no request from this host.
-      rate_limit: Limit that the process stated, or None.
-      era: Era of the store in which its registration was removed.
-    """
-
-    started_ms: int
-    leaving: bool
-    held_until: Instant
-    rate_limit: RateLimit | None
-    era: int
-
-
-@dataclass(frozen=True, slots=True)
-class Announcement:
-    """What a registered target stated on its requests, while its service is not in force.
-
-    Attributes:
-      started_ms: Start of its process in Unix milliseconds.
-      leaving: Whether the process announced that it is shutting down.
-      held_until: Until when the process wants no request from this host.
-      rate_limit: Limit that the process stated, or None.
-    """
-
-    started_ms: int
-    leaving: bool = False
-    held_until: Instant = Instant(0)
-    rate_limit: RateLimit | None = None
-
-
 @dataclass(frozen=True, slots=True)
 class QuotaCount:
     """Requests of an account that were admitted and refused by its quota at this host."""
@@ -330,8 +294,7 @@
       required_power: Processor power in cores that each group of services needs at its hosts.
       discovered: Targets that registered themselves, by name.
       removal_times: When targets are removed whose registrations lapsed, by name.
-      departures: Targets whose registrations were removed, the latest last.
-      announcements: What registered targets stated whose service is not in force.
+      processes: What the processes of these targets, and of earlier ones, stated of themselves.
       store: What is known of the contact with the store in which targets register.
       store_unavailable: Whether the store does not answer.
       has_read_targets: Whether the store has listed all targets at least once.
@@ -387,8 +350,7 @@
     required_power: dict[str, float] = field(default_factory=dict)
     discovered: dict[TargetName, TargetEntry] = field(default_factory=dict)
     removal_times: dict[TargetName, Instant] = field(default_factory=dict)
-    departures: dict[TargetName, Departure] = field(default_factory=dict)
-    announcements: dict[TargetName, Announcement] = field(default_factory=dict)
+    processes: ProcessTable = field(default_factory=ProcessTable)
     store: StoreContact = field(default_factory=StoreContact)
     store_unavailable: bool = False
     has_read_targets: bool = False
--- a/endivedrift/shell/_targets.py
+++ b/endivedrift/shell/_targets.py
@@ -186,6 +186,7 @@
             target_ended,
             attempt_result.rate_limit,
             attempt_result.new_connection,
+            started_ms=effect.started_ms,
         )
 
     async def close(self) -> None:
--- a/tests/announcements_test.py
+++ b/tests/announcements_test.py
@@ -14,15 +14,18 @@
     RefusalReason,
     RouteName,
     ServiceName,
+    TargetEntry,
     TargetName,
     TargetState,
     build_store_version,
+    identify_process,
 )
 from endivedrift.core.effects import Effect, RefuseRequest, SendPeerMessage, SendToTarget
 from endivedrift.core.events import AttemptFinished, TargetsObserved
 from endivedrift.fleet import NamedRoute
 from endivedrift.objects import Share
 from endivedrift.policy import (
+    ProcessTable,
     TargetRecord,
     _choice,
     mark_leaving,
@@ -49,6 +52,11 @@
 RETRY_AFTER = timedelta(seconds=3)
 
 
+def forget_process(table: ProcessTable, entry: TargetEntry) -> None:
+    """Ends a registration and forgets what its process has stated."""
+    del table.processes[identify_process(entry)]
+
+
 class AnnouncementTest(unittest.TestCase):
     """Runs a host with three targets, of which one makes an announcement."""
 
@@ -101,6 +109,7 @@
             None,
             retry_after,
             rate_limit=rate_limit,
+            started_ms=effect.started_ms,
         )
         return self.harness.apply(event)
 
@@ -161,7 +170,7 @@
         self.assertNotIn(TARGET, self.send(40))
 
     def test_without_the_memory_of_departures_it_would_return(self) -> None:
-        with inject_fault(_discovery, "_record_departure", lambda *arguments: None):
+        with inject_fault(_discovery, "end_registration", forget_process):
             self.finish(self.send_to_target(), leaving=True)
             self.observe(TARGET, numbers=())
             self.observe()
@@ -447,7 +456,7 @@
         self.assertNotIn(TARGET, self.list_targets())
 
     def test_without_the_memory_of_departures_it_would_be_used(self) -> None:
-        with inject_fault(_discovery, "_record_departure", lambda *arguments: None):
+        with inject_fault(_discovery, "end_registration", forget_process):
             self.observe(TARGET, numbers=(), version=build_store_version(1, 101))
             self.restore()
             self.assertIn(TARGET, self.list_targets())
--- a/tests/host_test.py
+++ b/tests/host_test.py
@@ -49,7 +49,7 @@
 )
 from endivedrift.fleet import build_membership
 from endivedrift.policy import _ejection
-from endivedrift.reducer import _attempts
+from endivedrift.reducer import _attempts, _statements
 from tests.builders import (
     READ_PATH,
     SERVICE,
@@ -62,6 +62,7 @@
     name_target,
 )
 from tests.fuzzing import detects_fault, fuzz_machine, inject_fault
+from tests.invariants import check_states
 
 INDEX = st.integers(min_value=0, max_value=1_000)
 TARGETS = 5
@@ -230,6 +231,11 @@
             not out or healthy >= self.service.ejection.floor
         ), "fewer healthy targets than the floor"
 
+    @invariant()
+    def targets_are_out_of_use_while_known_to_leave(self) -> None:
+        if hasattr(self, "harness"):
+            check_states(self.harness.state)
+
     def teardown(self) -> None:
         if not hasattr(self, "harness"):
             return
@@ -262,7 +268,7 @@
             self.assert_detected()
 
     def test_keeping_a_leaving_target_in_use_is_noticed(self) -> None:
-        with inject_fault(_attempts, "mark_leaving", lambda state, name, at, source, cause: []):
+        with inject_fault(_statements, "mark_leaving", lambda state, name, at, source, cause: []):
             requests = LeavingTest("test_a_draining_answer_ends_new_requests")
             result = unittest.TestResult()
             requests.run(result)
--- /dev/null
+++ b/tests/statements_test.py
@@ -0,0 +1,140 @@
+"""Tests that what a process has stated holds while its registration, its service or its route goes.
+
+Each test drives the reducer of one host with a virtual clock and is named after its pattern.
+"""
+
+import unittest
+from dataclasses import replace
+from datetime import timedelta
+
+from endivedrift.core import Address, AttemptOutcome
+from endivedrift.core.effects import SendToTarget
+from endivedrift.core.events import StoreAnswered, TargetsObserved
+from endivedrift.reducer import may_still_send
+from tests.announcements_test import TARGET, AnnouncementTest
+from tests.builders import build_config_fetched, build_discovered_set, build_target_entry
+from tests.invariants import check_states
+
+LONG_HOLD = timedelta(seconds=60)
+SEND_COUNT = 40
+
+
+class StatementTest(AnnouncementTest):
+    """Takes away the route of the targets' service, or the registration of one of them."""
+
+    def change_route(self, service: str, version: int) -> None:
+        objects = build_discovered_set(service=service)
+        self.harness.apply(build_config_fetched(self.harness.clock, objects, version=version))
+        self.harness.advance(0.5)
+
+    def remove_route(self) -> None:
+        self.change_route("other", version=2)
+
+    def restore_route(self) -> None:
+        self.change_route("rooms", version=3)
+
+    def end_outage(self) -> None:
+        """Lets the store answer for the first time, so that lapsed registrations are kept."""
+        now = self.harness.clock.monotonic()
+        self.harness.apply(StoreAnswered(now, now, 0, 0))
+
+    def assert_unused(self) -> None:
+        self.assertNotIn(TARGET, self.send(SEND_COUNT))
+        check_states(self.harness.state)
+
+
+class LostRouteTest(StatementTest):
+    # Guards against DRAIN: a registration that lapsed after an outage of the store was kept, and
+    # what its process had said was not.
+    def test_it_stays_out_when_its_registration_is_kept_while_there_is_no_route(self) -> None:
+        self.finish(self.send_to_target(), leaving=True)
+        self.remove_route()
+        self.end_outage()
+        self.observe(TARGET, numbers=())
+        self.restore_route()
+        self.assert_unused()
+
+    # Guards against DRAIN: as above, and its second removal replaced what the first one had kept.
+    def test_it_stays_out_when_it_is_registered_again_after_that(self) -> None:
+        self.finish(self.send_to_target(), leaving=True)
+        self.remove_route()
+        self.end_outage()
+        self.observe(TARGET, numbers=())
+        self.harness.advance(3.0)
+        self.observe()
+        self.restore_route()
+        self.assert_unused()
+
+    # Guards against DRAIN: an answer was not heeded that came when its target had no registration.
+    def test_it_stays_out_when_it_says_so_with_no_route_and_no_registration(self) -> None:
+        sent = self.send_to_target()
+        self.remove_route()
+        self.observe(TARGET, numbers=())
+        self.finish(sent, leaving=True)
+        self.observe()
+        self.restore_route()
+        self.assert_unused()
+
+    # Guards against DRAIN: as above, while there is a route.
+    def test_it_stays_out_when_it_says_so_without_a_registration(self) -> None:
+        sent = self.send_to_target()
+        self.observe(TARGET, numbers=())
+        self.finish(sent, leaving=True)
+        self.observe()
+        self.harness.advance(5.0)
+        self.assert_unused()
+
+    # Guards against BUDGET: the time of a refusal was not kept that came while there was no route.
+    def test_it_gets_nothing_for_the_time_that_it_states_with_no_route(self) -> None:
+        sent = self.send_to_target()
+        self.remove_route()
+        self.finish(sent, AttemptOutcome.SHED, retry_after=LONG_HOLD)
+        self.restore_route()
+        self.assert_unused()
+
+    # Guards against more requests than a target takes, whose limit came while there was no route.
+    def test_a_limit_counts_that_it_states_with_no_route(self) -> None:
+        sent = self.send_to_target()
+        self.remove_route()
+        self.finish(sent, rate_limit=0.0)
+        self.restore_route()
+        self.assert_unused()
+
+
+class ProcessTest(StatementTest):
+    # Guards against new targets without requests: an answer of the earlier process arrives late.
+    def test_the_process_that_replaces_it_is_used_when_its_answer_comes_late(self) -> None:
+        sent = self.send_to_target()
+        self.observe(born=2)
+        self.finish(sent, leaving=True)
+        self.harness.advance(5.0)
+        self.assertIn(TARGET, self.send(SEND_COUNT))
+
+    # Guards against DRAIN: the same process at another address is no other process.
+    def test_it_stays_out_when_it_registers_with_another_address(self) -> None:
+        self.finish(self.send_to_target(), leaving=True)
+        moved = replace(build_target_entry(1), address=Address("127.0.0.1:9100"))
+        self.harness.apply(TargetsObserved(self.harness.clock.monotonic(), (moved,), (), False))
+        self.harness.advance(5.0)
+        self.assert_unused()
+
+    def test_a_process_without_a_start_is_forgotten_with_its_registration(self) -> None:
+        self.observe(born=0)
+        self.harness.advance(5.0)
+        self.finish(self.send_to_target(), leaving=True)
+        self.assert_unused()
+        self.observe(TARGET, numbers=())
+        self.observe(born=0)
+        self.harness.advance(5.0)
+        self.assertIn(TARGET, self.send(SEND_COUNT))
+
+    # Guards against ROUTE: a request is not sent to a process that replaced the chosen one.
+    def test_a_request_chosen_for_the_earlier_process_is_not_sent(self) -> None:
+        sent: SendToTarget = self.send_to_target()
+        self.assertTrue(may_still_send(self.harness.state, sent))
+        self.observe(born=2)
+        self.assertFalse(may_still_send(self.harness.state, sent))
+
+
+if __name__ == "__main__":
+    unittest.main()
