Targets: what another host says of a process counts without a route, and names the process

A host sent requests to a target that another host had told it was leaving: 10 of 40 in the reducer of one host, if its service had no route when the report came.

Cause: apply_evidence passes over services that are not in force, with all that is said of their targets. A report also named no process, so that one that came late took the target's replacement out of use for good.

Change: note_reported_leaving applies the report to the table of processes first, also for a process that is not known here yet; EvidenceDelta has the start of the process, sent only with that word. Reports of earlier builds count for the registered process.

Three of the four tests of ToldTest failed before (the process left out of the reports): "'t1' unexpectedly found in Counter({'t0': 20, 't1': 10, 't2': 10})" without a route and before the registration was known, "'t1' not found in Counter({'t0': 20, 't2': 20})" for the replacement.

--- a/endivedrift/core/_records.py
+++ b/endivedrift/core/_records.py
@@ -160,6 +160,8 @@
       leaving: Whether the target announced that it is shutting down.
       running: Number of requests that the sender has in progress at the target.
       paused: Whether the sender has paused the target after a failure.
+      leaving_started_ms: Start of the process that is shutting down, in Unix milliseconds, or 0 if
+        none is or its start is not known.
     """
 
     service: ServiceName
@@ -169,6 +171,7 @@
     leaving: bool
     running: int = 0
     paused: bool = False
+    leaving_started_ms: int = 0
 
 
 MAX_SLOTS = 1_000_000
--- a/endivedrift/policy/_evidence.py
+++ b/endivedrift/policy/_evidence.py
@@ -259,6 +259,7 @@
                 record.unsent_leaving,
                 len(record.attempts),
                 record.unsent_pause,
+                record.started_ms if record.unsent_leaving else 0,
             )
             deltas.append(delta)
             if keeps_far:
@@ -302,6 +303,7 @@
                 flag is not None and flag.leaving,
                 running,
                 flag is not None and flag.paused,
+                flag.leaving_started_ms if flag is not None else 0,
             )
         )
         record.unsent_far_good = 0
--- a/endivedrift/reducer/_statements.py
+++ b/endivedrift/reducer/_statements.py
@@ -8,8 +8,11 @@
     AttemptOutcome,
     AuditEntry,
     AuditKind,
+    EvidenceDelta,
+    Instant,
     LeavingSource,
     ProcessId,
+    TargetName,
     identify_process,
 )
 from endivedrift.core.events import AttemptFinished
@@ -38,8 +41,8 @@
     Returns:
       Audit entries.
     """
-    process = _find_process(state, event)
-    found = _find_record(state, service, event)
+    process = _find_process(state, event.target, event.started_ms)
+    found = _find_record(state, service, event.target)
     if found is not None and (process is None or found[1].process is process):
         return _apply_to_record(state, *found, event)
     if process is not None:
@@ -47,23 +50,45 @@
     return []
 
 
-def _find_process(state: HostState, event: AttemptFinished) -> Process | None:
-    """Returns the process that got an attempt, or None if its target never registered."""
-    if event.started_ms:
-        return get_process(state.processes, ProcessId(event.target, event.started_ms))
-    entry = state.discovered.get(event.target)
+def note_reported_leaving(state: HostState, at: Instant, delta: EvidenceDelta) -> list[AuditEntry]:
+    """Applies that a process is leaving, as another host says.
+
+    Returns:
+      Audit entries, none if that is already known or concerns no target in use.
+    """
+    process = _find_process(state, delta.target, delta.leaving_started_ms)
+    if process is not None:
+        process.leaving = True
+    found = _find_record(state, state.services.get(delta.service), delta.target)
+    if found is None or (process is not None and found[1].process is not process):
+        return []
+    service, record = found
+    cause = "another host says it is draining"
+    entries = mark_leaving(service, delta.target, at, LeavingSource.ANNOUNCED, cause)
+    record.unsent_leaving = False
+    return entries
+
+
+def _find_process(state: HostState, target: TargetName, started_ms: int) -> Process | None:
+    """Returns a process of a target, or None if the target never registered.
+
+    Without its start, it is the one that is registered, or the latest one that was.
+    """
+    if started_ms:
+        return get_process(state.processes, ProcessId(target, started_ms))
+    entry = state.discovered.get(target)
     if entry is not None:
         return get_process(state.processes, identify_process(entry))
-    return find_unregistered(state.processes, event.target)
+    return find_unregistered(state.processes, target)
 
 
 def _find_record(
-    state: HostState, service: ServiceState | None, event: AttemptFinished
+    state: HostState, service: ServiceState | None, target: TargetName
 ) -> tuple[ServiceState, TargetRecord] | None:
     """Returns the record of a target, which may have changed its service, if it has one."""
-    entry = state.discovered.get(event.target)
+    entry = state.discovered.get(target)
     for candidate in (service, state.services.get(entry.service) if entry is not None else None):
-        record = candidate.targets.get(event.target) if candidate is not None else None
+        record = candidate.targets.get(target) if candidate is not None else None
         if candidate is not None and record is not None:
             return candidate, record
     return None
--- a/endivedrift/reducer/_targets.py
+++ b/endivedrift/reducer/_targets.py
@@ -37,6 +37,7 @@
 )
 from endivedrift.reducer._attempts import dispatch_queued
 from endivedrift.reducer._state import HostState, count_primaries, is_primary, list_primaries
+from endivedrift.reducer._statements import note_reported_leaving
 
 USER_TTL = timedelta(minutes=2)
 """Time after a report of a host on a service for which it is told of targets that fail: the time
@@ -73,6 +74,8 @@
     effects: list[Effect] = []
     services: set[ServiceName] = set()
     for delta in deltas:
+        entries = note_reported_leaving(state, at, delta) if delta.leaving else []
+        effects += [RecordAudit(entry) for entry in entries]
         service = state.services.get(delta.service)
         if service is None or delta.target not in service.targets:
             continue
@@ -83,13 +86,8 @@
         if service.service.share_at_once:
             effects += _apply_in_flight(state, service, record, sender, at, delta)
             services.add(delta.service)
-        if delta.leaving:
-            cause = "another host says it is draining"
-            entries = mark_leaving(service, delta.target, at, LeavingSource.ANNOUNCED, cause)
-            service.targets[delta.target].unsent_leaving = False
-            effects += [RecordAudit(entry) for entry in entries]
-            if entries and _passes_on(state, service.name, sender):
-                effects += _tell_users(state, at, service.name, [delta])
+        if entries and _passes_on(state, service.name, sender):
+            effects += _tell_users(state, at, service.name, [delta])
     for name in sorted(services):
         if state.services[name].queued_count:
             effects += dispatch_queued(state, state.services[name], at)
--- a/endivedrift/shell/_codec.py
+++ b/endivedrift/shell/_codec.py
@@ -326,6 +326,7 @@
         struct.leaving = delta.leaving
         struct.running = delta.running
         struct.paused = delta.paused
+        struct.leavingBorn = delta.leaving_started_ms
     suspects = datagram.init("suspects", len(message.suspects))
     for struct, report in zip(suspects, message.suspects, strict=True):
         _set_suspect(struct, report)
@@ -362,6 +363,7 @@
                 delta.leaving,
                 delta.running,
                 delta.paused,
+                delta.leavingBorn,
             )
             for delta in _get_bounded(datagram.evidence)
         ),
--- a/endivedrift/shell/codec_test.py
+++ b/endivedrift/shell/codec_test.py
@@ -85,7 +85,9 @@
     sender = build_membership(build_identity_at("h2", 2), random.Random(1)).me
     sender = sender.with_status(MemberStatus.ALIVE)
     me = build_membership(build_identity_at("h1", 1, "a"), random.Random(1)).me
-    delta = EvidenceDelta(ServiceName(SERVICE), name_target(1), 1, 2, True, 1, True)
+    delta = EvidenceDelta(
+        ServiceName(SERVICE), name_target(1), 1, 2, True, 1, True, 1_700_000_000_000
+    )
     entries = (build_target_entry(1), build_target_entry(2))
     second = timedelta(seconds=1)
     answer = StoreAnswer(second, HostId("h3"), 2**32 - 1, 9, 8)
--- a/endivedrift/shell/peer.capnp
+++ b/endivedrift/shell/peer.capnp
@@ -29,6 +29,7 @@
   leaving @4 :Bool;
   running @5 :UInt32;  # Requests that the sender has in progress at the target.
   paused @6 :Bool;
+  leavingBorn @7 :Int64;  # Start of the process that leaves, in Unix milliseconds; 0 if unknown.
 }
 
 struct Target {
--- a/tests/statements_test.py
+++ b/tests/statements_test.py
@@ -6,13 +6,29 @@
 import unittest
 from dataclasses import replace
 from datetime import timedelta
-
-from endivedrift.core import Address, AttemptOutcome
+from random import Random
+
+from endivedrift.core import (
+    Address,
+    AttemptOutcome,
+    EvidenceDelta,
+    HostId,
+    MessageKind,
+    PeerMessage,
+    ServiceName,
+)
 from endivedrift.core.effects import SendToTarget
-from endivedrift.core.events import StoreAnswered, TargetsObserved
+from endivedrift.core.events import PeerMessageReceived, StoreAnswered, TargetsObserved
+from endivedrift.fleet import build_membership
 from endivedrift.reducer import may_still_send
 from tests.announcements_test import TARGET, AnnouncementTest
-from tests.builders import build_config_fetched, build_discovered_set, build_target_entry
+from tests.builders import (
+    SERVICE,
+    build_config_fetched,
+    build_discovered_set,
+    build_identity,
+    build_target_entry,
+)
 from tests.invariants import check_states
 
 LONG_HOLD = timedelta(seconds=60)
@@ -101,6 +117,66 @@
         self.assert_unused()
 
 
+class ToldTest(StatementTest):
+    """Another host tells of what the target has said to it."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.other = build_membership(build_identity("h2"), Random(1)).me
+        self.message_count = 0
+
+    def tell(self, started_ms: int = 1) -> None:
+        """Lets the other host tell that a process of the target is leaving."""
+        self.message_count += 1
+        delta = EvidenceDelta(
+            ServiceName(SERVICE), TARGET, 0, 0, True, leaving_started_ms=started_ms
+        )
+        message = PeerMessage(
+            MessageKind.NOTICE,
+            self.other,
+            self.message_count,
+            0,
+            HostId(""),
+            False,
+            self.harness.state.config,
+            evidence=(delta,),
+        )
+        now = self.harness.clock.monotonic()
+        self.harness.apply(PeerMessageReceived(now, self.other.peer_address, message))
+
+    def test_it_stays_out_when_another_host_says_so(self) -> None:
+        for started_ms in (0, 1):
+            with self.subTest(started_ms=started_ms):
+                self.setUp()
+                self.tell(started_ms)
+                self.assert_unused()
+
+    # Guards against DRAIN: what another host said was not heeded while there was no route.
+    def test_it_stays_out_when_another_host_says_so_with_no_route(self) -> None:
+        for started_ms in (0, 1):
+            with self.subTest(started_ms=started_ms):
+                self.setUp()
+                self.remove_route()
+                self.tell(started_ms)
+                self.restore_route()
+                self.assert_unused()
+
+    # Guards against DRAIN: as above, before the registration was known here.
+    def test_it_stays_out_when_another_host_says_so_before_it_is_known(self) -> None:
+        self.observe(TARGET, numbers=())
+        self.tell(started_ms=2)
+        self.observe(born=2)
+        self.harness.advance(5.0)
+        self.assert_unused()
+
+    # Guards against new targets without requests: a report on the earlier process came late.
+    def test_the_process_that_replaces_it_is_used_when_another_host_tells_of_it_late(self) -> None:
+        self.observe(born=2)
+        self.tell(started_ms=1)
+        self.harness.advance(5.0)
+        self.assertIn(TARGET, self.send(SEND_COUNT))
+
+
 class ProcessTest(StatementTest):
     # Guards against new targets without requests: an answer of the earlier process arrives late.
     def test_the_process_that_replaces_it_is_used_when_its_answer_comes_late(self) -> None:
