Attempts: what a target says is applied first, on one path for every outcome

A host sent requests to a target that had told it that it leaves: 10 of 40 in the reducer of one host, if the answer broke off while the host took its own paths to be lost.

Cause: _record_attempt returned before it looked at what the target had said, if the path was lost and the outcome one that a lost path explains. finish_attempt dropped the end of an attempt whose request had ended, with what it said.

Change: finish_attempt calls note_statements before it judges anything, once, for every outcome.

Both tests of LostPathTest failed before: "'t1' unexpectedly found in Counter({'t0': 20, 't2': 10, 't1': 10})", and the target not LEAVING after an answer to a request that had ended.

--- a/endivedrift/reducer/_attempts.py
+++ b/endivedrift/reducer/_attempts.py
@@ -257,11 +257,13 @@
       state: The host.
       event: The end of the attempt.
     Returns:
-      The effects, none if the request has already ended.
+      The effects; none on the request if it has already ended.
     """
     pending = state.requests.get(event.request)
+    service = state.services.get(pending.service) if pending is not None else None
+    effects: list[Effect] = [RecordAudit(e) for e in note_statements(state, service, event)]
     if pending is None or event.target not in (pending.target, pending.hedge_target):
-        return []
+        return effects
     other = pending.hedge_target if event.target == pending.target else pending.target
     pending.target, pending.hedge_target = other, None
     if event.outcome in (AttemptOutcome.NOT_CONNECTED, AttemptOutcome.WITHDRAWN):
@@ -269,8 +271,7 @@
     if event.outcome is AttemptOutcome.NOT_CONNECTED:
         pending.failed_connections += 1
     pending.may_have_run |= judge_outcome(event.outcome) is Verdict.MAY_HAVE_RUN
-    service = state.services.get(pending.service)
-    effects = note_attempt(state, event)
+    effects += note_attempt(state, event)
     effects += judge_attempt(state, pending, event)
     is_barred = is_quarantined(state, pending.head.digest, event.at)
     may_run_again = not is_barred and not pending.key_withdrawn
@@ -278,8 +279,6 @@
     if service is not None:
         effects += _record_attempt(state, service, event)
         reserved = _release_reservation(state, service, pending, event.request)
-    else:
-        effects += [RecordAudit(entry) for entry in note_statements(state, None, event)]
     answer = event.answer if event.outcome is AttemptOutcome.ANSWERED else None
     served = answer is not None and answer.status < SERVER_ERROR
     hedging = service.hedging if service is not None else None
@@ -765,7 +764,7 @@
     """
     record = service.targets.get(event.target)
     if record is None:
-        return [RecordAudit(entry) for entry in note_statements(state, service, event)]
+        return []
     entries: list[AuditEntry] = []
     attempt = record.attempts.pop(event.request, None)
     if state.path.is_cut and event.outcome in PATH_OUTCOMES:
@@ -795,7 +794,6 @@
         record.last_answer_at = event.at
         record.last_latency = event.latency
         update_typical_latency(service, event.latency)
-    entries += note_statements(state, service, event)
     if event.outcome is AttemptOutcome.MISDIRECTED:
         cause = "another target answers at its address"
         entries += mark_leaving(service, event.target, event.at, LeavingSource.REPLACED, cause)
--- a/tests/statements_test.py
+++ b/tests/statements_test.py
@@ -16,6 +16,7 @@
     MessageKind,
     PeerMessage,
     ServiceName,
+    TargetState,
 )
 from endivedrift.core.effects import SendToTarget
 from endivedrift.core.events import PeerMessageReceived, StoreAnswered, TargetsObserved
@@ -117,6 +118,25 @@
         self.assert_unused()
 
 
+class LostPathTest(StatementTest):
+    # Guards against DRAIN: an answer that broke off was not heeded at a host with no path.
+    def test_it_stays_out_when_its_answer_breaks_off_on_a_lost_path(self) -> None:
+        sent = self.send_to_target()
+        self.harness.state.path.is_cut = True
+        self.finish(sent, AttemptOutcome.CUT, leaving=True)
+        self.harness.state.path.is_cut = False
+        self.harness.advance(20.0)
+        self.assert_unused()
+
+    # Guards against DRAIN: an answer was not heeded whose request had ended.
+    def test_it_stays_out_when_its_answer_comes_after_its_caller_has_left(self) -> None:
+        sent = self.send_to_target()
+        del self.harness.state.requests[sent.request]
+        self.finish(sent, leaving=True)
+        record = self.harness.state.services[ServiceName(SERVICE)].targets[TARGET]
+        self.assertIs(record.state, TargetState.LEAVING)
+
+
 class ToldTest(StatementTest):
     """Another host tells of what the target has said to it."""
 
