Forwarding: the reply to a forwarded request names the processes that leave

A host passed on an answer that says that its target leaves, and could send to that target later: it did not know which target had answered another host.

Cause: the reply to a forwarded request held the answer only. The host that forwarded it depended on a datagram of the other one, which may be lost, and which is sent only to users of the service that are known there.

Change: the reply names the processes that stated on the attempts that they leave, with their starts, and the host that gets it applies that before it delivers the answer, with a route or without. Replies of earlier builds name none.

Without the application in the reducer, ForwardedTest fails: "'t1' unexpectedly found in Counter({'t0': 20, 't2': 10, 't1': 10})".

--- a/endivedrift/core/events.py
+++ b/endivedrift/core/events.py
@@ -14,6 +14,7 @@
     ConfigRef,
     ListedMachine,
     PeerMessage,
+    ProcessId,
     Refusal,
     RequestHead,
     TargetEntry,
@@ -74,6 +75,11 @@
     is_hedge: bool = False
     started_ms: int = 0
 
+    @property
+    def states_leaving(self) -> bool:
+        """Whether the target stated that it is shutting down."""
+        return self.leaving or self.outcome is AttemptOutcome.DRAINING
+
 
 @dataclass(frozen=True, slots=True)
 class AttemptLate:
@@ -117,7 +123,8 @@
 class ForwardFinished:
     """The host to which a request was forwarded answered, refused it, or did not reply.
 
-    `connected` is False if the request certainly did not reach that host.
+    `connected` is False if the request certainly did not reach that host. `leaving` are the
+    processes that stated on the attempts of that host that they are shutting down.
     """
 
     at: Instant
@@ -126,6 +133,7 @@
     answer: Answer | None = None
     refusal: Refusal | None = None
     connected: bool = True
+    leaving: tuple[ProcessId, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/endivedrift/reducer/_keyed.py
+++ b/endivedrift/reducer/_keyed.py
@@ -27,6 +27,7 @@
     DeliverAnswer,
     Effect,
     ForwardToOwner,
+    RecordAudit,
     RefuseRequest,
 )
 from endivedrift.core.events import ForwardFinished, KeyClaimSettled
@@ -44,6 +45,7 @@
 from endivedrift.reducer._quotas import return_charge
 from endivedrift.reducer._refusals import refuse
 from endivedrift.reducer._state import HostState, RequestState
+from endivedrift.reducer._statements import note_reported_leaving
 
 CLAIM_TIMEOUT = timedelta(seconds=1)
 BUSY_RETRY_DELAY = timedelta(seconds=1)
@@ -107,21 +109,27 @@
 def finish_forward(state: HostState, event: ForwardFinished) -> list[Effect]:
     """Delivers the reply of the host to which a request was forwarded."""
     pending = state.requests.get(event.request)
+    service = state.services.get(pending.service) if pending is not None else None
+    effects: list[Effect] = [
+        RecordAudit(entry)
+        for process_id in event.leaving
+        for entry in note_reported_leaving(state, service, process_id, event.at)
+    ]
     if pending is None:
-        return []
+        return effects
     if pending.peer is not None:
-        return finish_peer_forward(state, event, pending)
+        return effects + finish_peer_forward(state, event, pending)
     if event.outcome is ForwardOutcome.BROKEN:
         pending.may_have_run = event.connected
         detail = "the host that owns the key did not answer"
-        return _refuse_without_record(
+        return effects + _refuse_without_record(
             state, event.at, event.request, RefusalReason.OWNER_UNREACHABLE, detail
         )
     del state.requests[event.request]
     if event.outcome is ForwardOutcome.ANSWERED and event.answer is not None:
-        return [DeliverAnswer(event.request, event.answer)]
+        return [*effects, DeliverAnswer(event.request, event.answer)]
     assert event.refusal is not None
-    return [RefuseRequest(event.request, event.refusal)]
+    return [*effects, RefuseRequest(event.request, event.refusal)]
 
 
 def _start_minted(
--- a/endivedrift/reducer/_statements.py
+++ b/endivedrift/reducer/_statements.py
@@ -5,10 +5,8 @@
 """
 
 from endivedrift.core import (
-    AttemptOutcome,
     AuditEntry,
     AuditKind,
-    EvidenceDelta,
     Instant,
     LeavingSource,
     ProcessId,
@@ -50,21 +48,29 @@
     return []
 
 
-def note_reported_leaving(state: HostState, at: Instant, delta: EvidenceDelta) -> list[AuditEntry]:
+def note_reported_leaving(
+    state: HostState, service: ServiceState | None, process_id: ProcessId, at: Instant
+) -> list[AuditEntry]:
     """Applies that a process is leaving, as another host says.
 
+    Args:
+      state: The host.
+      service: The service that the other host names, or None if it is not in force.
+      process_id: The process; its start is 0 if the other host does not know it.
+      at: Current time.
     Returns:
       Audit entries, none if that is already known or concerns no target in use.
     """
-    process = _find_process(state, delta.target, delta.leaving_started_ms)
+    target = process_id.name
+    process = _find_process(state, target, process_id.started_ms)
     if process is not None:
         process.leaving = True
-    found = _find_record(state, state.services.get(delta.service), delta.target)
+    found = _find_record(state, service, target)
     if found is None or (process is not None and found[1].process is not process):
         return []
-    service, record = found
+    owner, record = found
     cause = "another host says it is draining"
-    entries = mark_leaving(service, delta.target, at, LeavingSource.ANNOUNCED, cause)
+    entries = mark_leaving(owner, target, at, LeavingSource.ANNOUNCED, cause)
     record.unsent_leaving = False
     return entries
 
@@ -106,21 +112,17 @@
         entries.append(
             AuditEntry(event.at, AuditKind.PAUSED, event.target, cause, service.name, event.request)
         )
-    if _states_leaving(event):
+    if event.states_leaving:
         cause = "its answer says that it is draining"
         entries += mark_leaving(service, event.target, event.at, LeavingSource.ANNOUNCED, cause)
     return entries
 
 
 def _apply_to_process(process: Process, event: AttemptFinished) -> None:
-    process.leaving |= _states_leaving(event)
+    process.leaving |= event.states_leaving
     if event.retry_after is not None:
         process.held_until = max(process.held_until, event.at + event.retry_after)
     if event.rate_limit is not None:
         process.rate_limit = update_rate_limit(
             process.rate_limit, event.rate_limit, event.at, event.at
         )
-
-
-def _states_leaving(event: AttemptFinished) -> bool:
-    return event.leaving or event.outcome is AttemptOutcome.DRAINING
--- a/endivedrift/reducer/_targets.py
+++ b/endivedrift/reducer/_targets.py
@@ -20,6 +20,7 @@
     Instant,
     LeavingSource,
     PauseCause,
+    ProcessId,
     ServiceName,
 )
 from endivedrift.core.effects import Effect, RecordAudit
@@ -74,9 +75,12 @@
     effects: list[Effect] = []
     services: set[ServiceName] = set()
     for delta in deltas:
-        entries = note_reported_leaving(state, at, delta) if delta.leaving else []
-        effects += [RecordAudit(entry) for entry in entries]
         service = state.services.get(delta.service)
+        entries: list[AuditEntry] = []
+        if delta.leaving:
+            process_id = ProcessId(delta.target, delta.leaving_started_ms)
+            entries = note_reported_leaving(state, service, process_id, at)
+        effects += [RecordAudit(entry) for entry in entries]
         if service is None or delta.target not in service.targets:
             continue
         state.active_services.add(delta.service)
--- a/endivedrift/shell/_codec.py
+++ b/endivedrift/shell/_codec.py
@@ -35,6 +35,7 @@
     MemberStatus,
     MessageKind,
     PeerMessage,
+    ProcessId,
     QuotaReport,
     QuotaStatus,
     RateLimitReport,
@@ -111,6 +112,19 @@
     takes_retry: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class ForwardReply:
+    """The result of a forwarded request.
+
+    Attributes:
+      result: The answer or refusal.
+      leaving: Processes that stated on attempts of the request that they are shutting down.
+    """
+
+    result: Answer | Refusal
+    leaving: tuple[ProcessId, ...] = ()
+
+
 @dataclass(frozen=True, slots=True)
 class ConfigQuery:
     """A query for the object set with the given digest."""
@@ -144,7 +158,7 @@
 
 
 Call: TypeAlias = ForwardedRequest | ConfigQuery | TargetsQuery
-Reply: TypeAlias = Answer | Refusal | ConfigBytes | KnownTargets | NotFound
+Reply: TypeAlias = ForwardReply | ConfigBytes | KnownTargets | NotFound
 
 
 def compute_mac(secret: bytes, *parts: bytes) -> bytes:
@@ -243,18 +257,12 @@
 def encode_reply(reply: Reply) -> bytes:
     """Encodes the reply to a call."""
     message = _schema.Reply.new_message()
-    if isinstance(reply, Answer):
-        answer = message.init("answer")
-        answer.status = reply.status
-        _set_headers(answer, reply.headers)
-        answer.body = reply.body
-    elif isinstance(reply, Refusal):
-        refusal = message.init("refusal")
-        refusal.reason = reply.reason.value
-        refusal.mayHaveRun = reply.verdict is Verdict.MAY_HAVE_RUN
-        refusal.attemptMayHaveRun = reply.attempt_verdict is Verdict.MAY_HAVE_RUN
-        refusal.retryAfterMicros = _count_micros(reply.retry_after)
-        refusal.detail = reply.detail
+    if isinstance(reply, ForwardReply):
+        _set_result(message, reply.result)
+        leaving = message.init("leaving", len(reply.leaving))
+        for struct, process in zip(leaving, reply.leaving, strict=True):
+            struct.target = process.name
+            struct.born = process.started_ms
     elif isinstance(reply, ConfigBytes):
         message.config = _compress(reply.canonical)
     elif isinstance(reply, KnownTargets):
@@ -268,6 +276,21 @@
     return message.to_bytes()
 
 
+def _set_result(message: Any, result: Answer | Refusal) -> None:
+    if isinstance(result, Answer):
+        answer = message.init("answer")
+        answer.status = result.status
+        _set_headers(answer, result.headers)
+        answer.body = result.body
+        return
+    refusal = message.init("refusal")
+    refusal.reason = result.reason.value
+    refusal.mayHaveRun = result.verdict is Verdict.MAY_HAVE_RUN
+    refusal.attemptMayHaveRun = result.attempt_verdict is Verdict.MAY_HAVE_RUN
+    refusal.retryAfterMicros = _count_micros(result.retry_after)
+    refusal.detail = result.detail
+
+
 def decode_reply(body: bytes) -> Reply | None:
     """Decodes the reply to a call, or returns None if it cannot be decoded."""
     try:
@@ -276,9 +299,10 @@
                 case "answer":
                     answer = reply.answer
                     status = _get_status(answer.status)
-                    return Answer(status, _get_headers(answer), bytes(answer.body))
+                    decoded = Answer(status, _get_headers(answer), bytes(answer.body))
+                    return ForwardReply(decoded, _get_leaving(reply))
                 case "refusal":
-                    return _decode_refusal(reply.refusal)
+                    return ForwardReply(_decode_refusal(reply.refusal), _get_leaving(reply))
                 case "config":
                     return ConfigBytes(_decompress(bytes(reply.config)))
                 case "targets":
@@ -631,6 +655,12 @@
     return tuple((bytes(entry.name), bytes(entry.value)) for entry in struct.headers)
 
 
+def _get_leaving(reply: Any) -> tuple[ProcessId, ...]:
+    return tuple(
+        ProcessId(TargetName(struct.target), struct.born) for struct in _get_bounded(reply.leaving)
+    )
+
+
 def _decode_refusal(struct: Any) -> Refusal:
     verdicts = (Verdict.NOT_RUN, Verdict.MAY_HAVE_RUN)
     return Refusal(
--- a/endivedrift/shell/_peers.py
+++ b/endivedrift/shell/_peers.py
@@ -10,10 +10,8 @@
 
 from endivedrift.core import (
     Address,
-    Answer,
     Digest,
     PeerMessage,
-    Refusal,
     RequestHead,
     RequestId,
 )
@@ -35,6 +33,7 @@
     ConfigBytes,
     ConfigQuery,
     ForwardedRequest,
+    ForwardReply,
     KnownTargets,
     NotFound,
     Reply,
@@ -52,7 +51,12 @@
     serve_call,
 )
 from endivedrift.shell._requests import digest_request, fingerprint_request, read_host
-from endivedrift.shell._serving import MAX_MEMORY_WAIT, ServingContext, serve_request
+from endivedrift.shell._serving import (
+    MAX_MEMORY_WAIT,
+    ServingContext,
+    list_leaving,
+    serve_request,
+)
 from endivedrift.shell._sockets import Socket, open_datagram_socket, open_stream_socket
 from endivedrift.shell._targets import TargetRequest
 
@@ -267,9 +271,7 @@
         now = self._runtime.clock.monotonic()
         await self._runtime.dispatch(CallerDisconnected(now, request_id))
 
-    async def _serve_forwarded(
-        self, request_id: RequestId, call: ForwardedRequest
-    ) -> Answer | Refusal:
+    async def _serve_forwarded(self, request_id: RequestId, call: ForwardedRequest) -> ForwardReply:
         target = call.target.encode("latin-1")
         request = TargetRequest(call.method, target, call.headers, call.body)
         host = read_host(call.headers)
@@ -289,7 +291,8 @@
             digest=digest_request(host, call.caller, request),
             body_bytes=len(call.body),
         )
-        return (await serve_request(self._context, request_id, head, request)).result
+        served = await serve_request(self._context, request_id, head, request)
+        return ForwardReply(served.result, list_leaving(served.attempts))
 
 
 def jitter_period(period: timedelta) -> float:
--- a/endivedrift/shell/_serving.py
+++ b/endivedrift/shell/_serving.py
@@ -1,5 +1,6 @@
 """Serves one request: sends its events to the reducer and performs the resulting effects."""
 
+from collections.abc import Iterable
 from dataclasses import dataclass, field, replace
 from datetime import timedelta
 
@@ -12,6 +13,7 @@
     ForwardOutcome,
     HostId,
     Incarnation,
+    ProcessId,
     Refusal,
     RefusalReason,
     RequestHead,
@@ -41,7 +43,7 @@
     RequestArrived,
 )
 from endivedrift.reducer import may_still_send
-from endivedrift.shell._codec import ForwardedRequest, Reply
+from endivedrift.shell._codec import ForwardedRequest, ForwardReply, Reply
 from endivedrift.shell._conventions import DEFAULT_CONVENTIONS, HttpConventions
 from endivedrift.shell._log import make_logger
 from endivedrift.shell._peer_calls import PEER_CONNECT_TIMEOUT, PeerCallError, call_peer
@@ -77,6 +79,15 @@
     peers: tuple[HostId, ...] = ()
 
 
+def list_leaving(attempts: Iterable[AttemptFinished]) -> tuple[ProcessId, ...]:
+    """Lists the processes that stated on some attempts that they are shutting down."""
+    return tuple(
+        ProcessId(finished.target, finished.started_ms)
+        for finished in attempts
+        if finished.states_leaving
+    )
+
+
 async def serve_request(
     context: ServingContext,
     request_id: RequestId,
@@ -421,8 +432,13 @@
 
 def _build_forward_event(runtime: Runtime, request: RequestId, reply: Reply) -> ForwardFinished:
     now = runtime.clock.monotonic()
-    if isinstance(reply, Answer):
-        return ForwardFinished(now, request, ForwardOutcome.ANSWERED, answer=reply)
-    if isinstance(reply, Refusal):
-        return ForwardFinished(now, request, ForwardOutcome.REFUSED, refusal=reply)
+    if isinstance(reply, ForwardReply):
+        result, leaving = reply.result, reply.leaving
+        if isinstance(result, Answer):
+            return ForwardFinished(
+                now, request, ForwardOutcome.ANSWERED, answer=result, leaving=leaving
+            )
+        return ForwardFinished(
+            now, request, ForwardOutcome.REFUSED, refusal=result, leaving=leaving
+        )
     return ForwardFinished(now, request, ForwardOutcome.BROKEN)
--- a/endivedrift/shell/codec_test.py
+++ b/endivedrift/shell/codec_test.py
@@ -24,6 +24,7 @@
     MemberStatus,
     MessageKind,
     PeerMessage,
+    ProcessId,
     QuotaReport,
     QuotaStatus,
     RateLimitReport,
@@ -47,6 +48,7 @@
     ConfigBytes,
     ConfigQuery,
     ForwardedRequest,
+    ForwardReply,
     KnownTargets,
     TargetsQuery,
     compute_mac,
@@ -145,16 +147,18 @@
     config_version=Version(7),
     takes_retry=True,
 )
+LEAVING = (ProcessId(TargetName("t1"), 1_700_000_000_000), ProcessId(TargetName("t2"), 0))
+REFUSAL = Refusal(
+    RefusalReason.DEADLINE, Verdict.NOT_RUN, Verdict.NOT_RUN, timedelta(seconds=1), "d"
+)
 CALLS = [
     encode_call(call) for call in (FORWARD, FOR_PEER, ConfigQuery(Digest("d")), TargetsQuery())
 ]
 REPLIES = [
     encode_reply(reply)
     for reply in (
-        Answer(200, ((b"a", b"b"),), b"body"),
-        Refusal(
-            RefusalReason.DEADLINE, Verdict.NOT_RUN, Verdict.NOT_RUN, timedelta(seconds=1), "d"
-        ),
+        ForwardReply(Answer(200, ((b"a", b"b"),), b"body"), LEAVING),
+        ForwardReply(REFUSAL, LEAVING),
         ConfigBytes(b"{}"),
         KnownTargets((build_target_entry(1),), 4),
     )
@@ -206,6 +210,11 @@
         for call in (FORWARD, FOR_PEER):
             self.assertEqual(decode_call(encode_call(call)), call)
 
+    def test_replies_to_forwarded_requests_are_decoded_as_they_were_sent(self) -> None:
+        for result in (Answer(200, ((b"a", b"b"),), b"body"), REFUSAL):
+            reply = ForwardReply(result, LEAVING)
+            self.assertEqual(decode_reply(encode_reply(reply)), reply)
+
     @fuzz_input
     @given(damage(CALLS))
     def test_any_call_is_decoded_or_rejected(self, body: bytes) -> None:
@@ -248,7 +257,8 @@
     # Guards against a caller without an answer: what another host said cannot be written as one.
     def test_a_status_that_no_answer_can_have_is_rejected(self) -> None:
         for status in (0, 100, 199, 600, 999, 1000, 65_535):
-            self.assertIsNone(decode_reply(encode_reply(Answer(status, (), b""))))
+            reply = ForwardReply(Answer(status, (), b""))
+            self.assertIsNone(decode_reply(encode_reply(reply)))
 
     # Guards against a host that ends at a rate too great to count with.
     def test_a_rate_beyond_all_counts_is_rejected(self) -> None:
--- a/endivedrift/shell/peer.capnp
+++ b/endivedrift/shell/peer.capnp
@@ -180,6 +180,12 @@
   detail @4 :Text;
 }
 
+# A process of a target.
+struct Process {
+  target @0 :Text;
+  born @1 :Int64;  # Start of the process, in Unix milliseconds; 0 if it is not known.
+}
+
 # The reply to a call over TCP.
 struct Reply {
   union {
@@ -189,4 +195,5 @@
     nothing @3 :Void;
     targets @4 :Targets;
   }
+  leaving @5 :List(Process);  # Processes that said, on this request, that they leave.
 }
--- a/tests/statements_test.py
+++ b/tests/statements_test.py
@@ -12,19 +12,29 @@
     Address,
     AttemptOutcome,
     EvidenceDelta,
+    ForwardOutcome,
     HostId,
+    MemberStatus,
     MessageKind,
     PeerMessage,
+    ProcessId,
     ServiceName,
     TargetState,
 )
-from endivedrift.core.effects import SendToTarget
-from endivedrift.core.events import PeerMessageReceived, StoreAnswered, TargetsObserved
+from endivedrift.core.effects import DeliverAnswer, ForwardToPeer, SendToTarget
+from endivedrift.core.events import (
+    ForwardFinished,
+    PeerMessageReceived,
+    StoreAnswered,
+    TargetsObserved,
+)
 from endivedrift.fleet import build_membership
 from endivedrift.reducer import may_still_send
 from tests.announcements_test import TARGET, AnnouncementTest
 from tests.builders import (
     SERVICE,
+    WRITE_PATH,
+    build_answer,
     build_config_fetched,
     build_discovered_set,
     build_identity,
@@ -50,6 +60,12 @@
     def restore_route(self) -> None:
         self.change_route("rooms", version=3)
 
+    def remove_registration(self) -> None:
+        """Lets the target's registration vanish, for longer than it may be kept."""
+        self.observe(TARGET, numbers=())
+        self.harness.advance(3.0)
+        self.assertNotIn(TARGET, self.harness.state.discovered)
+
     def end_outage(self) -> None:
         """Lets the store answer for the first time, so that lapsed registrations are kept."""
         now = self.harness.clock.monotonic()
@@ -95,7 +111,7 @@
     # Guards against DRAIN: as above, while there is a route.
     def test_it_stays_out_when_it_says_so_without_a_registration(self) -> None:
         sent = self.send_to_target()
-        self.observe(TARGET, numbers=())
+        self.remove_registration()
         self.finish(sent, leaving=True)
         self.observe()
         self.harness.advance(5.0)
@@ -183,7 +199,7 @@
 
     # Guards against DRAIN: as above, before the registration was known here.
     def test_it_stays_out_when_another_host_says_so_before_it_is_known(self) -> None:
-        self.observe(TARGET, numbers=())
+        self.remove_registration()
         self.tell(started_ms=2)
         self.observe(born=2)
         self.harness.advance(5.0)
@@ -197,6 +213,41 @@
         self.assertIn(TARGET, self.send(SEND_COUNT))
 
 
+class ForwardedTest(StatementTest):
+    """A request is forwarded to another host, which uses the target."""
+
+    def forward(self) -> ForwardToPeer:
+        other = build_membership(build_identity("h2"), Random(1)).me
+        self.harness.receive_notice(other.with_status(MemberStatus.ALIVE))
+        self.harness.state.path.is_cut = True
+        for _ in range(SEND_COUNT):
+            for effect in self.harness.receive_request("POST", WRITE_PATH)[1]:
+                if isinstance(effect, ForwardToPeer):
+                    return effect
+        raise AssertionError("no request was forwarded")
+
+    # Guards against DRAIN: a host passes on the answer of a target that another host has used.
+    def test_it_stays_out_when_the_answer_came_through_another_host(self) -> None:
+        for has_route in (True, False):
+            with self.subTest(has_route=has_route):
+                self.setUp()
+                request = self.forward().request
+                if not has_route:
+                    self.remove_route()
+                now = self.harness.clock.monotonic()
+                leaving = (ProcessId(TARGET, 1),)
+                effects = self.harness.apply(
+                    ForwardFinished(
+                        now, request, ForwardOutcome.ANSWERED, build_answer(), leaving=leaving
+                    )
+                )
+                self.assertTrue(any(isinstance(effect, DeliverAnswer) for effect in effects))
+                self.harness.state.path.is_cut = False
+                if not has_route:
+                    self.restore_route()
+                self.assert_unused()
+
+
 class ProcessTest(StatementTest):
     # Guards against new targets without requests: an answer of the earlier process arrives late.
     def test_the_process_that_replaces_it_is_used_when_its_answer_comes_late(self) -> None:
@@ -219,7 +270,7 @@
         self.harness.advance(5.0)
         self.finish(self.send_to_target(), leaving=True)
         self.assert_unused()
-        self.observe(TARGET, numbers=())
+        self.remove_registration()
         self.observe(born=0)
         self.harness.advance(5.0)
         self.assertIn(TARGET, self.send(SEND_COUNT))
