--- a/endivedrift/policy/_processes.py
+++ b/endivedrift/policy/_processes.py
@@ -53,13 +53,11 @@
     return process
 
 
-def add_registration(table: ProcessTable, entry: TargetEntry) -> Process:
-    """Notes that a process is registered, and returns what is known of it."""
+def add_registration(table: ProcessTable, entry: TargetEntry) -> None:
+    """Notes that a process is registered."""
     process_id = identify_process(entry)
-    process = get_process(table, process_id)
+    get_process(table, process_id).removed_in_era = None
     table.unregistered.pop(process_id, None)
-    process.removed_in_era = None
-    return process
 
 
 def note_removal(table: ProcessTable, entry: TargetEntry, era: int) -> None:
--- a/endivedrift/reducer/_discovery.py
+++ b/endivedrift/reducer/_discovery.py
@@ -164,12 +164,13 @@
     for observed_entry in observed:
         state.removal_times.pop(observed_entry.name, None)
         known = state.discovered.get(observed_entry.name)
-        if known is not None and known.started_ms > observed_entry.started_ms:
+        process = get_process(state.processes, identify_process(observed_entry))
+        entry = _keep_leaving(observed_entry, process)
+        if known is not None and known.started_ms > entry.started_ms:
             continue
-        if known is not None and identify_process(known) != identify_process(observed_entry):
+        if known is not None and identify_process(known) != identify_process(entry):
             end_registration(state.processes, known)
-        process = add_registration(state.processes, observed_entry)
-        entry = _keep_leaving(observed_entry, process)
+        add_registration(state.processes, entry)
         if known == entry:
             continue
         if known is not None and known.service != entry.service:
--- a/tests/announcements_test.py
+++ b/tests/announcements_test.py
@@ -10,6 +10,9 @@
 
 from endivedrift.core import (
     AttemptOutcome,
+    AuditEntry,
+    AuditKind,
+    Instant,
     LeavingSource,
     RefusalReason,
     RouteName,
@@ -26,8 +29,10 @@
 from endivedrift.objects import Share
 from endivedrift.policy import (
     ProcessTable,
+    ServiceState,
     TargetRecord,
     _choice,
+    _ejection,
     mark_leaving,
     restore_registered_target,
 )
@@ -291,6 +296,16 @@
         self.observe(numbers=(1,), leaving=True)
         self.assertNotIn(TARGET, self.send(40))
 
+    def test_without_the_state_in_the_decision_the_invariant_is_broken(self) -> None:
+        with (
+            inject_fault(_ejection, "_end_ejections", readmit_any),
+            inject_fault(_ejection, "_change_state", change_state),
+        ):
+            self.end_probation()
+            self.observe(numbers=(1,), leaving=True)
+            self.harness.advance(0.1)
+            self.assertRaises(AssertionError, check_states, self.harness.state)
+
     # Guards against a target that returns in place of a replaced one without its warm-up.
     def test_good_answers_of_a_probation_do_not_shorten_a_later_warm_up(self) -> None:
         self.end_probation()
@@ -302,6 +317,28 @@
         self.assertIs(self.record.state, TargetState.WARMING)
 
 
+def readmit_any(state: ServiceState, at: Instant) -> list[AuditEntry]:
+    """Readmits targets for their good answers, whatever their state."""
+    entries: list[AuditEntry] = []
+    for record in state.targets.values():
+        if record.consecutive_good >= MIN_PROBATION_SUCCESSES:
+            entries += _ejection._readmit(state, record, at, "good answers")
+    return entries
+
+
+def change_state(
+    state: ServiceState,
+    record: TargetRecord,
+    new_state: TargetState,
+    at: Instant,
+    kind: AuditKind,
+    cause: str,
+) -> list[AuditEntry]:
+    """Changes the state of a target without starting its count of good answers anew."""
+    record.state, record.state_since = new_state, at
+    return [AuditEntry(at, kind, record.target.name, cause, state.name)]
+
+
 class LeavingFleetTest(unittest.TestCase):
     def test_the_hosts_that_use_a_target_learn_at_once_that_it_leaves(self) -> None:
         network = Network(6, 3, build_discovered_set())
--- a/tests/statements_test.py
+++ b/tests/statements_test.py
@@ -265,6 +265,15 @@
         self.harness.advance(5.0)
         self.assert_unused()
 
+    # Guards against DRAIN: the report of an earlier process was dropped with its older entry.
+    def test_it_stays_out_when_it_says_so_after_a_later_process_has_registered(self) -> None:
+        self.observe(born=2)
+        self.observe(numbers=(1,), born=1, leaving=True)
+        self.remove_registration()
+        self.observe(born=1)
+        self.harness.advance(5.0)
+        self.assert_unused()
+
     def test_a_process_without_a_start_is_forgotten_with_its_registration(self) -> None:
         self.observe(born=0)
         self.harness.advance(5.0)
