Targets: the head of an answer that cannot be used still says that its target leaves

A host dropped the word of a target whose answer it could not use: a spoiled rest, no proof header, no memory left to hold it.

The word was asked for after outcomes of a list, which lacked MALFORMED and NO_MEMORY.

Change: it counts for every outcome if the head is one to this request (is_trusted), but for 421, which another process gives. A target restored by time forgets its word where that is decided, in _expire_leaving.

test_an_answer_that_cannot_be_used_tells_it_too failed before in all three subtests ("False is not true"), and so did the new assertion of test_an_answer_without_memory_ends_and_the_wait_is_not_the_targets_latency.

--- a/endivedrift/policy/_ejection.py
+++ b/endivedrift/policy/_ejection.py
@@ -93,7 +93,6 @@
     state: ServiceState, record: TargetRecord, at: Instant, cause: str
 ) -> list[AuditEntry]:
     record.leaving_source = LeavingSource.NONE
-    record.process.leaving = False
     record.unsent_leaving = False
     if record.target.draining or (record.entry is not None and record.entry.leaving):
         return []
@@ -143,6 +142,8 @@
         if record.entry is not None and record.leaving_source is LeavingSource.ANNOUNCED:
             continue
         if is_leaving and at - record.leaving_seen_at >= LEAVING_TTL:
+            # Only a registration would tell whether another process has replaced it.
+            record.process.leaving = False
             entries += _restore_leaving_target(state, record, at, "no recent sign of leaving")
     return entries
 
--- a/endivedrift/shell/_targets.py
+++ b/endivedrift/shell/_targets.py
@@ -67,10 +67,6 @@
 """Fraction of the idle timeout announced by a target during which a connection is reused. The rest
 covers the time that a request takes to reach the target."""
 REFUSAL_STATUSES = frozenset({400, 421, 429, 503})
-_BROKEN_OFF_OUTCOMES = frozenset(
-    {AttemptOutcome.CUT, AttemptOutcome.TIMED_OUT, AttemptOutcome.TOO_LARGE}
-)
-"""Outcomes of attempts whose answer may have begun with a valid head."""
 MISDIRECTED_STATUS = 421
 RETRY_LATER_STATUSES = frozenset({429, 503})
 """Statuses with which a target may state how long it wants no further request."""
@@ -279,7 +275,7 @@
             memory_wait=reader.memory_wait,
             is_close_delimited=reader.is_close_delimited(),
         )
-        if attempt_result.outcome in _BROKEN_OFF_OUTCOMES and reader.states_leaving():
+        if attempt_result.outcome is not AttemptOutcome.MISDIRECTED and reader.states_leaving():
             attempt_result = replace(attempt_result, leaving=True)
         await self._release(effect, connection, attempt_result)
         return attempt_result
@@ -431,6 +427,7 @@
     memory_wait: timedelta = timedelta(0)
     bounds: AnswerBounds = field(default_factory=AnswerBounds)
     response: h11.Response | None = None
+    is_trusted: bool = False
     headers: Headers = ()
     body: bytearray = field(default_factory=bytearray)
 
@@ -486,6 +483,7 @@
             self.headers = copy_headers(event.headers)
             if event.status_code > MAX_FINAL_STATUS or not self._is_trustworthy(event):
                 return _AttemptResult(AttemptOutcome.MALFORMED)
+            self.is_trusted = True
             # Memory is reserved for the whole answer at once where its size is known. Otherwise
             # many answers, each read in part, could wait for one another.
             if self.request.method != "HEAD" and event.status_code not in (204, 304):
@@ -560,7 +558,12 @@
         return _AttemptResult(AttemptOutcome.ANSWERED, answer, leaving, load, rate_limit=rate_limit)
 
     def states_leaving(self) -> bool:
-        """Tells whether the head of the answer states that the target is shutting down."""
+        """Tells whether the head of the answer states that the target is shutting down.
+
+        It counts also if the answer cannot be used, unless it is the answer to another request.
+        """
+        if not self.is_trusted:
+            return False
         names = (self.effect.draining_header, *self.conventions.leaving_headers)
         values = [find_header(self.headers, name) for name in names]
         return any(value is not None and value.strip() != b"0" for value in values)
--- a/endivedrift/shell/slow_callers_test.py
+++ b/endivedrift/shell/slow_callers_test.py
@@ -262,7 +262,8 @@
 
     def attempt(self, frees_memory: bool, deadline_s: float = EVENT_LIMIT_S) -> AttemptFinished:
         async def run() -> AttemptFinished:
-            target = ScriptedTarget((write_answer(bytes(ANSWER_BYTES)),), False, b"")
+            answer = write_answer(bytes(ANSWER_BYTES), extra="x-draining: 1\r\n")
+            target = ScriptedTarget((answer,), False, b"")
             serving = await curio.spawn(target.serve(), daemon=True)
             pool = TargetPool(SystemClock())
             other = pool.memory.open(RequestId("other"), 1)
@@ -294,6 +295,7 @@
         with inject_fault(_targets, "MAX_MEMORY_WAIT", timedelta(seconds=LONG_WAIT_S)):
             finished = self.attempt(frees_memory=False)
         self.assertIs(finished.outcome, AttemptOutcome.NO_MEMORY)
+        self.assertTrue(finished.leaving)
         self.assertLess(finished.latency, timedelta(seconds=LONG_WAIT_S))
 
     def test_a_deadline_that_ends_the_wait_is_not_the_targets_time_out(self) -> None:
--- a/endivedrift/shell/targets_test.py
+++ b/endivedrift/shell/targets_test.py
@@ -219,6 +219,19 @@
         self.assertFalse(self.attempt(200, self.SIGNED).leaving)
         self.assertFalse(self.attempt(200, self.SIGNED + "Server-Leaving: 0\r\n").leaving)
 
+    # Guards against DRAIN: what the head of an answer said was dropped with a spoiled rest.
+    def test_an_answer_that_cannot_be_used_tells_it_too(self) -> None:
+        line = "Server-Leaving: 1\r\n"
+        for status, extra in (
+            (200, "endivedrift-attempt-id: a1\r\n"),
+            (503, self.SIGNED),
+            (200, self.SIGNED + "content-encoding: gzip\r\n"),
+        ):
+            with self.subTest(status=status, extra=extra):
+                finished = self.attempt(status, extra + line)
+                self.assertIs(finished.outcome, AttemptOutcome.MALFORMED)
+                self.assertTrue(finished.leaving)
+
     def test_an_answer_to_another_request_tells_nothing(self) -> None:
         foreign = self.SIGNED.replace("a1", "a2") + "Server-Leaving: 1\r\n"
         finished = self.attempt(200, foreign)
