Discovery: a registration without a start that a restored store shows is not ignored

Found by reading, which made it: a target whose entry states no start, and had lapsed a moment before the store was restored from a copy that has it, would have been ignored and removed.

Change: _departed_before holds for processes that state their start, as before.

The new test failed before: "'t1' not found in {'t0', 't2'}".

--- a/endivedrift/reducer/_discovery.py
+++ b/endivedrift/reducer/_discovery.py
@@ -149,8 +149,10 @@
     """Tells whether a registration was seen to be removed before the store was restored.
 
     The whole table of a restored store shows it again. It counts only once it is written anew,
-    which is then reported as a change.
+    which is then reported as a change. A registration without a start may be of another process.
     """
+    if not entry.started_ms:
+        return False
     process = state.processes.processes.get(identify_process(entry))
     removed_in = process.removed_in_era if process is not None else None
     return removed_in is not None and removed_in < era
--- a/tests/announcements_test.py
+++ b/tests/announcements_test.py
@@ -492,6 +492,17 @@
         self.observe(complete=True, version=build_store_version(2, 45))
         self.assertNotIn(TARGET, self.list_targets())
 
+    # Guards against a target that is lost with a copy that has it: its entries state no start.
+    def test_a_target_without_a_start_is_kept_by_the_copy(self) -> None:
+        self.observe(TARGET, numbers=(), version=build_store_version(1, 101))
+        self.harness.advance(3.0)
+        self.observe(numbers=(1,), born=0, version=build_store_version(1, 102))
+        self.observe(TARGET, numbers=(), version=build_store_version(1, 103))
+        self.assertIn(TARGET, self.harness.state.removal_times)
+        self.observe(complete=True, born=0, version=build_store_version(2, 40))
+        self.harness.advance(3.0)
+        self.assertIn(TARGET, self.list_targets())
+
     def test_without_the_memory_of_departures_it_would_be_used(self) -> None:
         with inject_fault(_discovery, "end_registration", forget_process):
             self.observe(TARGET, numbers=(), version=build_store_version(1, 101))
