--- a/tests/builders.py
+++ b/tests/builders.py
@@ -10,6 +10,7 @@
     Answer,
     ConfigRef,
     Digest,
+    EvidenceDelta,
     FailureDomain,
     HostId,
     HostIdentity,
@@ -170,6 +171,7 @@
         )
         self.random = Random(seed)
         self.request_count = 0
+        self.notice_count = 0
         if objects is not None:
             self.apply(build_config_fetched(self.clock, objects))
 
@@ -187,10 +189,23 @@
 
     def receive_notice(self, member: Member) -> None:
         """Applies a notice by which another host makes itself known."""
+        self.receive_evidence(member)
+
+    def receive_evidence(self, sender: Member, *deltas: EvidenceDelta) -> list[Effect]:
+        """Applies a notice with what another host has seen at targets."""
+        self.notice_count += 1
         message = PeerMessage(
-            MessageKind.NOTICE, member, 1, 0, HostId(""), False, self.state.config
+            MessageKind.NOTICE,
+            sender,
+            self.notice_count,
+            0,
+            HostId(""),
+            False,
+            self.state.config,
+            evidence=deltas,
         )
-        self.apply(PeerMessageReceived(self.clock.monotonic(), member.peer_address, message))
+        event = PeerMessageReceived(self.clock.monotonic(), sender.peer_address, message)
+        return self.apply(event)
 
     def receive_request(
         self,
--- a/tests/statements_fuzz_test.py
+++ b/tests/statements_fuzz_test.py
@@ -15,11 +15,8 @@
     AttemptOutcome,
     EvidenceDelta,
     ForwardOutcome,
-    HostId,
     Instant,
     MemberStatus,
-    MessageKind,
-    PeerMessage,
     ProcessId,
     ServiceName,
     TargetState,
@@ -30,7 +27,6 @@
     AttemptFinished,
     CallerDisconnected,
     ForwardFinished,
-    PeerMessageReceived,
     StoreAnswered,
     TargetsObserved,
 )
@@ -77,7 +73,6 @@
         other = build_membership(build_identity("h2"), Random(1)).me
         self.other = other.with_status(MemberStatus.ALIVE)
         self.harness.receive_notice(self.other)
-        self.sequence = 1
         self.config_version = 1
         self.era, self.number = 1, 0
         self.births = dict.fromkeys(range(TARGETS), 1)
@@ -217,18 +212,7 @@
             True,
             leaving_started_ms=process.started_ms,
         )
-        self.sequence += 1
-        message = PeerMessage(
-            MessageKind.NOTICE,
-            self.other,
-            self.sequence,
-            0,
-            HostId(""),
-            False,
-            self.harness.state.config,
-            evidence=(delta,),
-        )
-        self.apply(PeerMessageReceived(self.now, self.other.peer_address, message))
+        self.handle_effects(self.harness.receive_evidence(self.other, delta))
 
     @rule(index=INDEX, number=NUMBER)
     def finish_forward(self, index: int, number: int) -> None:
--- a/tests/statements_test.py
+++ b/tests/statements_test.py
@@ -13,10 +13,7 @@
     AttemptOutcome,
     EvidenceDelta,
     ForwardOutcome,
-    HostId,
     MemberStatus,
-    MessageKind,
-    PeerMessage,
     ProcessId,
     ServiceName,
     TargetState,
@@ -24,7 +21,6 @@
 from endivedrift.core.effects import DeliverAnswer, ForwardToPeer, SendToTarget
 from endivedrift.core.events import (
     ForwardFinished,
-    PeerMessageReceived,
     StoreAnswered,
     TargetsObserved,
 )
@@ -159,26 +155,13 @@
     def setUp(self) -> None:
         super().setUp()
         self.other = build_membership(build_identity("h2"), Random(1)).me
-        self.message_count = 0
 
     def tell(self, started_ms: int = 1) -> None:
         """Lets the other host tell that a process of the target is leaving."""
-        self.message_count += 1
         delta = EvidenceDelta(
             ServiceName(SERVICE), TARGET, 0, 0, True, leaving_started_ms=started_ms
         )
-        message = PeerMessage(
-            MessageKind.NOTICE,
-            self.other,
-            self.message_count,
-            0,
-            HostId(""),
-            False,
-            self.harness.state.config,
-            evidence=(delta,),
-        )
-        now = self.harness.clock.monotonic()
-        self.harness.apply(PeerMessageReceived(now, self.other.peer_address, message))
+        self.harness.receive_evidence(self.other, delta)
 
     def test_it_stays_out_when_another_host_says_so(self) -> None:
         for started_ms in (0, 1):
