--- a/tests/statements_test.py
+++ b/tests/statements_test.py
@@ -54,7 +54,7 @@
         self.change_route("other", version=2)
 
     def restore_route(self) -> None:
-        self.change_route("rooms", version=3)
+        self.change_route(SERVICE, version=3)
 
     def remove_registration(self) -> None:
         """Lets the target's registration vanish, for longer than it may be kept."""
