Tests: a test of processes without a start tests them; one builder of notices

test_a_process_without_a_start_is_forgotten_with_its_registration never had such a process: its entry without a start was older than the registered one, and ignored, so that the test passed for another process. It removes that first now, and asserts that the attempt states no start. It fails when end_registration keeps such processes; before, it did not use them.

The random test of the host and the tests of patterns build notices with HostHarness.receive_evidence, as the tests of statements do, in place of two copies. The injected change of state calls the real one and only keeps the count of good answers, in place of a copy of it. One name stands in order in core/__init__.py. No assertion is dropped or loosened.

--- a/endivedrift/core/__init__.py
+++ b/endivedrift/core/__init__.py
@@ -147,7 +147,7 @@
     "Version",
     "build_store_version",
     "get_store_era",
-    "identify_process",
     "get_store_number",
+    "identify_process",
     "judge_outcome",
 ]
--- a/tests/announcements_test.py
+++ b/tests/announcements_test.py
@@ -7,11 +7,11 @@
 from collections import Counter
 from dataclasses import replace
 from datetime import timedelta
+from typing import Any
 
 from endivedrift.core import (
     AttemptOutcome,
     AuditEntry,
-    AuditKind,
     Instant,
     LeavingSource,
     RefusalReason,
@@ -326,17 +326,15 @@
     return entries
 
 
-def change_state(
-    state: ServiceState,
-    record: TargetRecord,
-    new_state: TargetState,
-    at: Instant,
-    kind: AuditKind,
-    cause: str,
-) -> list[AuditEntry]:
+CHANGE_STATE = _ejection._change_state
+
+
+def change_state(state: ServiceState, record: TargetRecord, *arguments: Any) -> list[AuditEntry]:
     """Changes the state of a target without starting its count of good answers anew."""
-    record.state, record.state_since = new_state, at
-    return [AuditEntry(at, kind, record.target.name, cause, state.name)]
+    count = record.consecutive_good
+    entries = CHANGE_STATE(state, record, *arguments)
+    record.consecutive_good = count
+    return entries
 
 
 class LeavingFleetTest(unittest.TestCase):
--- a/tests/host_test.py
+++ b/tests/host_test.py
@@ -19,10 +19,7 @@
     AttemptOutcome,
     AuditKind,
     EvidenceDelta,
-    HostId,
     ListedMachine,
-    MessageKind,
-    PeerMessage,
     RequestId,
     ServiceName,
     TargetName,
@@ -43,7 +40,6 @@
     AttemptLate,
     CallerDisconnected,
     MachineListRead,
-    PeerMessageReceived,
     QueueWaitExpired,
     StopRequested,
 )
@@ -76,7 +72,6 @@
     def start(self) -> None:
         self.harness = HostHarness(build_object_set(targets=TARGETS, floor=2, slots=4))
         self.version = 1
-        self.sequence = 0
         self.open_sends: dict[RequestId, SendToTarget] = {}
         self.queued: dict[RequestId, QueueRequest] = {}
         self.ended: set[RequestId] = set()
@@ -185,26 +180,11 @@
         leaving=st.booleans(),
     )
     def hear_evidence(self, number: int, good: int, bad: int, leaving: bool) -> None:
-        self.sequence += 1
         sender = build_membership(build_identity("h2"), Random(1)).me
-        deltas = (
-            EvidenceDelta(
-                ServiceName(SERVICE), name_target(number), good, bad, leaving and good == 0
-            ),
+        delta = EvidenceDelta(
+            ServiceName(SERVICE), name_target(number), good, bad, leaving and good == 0
         )
-        message = PeerMessage(
-            MessageKind.NOTICE,
-            sender,
-            self.sequence,
-            0,
-            HostId(""),
-            False,
-            self.harness.state.config,
-            (),
-            deltas,
-        )
-        event = PeerMessageReceived(self.harness.clock.monotonic(), sender.peer_address, message)
-        self.handle_effects(self.harness.apply(event))
+        self.handle_effects(self.harness.receive_evidence(sender, delta))
 
     @rule(floor=st.integers(1, 4), draining=st.integers(0, 1), size=st.integers(4, TARGETS))
     def publish(self, floor: int, draining: int, size: int) -> None:
--- a/tests/patterns_test.py
+++ b/tests/patterns_test.py
@@ -15,8 +15,6 @@
     AuditKind,
     EvidenceDelta,
     HostId,
-    MessageKind,
-    PeerMessage,
     RefusalReason,
     RequestId,
     ServiceName,
@@ -35,7 +33,6 @@
 from endivedrift.core.events import (
     AttemptFinished,
     AttemptLate,
-    PeerMessageReceived,
     StopRequested,
     StoreAnswered,
     StoreUnavailable,
@@ -72,7 +69,6 @@
     def setUp(self) -> None:
         self.harness = HostHarness(build_discovered_set(), seed=self.seed)
         self.rng = random.Random(3)
-        self.sequence = 0
         self.sending: dict[RequestId, tuple[SendToTarget, float]] = {}
         self.results: Counter[str] = Counter()
         self.sent: list[tuple[float, TargetName]] = []
@@ -142,24 +138,9 @@
 
     def receive_notice(self, name: str, deltas: tuple[EvidenceDelta, ...] = ()) -> None:
         """Applies a notice of another host that shares the service."""
-        self.sequence += 1
         sender = build_membership(build_identity(name, domain="b"), random.Random(1)).me
         sender = sender.with_status(type(sender.status).ALIVE)
-        message = PeerMessage(
-            MessageKind.NOTICE,
-            sender,
-            self.sequence,
-            0,
-            HostId(""),
-            False,
-            self.harness.state.config,
-            (),
-            deltas,
-        )
-        now = self.harness.clock.monotonic()
-        self.handle_effects(
-            self.harness.apply(PeerMessageReceived(now, sender.peer_address, message))
-        )
+        self.handle_effects(self.harness.receive_evidence(sender, *deltas))
 
     def break_targets(self, numbers: range, outcome: AttemptOutcome = AttemptOutcome.CUT) -> None:
         self.failing = {name_target(number): outcome for number in numbers}
--- a/tests/statements_test.py
+++ b/tests/statements_test.py
@@ -258,9 +258,12 @@
         self.assert_unused()
 
     def test_a_process_without_a_start_is_forgotten_with_its_registration(self) -> None:
+        self.remove_registration()
         self.observe(born=0)
         self.harness.advance(5.0)
-        self.finish(self.send_to_target(), leaving=True)
+        sent = self.send_to_target()
+        self.assertEqual(sent.started_ms, 0)
+        self.finish(sent, leaving=True)
         self.assert_unused()
         self.remove_registration()
         self.observe(born=0)
